Add the design page, schemas, base package and checks

Cause: the repository was empty; the parts of the scheduler need agreed interfaces, schemas and one check script before they can be written side by side. Change: design page and glossary; protobuf schemas for callers, operators, workers and the replicated logs; FlatBuffers schema for messages between processes; ids, units, errors, clock, ring, event loop, metrics and logs; public headers of consensus, peer, routing, ledger and decision. Conclusion: the interfaces compile on their own; nothing runs yet.

--- /dev/null
+++ b/include/turmericpier/base/metrics.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "turmericpier/base/clock.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+/// Counters and latency distributions, written out as Prometheus text.
+namespace turmericpier {
+
+/// A count that only grows.
+class Counter {
+public:
+    void increment(uint64_t by = 1) { m_value.fetch_add(by, std::memory_order_relaxed); }
+    uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<uint64_t> m_value { 0 };
+};
+
+/// A value that rises and falls.
+class Gauge {
+public:
+    void set(int64_t value) { m_value.store(value, std::memory_order_relaxed); }
+    int64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<int64_t> m_value { 0 };
+};
+
+/// Distribution of a duration: count, sum, p50, p99 and maximum, estimated by Boost.Accumulators.
+class Latency {
+public:
+    Latency();
+    ~Latency();
+    void record(Duration duration);
+    /// Appends the Prometheus lines of a summary named `name`, in seconds.
+    void write(std::string& out, std::string_view name) const;
+
+private:
+    struct Impl;
+    mutable std::mutex m_mutex;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// The metrics of one process. Names are Prometheus names without the prefix `turmericpier_`; references stay valid.
+class Metrics {
+public:
+    Counter& counter(std::string_view name);
+    Gauge& gauge(std::string_view name);
+    Latency& latency(std::string_view name);
+    std::string toPrometheusText() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<Counter>, std::less<>> m_counters;
+    std::map<std::string, std::unique_ptr<Gauge>, std::less<>> m_gauges;
+    std::map<std::string, std::unique_ptr<Latency>, std::less<>> m_latencies;
+};
+
+} // namespace turmericpier
--- /dev/null
+++ b/include/turmericpier/base/units.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+/// Strong units of worker resources.
+namespace turmericpier {
+
+/// An amount of the unit given by the tag.
+template <typename Tag> struct Amount {
+    int64_t value = 0;
+
+    friend bool operator==(Amount, Amount) = default;
+    friend std::strong_ordering operator<=>(Amount, Amount) = default;
+    friend Amount operator+(Amount a, Amount b) { return Amount { a.value + b.value }; }
+    friend Amount operator-(Amount a, Amount b) { return Amount { a.value - b.value }; }
+    Amount& operator+=(Amount other) { return *this = *this + other; }
+    Amount& operator-=(Amount other) { return *this = *this - other; }
+};
+
+using MilliCpu = Amount<struct MilliCpuTag>; ///< Thousandths of a core.
+using MemoryMib = Amount<struct MemoryMibTag>; ///< MiB.
+using Accelerators = Amount<struct AcceleratorsTag>; ///< Whole accelerators.
+
+/// Processors, memory and accelerators of a worker or a task.
+struct Resources {
+    MilliCpu cpu;
+    MemoryMib memory;
+    Accelerators accelerators;
+
+    friend bool operator==(const Resources&, const Resources&) = default;
+    Resources& operator+=(const Resources& other)
+    {
+        cpu += other.cpu;
+        memory += other.memory;
+        accelerators += other.accelerators;
+        return *this;
+    }
+    Resources& operator-=(const Resources& other)
+    {
+        cpu -= other.cpu;
+        memory -= other.memory;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+    friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+    friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+};
+
+/// True if `request` fits into `free` in every dimension.
+inline bool fits(const Resources& request, const Resources& free)
+{
+    return request.cpu <= free.cpu && request.memory <= free.memory && request.accelerators <= free.accelerators;
+}
+
+/// True if no dimension is negative.
+inline bool isValid(const Resources& resources) { return fits(Resources {}, resources); }
+
+} // namespace turmericpier
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/test/test-main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
