--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,232 @@
+#include "turmericpier/settings/settings.h"
+
+#include "settings/object-reader.h"
+#include "turmericpier/base/error.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <fstream>
+#include <sstream>
+
+namespace turmericpier::settings {
+
+namespace {
+    using detail::ObjectReader;
+
+    constexpr uint64_t hourMs = 3'600'000;
+
+    absl::Status invalid(const std::string& message)
+    {
+        return makeError(
+            { absl::StatusCode::kInvalidArgument, Outcome::NotRun, "INVALID_SETTINGS", "parse settings", "" }, message);
+    }
+
+    peer::Address readAddress(ObjectReader& reader, std::string_view key, bool isRequired)
+    {
+        const auto text = reader.text(key, isRequired);
+        if (text.empty())
+            return {};
+        auto address = parseAddress(text);
+        if (!address.ok()) {
+            reader.fail(key, std::string(address.status().message()));
+            return {};
+        }
+        return *address;
+    }
+
+    std::vector<InstanceId> readInstances(ObjectReader& reader, std::string_view key, bool isRequired)
+    {
+        std::vector<InstanceId> result;
+        for (auto& text : reader.texts(key, isRequired))
+            result.emplace_back(std::move(text));
+        return result;
+    }
+
+    std::set<Role> readRoles(ObjectReader& reader)
+    {
+        std::set<Role> roles;
+        for (const auto& text : reader.texts("roles")) {
+            if (text == "entry")
+                roles.insert(Role::Entry);
+            else if (text == "control")
+                roles.insert(Role::Control);
+            else if (text == "ledger")
+                roles.insert(Role::Ledger);
+            else
+                reader.fail("roles", "\"" + text + "\" is not a role; accepted: entry, control, ledger");
+        }
+        if (roles.empty())
+            reader.fail("roles", "is empty; accepted: one or more of entry, control, ledger");
+        return roles;
+    }
+
+    ConsensusSettings readConsensus(const boost::json::value* value, absl::Status& status)
+    {
+        ConsensusSettings result;
+        if (!value)
+            return result;
+        ObjectReader reader(*value, "consensus", status);
+        result.heartbeat = reader.millis("heartbeat_ms", result.heartbeat, 10, 10'000);
+        result.electionTimeoutMin = reader.millis("election_timeout_min_ms", result.electionTimeoutMin, 50, 60'000);
+        result.electionTimeoutMax = reader.millis("election_timeout_max_ms", result.electionTimeoutMax, 50, 120'000);
+        result.snapshotEvery = reader.integer("snapshot_every", result.snapshotEvery, 10, 10'000'000);
+        if (result.electionTimeoutMin < 3 * result.heartbeat)
+            reader.fail("election_timeout_min_ms", "must be at least 3 times heartbeat_ms");
+        if (result.electionTimeoutMax <= result.electionTimeoutMin)
+            reader.fail("election_timeout_max_ms", "must be above election_timeout_min_ms");
+        reader.finish();
+        return result;
+    }
+
+    EntrySettings readEntry(const boost::json::value* value, absl::Status& status)
+    {
+        EntrySettings result;
+        if (!value)
+            return result;
+        ObjectReader reader(*value, "entry", status);
+        result.maxAttempts = static_cast<uint32_t>(reader.integer("max_attempts", result.maxAttempts, 1, 16));
+        result.heartbeat = reader.millis("heartbeat_ms", result.heartbeat, 50, 5'000);
+        result.defaultDeadline = reader.millis("default_deadline_ms", result.defaultDeadline, 10, hourMs);
+        result.maxDeadline = reader.millis("max_deadline_ms", result.maxDeadline, 10, hourMs);
+        result.maxRequests = static_cast<uint32_t>(reader.integer("max_requests", result.maxRequests, 1, 1'000'000));
+        reader.finish();
+        return result;
+    }
+
+    LeaseSettings readLeases(const boost::json::value* value, absl::Status& status)
+    {
+        LeaseSettings result;
+        if (!value)
+            return result;
+        ObjectReader reader(*value, "leases", status);
+        result.task = reader.millis("task_ms", result.task, 1'000, 24 * hourMs);
+        result.grantInRegion = reader.millis("grant_in_region_ms", result.grantInRegion, 1'000, 24 * hourMs);
+        result.grantCrossRegion = reader.millis("grant_cross_region_ms", result.grantCrossRegion, 1'000, 24 * hourMs);
+        result.clockSkewBound = reader.millis("clock_skew_bound_ms", result.clockSkewBound, 0, 10'000);
+        result.workerLost = reader.millis("worker_lost_ms", result.workerLost, 500, hourMs);
+        const auto shortest = std::min({ result.task, result.grantInRegion, result.grantCrossRegion });
+        if (result.clockSkewBound * 2 > shortest)
+            reader.fail("clock_skew_bound_ms", "must be at most half of the shortest lease");
+        reader.finish();
+        return result;
+    }
+
+    void readPeers(ObjectReader& parent, Settings& settings, absl::Status& status)
+    {
+        const auto* value = parent.object("peers");
+        if (!value)
+            return;
+        ObjectReader reader(*value, "peers", status);
+        for (const auto& key : reader.takeAllKeys()) {
+            const auto address = readAddress(reader, key, true);
+            if (InstanceId(key) != settings.instance)
+                settings.peers[InstanceId(key)] = address;
+        }
+    }
+
+    void readLedgerVoters(ObjectReader& parent, Settings& settings, absl::Status& status)
+    {
+        const auto* value = parent.object("ledger_voters", true);
+        if (!value)
+            return;
+        ObjectReader reader(*value, "ledger_voters", status);
+        for (const auto& key : reader.takeAllKeys())
+            settings.ledgerVoters[RegionId(key)] = readInstances(reader, key, true);
+    }
+
+    bool isKnown(const Settings& settings, const InstanceId& instance)
+    {
+        return instance == settings.instance || settings.peers.count(instance) > 0;
+    }
+
+    absl::Status checkVoters(const Settings& settings, const std::string& path, const std::vector<InstanceId>& voters)
+    {
+        if (voters.empty() || voters.size() > 9)
+            return invalid(absl::StrCat(path, ": has ", voters.size(), " voters; accepted: 1 to 9"));
+        for (const auto& voter : voters) {
+            if (!isKnown(settings, voter))
+                return invalid(absl::StrCat(path, ": ", voter.str(), " is neither this instance nor one of peers"));
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status checkWhole(const Settings& settings)
+    {
+        if (auto status = checkVoters(settings, "control_voters", settings.controlVoters); !status.ok())
+            return status;
+        for (const auto& [region, voters] : settings.ledgerVoters) {
+            if (auto status = checkVoters(settings, "ledger_voters." + region.str(), voters); !status.ok())
+                return status;
+        }
+        const bool needsDisk = settings.roles.count(Role::Control) || settings.roles.count(Role::Ledger);
+        if (needsDisk && settings.dataFolder.empty())
+            return invalid("data_folder: is missing; the roles control and ledger need it");
+        if (settings.roles.count(Role::Entry) && settings.rpcAddress.empty())
+            return invalid("rpc_address: is missing; the role entry needs it");
+        return absl::OkStatus();
+    }
+} // namespace
+
+absl::StatusOr<peer::Address> parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    uint32_t port = 0;
+    boost::system::error_code error;
+    if (colon != std::string_view::npos)
+        boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    if (colon == std::string_view::npos || error
+        || !absl::SimpleAtoi(absl::string_view(text.data() + colon + 1, text.size() - colon - 1), &port)
+        || port > 65'535)
+        return invalid("\"" + std::string(text) + "\" is not an address; accepted: IP address, colon and port");
+    return peer::Address { std::string(text.substr(0, colon)), static_cast<uint16_t>(port) };
+}
+
+absl::StatusOr<Settings> parseSettings(std::string_view json, const std::string& name)
+{
+    boost::json::error_code error;
+    const auto value = boost::json::parse(boost::json::string_view(json.data(), json.size()), error);
+    if (error)
+        return invalid(name + ": is not valid JSON: " + error.message());
+    absl::Status status;
+    Settings settings;
+    ObjectReader reader(value, "", status);
+    settings.instance = InstanceId(reader.text("instance"));
+    settings.dataCentre = DataCentreId(reader.text("data_centre"));
+    settings.region = RegionId(reader.text("region"));
+    settings.roles = readRoles(reader);
+    const auto rpc = readAddress(reader, "rpc_address", false);
+    if (!rpc.host.empty())
+        settings.rpcAddress = absl::StrCat(rpc.host, ":", rpc.port);
+    settings.peerAddress = readAddress(reader, "peer_address", true);
+    settings.adminAddress = readAddress(reader, "admin_address", true);
+    settings.dataFolder = reader.text("data_folder", false);
+    readPeers(reader, settings, status);
+    settings.controlVoters = readInstances(reader, "control_voters", true);
+    settings.preferredLeaders = readInstances(reader, "preferred_leaders", false);
+    readLedgerVoters(reader, settings, status);
+    settings.consensus = readConsensus(reader.object("consensus"), status);
+    settings.entry = readEntry(reader.object("entry"), status);
+    settings.leases = readLeases(reader.object("leases"), status);
+    reader.finish();
+    if (status.ok())
+        status = checkWhole(settings);
+    if (!status.ok())
+        return status;
+    return settings;
+}
+
+absl::StatusOr<Settings> loadSettings(const std::filesystem::path& file)
+{
+    std::ifstream in(file);
+    if (!in)
+        return makeError(
+            { absl::StatusCode::kNotFound, Outcome::NotRun, "SETTINGS_UNREADABLE", "read settings", file.string() },
+            "cannot open settings file " + file.string());
+    std::stringstream text;
+    text << in.rdbuf();
+    return parseSettings(text.str(), file.string());
+}
+
+} // namespace turmericpier::settings
