Add the control leader and the entry

Cause: requests and jobs need a path from callers and operators to workers. Change: control service with leader loop, grants and reads; entry with gRPC services for callers, operators and workers, request driver and calls to leaders.

--- /dev/null
+++ b/src/control/leader.cc
@@ -0,0 +1,605 @@
+#include "control/leader.h"
+
+#include "control/convert.h"
+#include "peer_generated.h"
+#include "turmericpier/base/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+
+namespace turmericpier::control {
+
+namespace {
+    bool factsDiffer(const rpc::WorkerReport& a, const rpc::WorkerReport& b)
+    {
+        return a.incarnation() != b.incarnation() || a.address() != b.address() || a.leaving() != b.leaving()
+            || a.slots() != b.slots() || a.connections() != b.connections() || a.data_centre() != b.data_centre()
+            || a.region() != b.region() || a.rack() != b.rack()
+            || a.capacity().SerializeAsString() != b.capacity().SerializeAsString()
+            || !std::equal(a.services().begin(), a.services().end(), b.services().begin(), b.services().end());
+    }
+
+    /// The report without what changes from one report to the next.
+    rpc::WorkerReport factsOf(const rpc::WorkerReport& report)
+    {
+        auto facts = report;
+        facts.clear_tasks();
+        facts.clear_fenced();
+        facts.clear_sequence();
+        return facts;
+    }
+
+    decision::TaskEnd endOf(rpc::TaskState state)
+    {
+        switch (state) {
+        case rpc::TASK_FINISHED:
+            return decision::TaskEnd::Finished;
+        case rpc::TASK_STOPPED:
+            return decision::TaskEnd::Stopped;
+        default:
+            return decision::TaskEnd::Failed;
+        }
+    }
+
+    bool hasEnded(rpc::TaskState state)
+    {
+        return state == rpc::TASK_FINISHED || state == rpc::TASK_FAILED || state == rpc::TASK_STOPPED;
+    }
+
+    std::vector<uint8_t> toBytes(const google::protobuf::MessageLite& message)
+    {
+        std::vector<uint8_t> bytes(message.ByteSizeLong());
+        message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
+        return bytes;
+    }
+} // namespace
+
+Leader::Leader(LeaderOptions options, LeaderHooks hooks, const ControlState& state, TimePoint now)
+    : m_options(options)
+    , m_startedAt(now)
+    , m_hooks(std::move(hooks))
+    , m_engine(options.engine)
+    , m_grants(options.grants, state, now)
+    , m_grantsApplied(state.grantsVersion())
+{
+    rebuildEngine(state, now);
+    for (const auto& [id, job] : state.jobs()) {
+        if (job.hasEnded)
+            m_hooks.recordJob(job);
+    }
+}
+
+void Leader::rebuildEngine(const ControlState& state, TimePoint now)
+{
+    for (const auto& [id, team] : state.teams())
+        run(state, m_engine.handle(decision::TeamChanged { teamFromRpc(team) }, now));
+    for (const auto& [id, policy] : state.policies())
+        run(state, m_engine.handle(decision::PolicyChanged { policyFromRpc(policy) }, now));
+    for (const auto& [id, worker] : state.workers()) {
+        m_workers[id] = { .incarnation = worker.incarnation(), .lastReport = now, .isLeaving = worker.leaving() };
+        run(state,
+            m_engine.handle(
+                decision::WorkerAnnounced { workerFromRpc(worker), Incarnation { worker.incarnation() } }, now));
+        if (worker.leaving() || state.drained().count(id))
+            run(state, m_engine.handle(decision::WorkerDraining { id, true }, now));
+    }
+    std::map<Index, const JobRecord*> byArrival;
+    decision::Restored restored;
+    restored.nextEpoch = state.nextEpoch();
+    for (const auto& [id, job] : state.jobs()) {
+        m_knownJobs.insert(id);
+        if (job.hasEnded)
+            continue;
+        byArrival[job.sequence] = &job;
+        for (const auto& [task, end] : job.endedTasks)
+            restored.endedTasks.push_back(task);
+    }
+    for (const auto& [index, job] : byArrival)
+        run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->job) }, now));
+    for (const auto& [task, placement] : state.placements()) {
+        const auto worker = state.workers().find(WorkerId(placement.worker()));
+        const auto job = state.jobs().find(jobOf(task));
+        const bool mayRun
+            = worker != state.workers().end() && worker->second.incarnation() == placement.worker_incarnation();
+        if (mayRun && job != state.jobs().end() && !job->second.hasEnded)
+            restored.placements.push_back(placementFromLog(placement));
+    }
+    run(state, m_engine.handle(restored, now));
+    for (const auto& [index, job] : byArrival) {
+        if (job->isCancelled)
+            run(state, m_engine.handle(decision::JobCancelled { JobId(job->job.name()) }, now));
+    }
+    flush(state);
+}
+
+void Leader::run(const ControlState& state, decision::Actions actions)
+{
+    for (const auto& action : actions)
+        carryOut(state, action);
+}
+
+void Leader::carryOut(const ControlState& state, const decision::Action& action)
+{
+    if (const auto* place = std::get_if<decision::PlaceTask>(&action)) {
+        auto& placement = *m_newPlacements.add_placements();
+        placement.set_task(place->placement.task.str());
+        placement.set_worker(place->placement.worker.str());
+        placement.set_epoch(place->placement.epoch.value);
+        *placement.mutable_limit() = toRpc(place->placement.limit);
+        placement.set_checkpoint(place->checkpoint);
+        const auto worker = state.workers().find(place->placement.worker);
+        placement.set_worker_incarnation(worker == state.workers().end() ? 0 : worker->second.incarnation());
+    } else if (const auto* stop = std::get_if<decision::StopTask>(&action)) {
+        auto& command = m_wantedCommands[{ stop->task, stop->epoch }];
+        command.mutable_stop()->set_task(stop->task.str());
+        command.mutable_stop()->set_epoch(stop->epoch.value);
+    } else if (const auto* checkpoint = std::get_if<decision::CheckpointTask>(&action)) {
+        auto& command = m_wantedCommands[{ checkpoint->task, checkpoint->epoch }];
+        command.mutable_checkpoint()->set_task(checkpoint->task.str());
+        command.mutable_checkpoint()->set_epoch(checkpoint->epoch.value);
+    } else if (const auto* throttle = std::get_if<decision::ThrottleTask>(&action)) {
+        auto& command = m_wantedCommands[{ throttle->task, throttle->epoch }];
+        if (command.command_case() != rpc::WorkerCommand::kStop) {
+            command.mutable_throttle()->set_task(throttle->task.str());
+            command.mutable_throttle()->set_epoch(throttle->epoch.value);
+            *command.mutable_throttle()->mutable_limit() = toRpc(throttle->limit);
+        }
+    } else if (const auto* refuse = std::get_if<decision::RefuseJob>(&action)) {
+        auto& end = *m_newJobEnds.add_ends();
+        end.set_job(refuse->job.str());
+        end.set_outcome(rpc::NOT_RUN);
+        end.set_reason(refuse->reason);
+    } else if (const auto* done = std::get_if<decision::JobDone>(&action)) {
+        auto& end = *m_newJobEnds.add_ends();
+        end.set_job(done->job.str());
+        end.set_outcome(toRpc(done->outcome));
+        end.set_reason(done->reason);
+    } else if (const auto* quarantine = std::get_if<decision::WorkerQuarantined>(&action)) {
+        logState("control", quarantine->quarantined ? "worker quarantined" : "worker returned from quarantine",
+            { { "worker", quarantine->worker.str() }, { "reason", quarantine->reason } });
+    }
+}
+
+void Leader::flush(const ControlState&)
+{
+    if (m_newPlacements.placements_size() > 0) {
+        log::ControlCommand command;
+        command.mutable_placements()->Swap(&m_newPlacements);
+        m_newPlacements.Clear();
+        m_hooks.propose(std::move(command), [this](const absl::Status&) { m_needsRebuild = true; });
+    }
+    if (m_newJobEnds.ends_size() > 0) {
+        log::ControlCommand command;
+        command.mutable_job_ends()->Swap(&m_newJobEnds);
+        m_newJobEnds.Clear();
+        m_hooks.propose(std::move(command), [this](const absl::Status&) { m_needsRebuild = true; });
+    }
+}
+
+void Leader::applied(const ControlState& state, Index index, const log::ControlCommand& command,
+    const std::string& result, TimePoint now)
+{
+    switch (command.command_case()) {
+    case log::ControlCommand::kOperate:
+        appliedOperate(state, command.operate(), now);
+        break;
+    case log::ControlCommand::kPlacements:
+        appliedPlacements(state, command.placements(), result, now);
+        break;
+    case log::ControlCommand::kTaskEnds:
+        appliedTaskEnds(state, command.task_ends(), now);
+        break;
+    case log::ControlCommand::kWorkers:
+        appliedWorkers(state, command.workers(), now);
+        break;
+    case log::ControlCommand::kGrants:
+        m_grantsProposed = false;
+        m_grantsApplied = index;
+        break;
+    case log::ControlCommand::kJobEnds:
+        for (const auto& end : command.job_ends().ends())
+            m_hooks.recordJob(state.jobs().at(JobId(end.job())));
+        break;
+    case log::ControlCommand::COMMAND_NOT_SET:
+        break;
+    }
+    flush(state);
+}
+
+void Leader::appliedOperate(const ControlState& state, const rpc::OperateRequest& request, TimePoint now)
+{
+    // Facts come from the state: a resent command is answered from its kept reply, and must not bring back old values.
+    if (request.has_put_team()) {
+        const auto team = state.teams().find(TeamId(request.put_team().name()));
+        if (team != state.teams().end())
+            run(state, m_engine.handle(decision::TeamChanged { teamFromRpc(team->second) }, now));
+    } else if (request.has_put_policy()) {
+        const auto policy = state.policies().find(PolicyId(request.put_policy().name()));
+        if (policy != state.policies().end())
+            run(state, m_engine.handle(decision::PolicyChanged { policyFromRpc(policy->second) }, now));
+    } else if (request.has_submit_job()) {
+        const auto job = state.jobs().find(JobId(request.submit_job().name()));
+        if (job != state.jobs().end() && m_knownJobs.insert(job->first).second)
+            run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->second.job) }, now));
+    } else if (request.command_case() == rpc::OperateRequest::kCancelJob) {
+        const auto job = state.jobs().find(JobId(request.cancel_job()));
+        if (job != state.jobs().end() && job->second.isCancelled && !job->second.hasEnded)
+            run(state, m_engine.handle(decision::JobCancelled { job->first }, now));
+    } else if (request.command_case() == rpc::OperateRequest::kDrainWorker
+        || request.command_case() == rpc::OperateRequest::kUndrainWorker) {
+        const bool isDrain = request.command_case() == rpc::OperateRequest::kDrainWorker;
+        const WorkerId worker(isDrain ? request.drain_worker() : request.undrain_worker());
+        const auto known = state.workers().find(worker);
+        const bool draining
+            = state.drained().count(worker) || (known != state.workers().end() && known->second.leaving());
+        run(state, m_engine.handle(decision::WorkerDraining { worker, draining }, now));
+    }
+}
+
+rpc::WorkerCommand Leader::startCommand(const ControlState& state, const log::Placement& placement) const
+{
+    rpc::WorkerCommand command;
+    auto& start = *command.mutable_start();
+    start.set_task(placement.task());
+    start.set_epoch(placement.epoch());
+    *start.mutable_limit() = placement.limit();
+    start.set_lease_ms(static_cast<uint32_t>(m_options.taskLease.count()));
+    start.set_checkpoint(placement.checkpoint());
+    start.set_worker_incarnation(placement.worker_incarnation());
+    const auto job = state.jobs().find(jobOf(TaskId(placement.task())));
+    if (job != state.jobs().end())
+        start.set_command(job->second.job.command());
+    return command;
+}
+
+void Leader::appliedPlacements(
+    const ControlState& state, const log::Placements& proposed, const std::string& result, TimePoint now)
+{
+    log::Placements accepted;
+    accepted.ParseFromString(result);
+    std::set<std::pair<std::string, uint64_t>> acceptedKeys;
+    std::map<InstanceId, std::map<WorkerId, std::vector<rpc::WorkerCommand>>> starts;
+    for (const auto& placement : accepted.placements()) {
+        const TaskId task(placement.task());
+        m_wantedCommands.erase(m_wantedCommands.lower_bound({ task, Epoch {} }),
+            m_wantedCommands.lower_bound({ task, Epoch { placement.epoch() } }));
+        acceptedKeys.emplace(placement.task(), placement.epoch());
+        const auto worker = m_workers.find(WorkerId(placement.worker()));
+        if (worker == m_workers.end() || worker->second.entry.empty())
+            continue;
+        starts[worker->second.entry][worker->first].push_back(startCommand(state, placement));
+    }
+    for (const auto& placement : proposed.placements()) {
+        if (!acceptedKeys.count({ placement.task(), placement.epoch() }))
+            run(state,
+                m_engine.handle(
+                    decision::PlacementRefused { TaskId(placement.task()), Epoch { placement.epoch() } }, now));
+    }
+    for (auto& [entry, commands] : starts)
+        m_hooks.push(entry, std::move(commands));
+}
+
+void Leader::appliedTaskEnds(const ControlState& state, const log::TaskEnds& ends, TimePoint now)
+{
+    for (const auto& end : ends.ends()) {
+        const std::pair key { TaskId(end.task()), Epoch { end.epoch() } };
+        m_endsProposed.erase(key);
+        m_wantedCommands.erase(key);
+        run(state,
+            m_engine.handle(decision::TaskEnded { key.first, key.second, endOf(end.state()), end.reason() }, now));
+    }
+}
+
+void Leader::appliedWorkers(const ControlState& state, const log::WorkerFacts& facts, TimePoint now)
+{
+    for (const auto& fact : facts.workers()) {
+        const WorkerId id(fact.worker());
+        m_factsProposed.erase(id);
+        const auto& standing = state.workers().at(id);
+        auto& info = m_workers[id];
+        info.incarnation = standing.incarnation();
+        info.lastReport = now;
+        info.isLost = false;
+        run(state,
+            m_engine.handle(
+                decision::WorkerAnnounced { workerFromRpc(standing), Incarnation { standing.incarnation() } }, now));
+        if (standing.leaving() != info.isLeaving || standing.leaving()) {
+            info.isLeaving = standing.leaving();
+            run(state,
+                m_engine.handle(decision::WorkerDraining { id, info.isLeaving || state.drained().count(id) > 0 }, now));
+        }
+    }
+}
+
+void Leader::heartbeat(const ControlState& state, const peer::wire::EntryHeartbeatT& heartbeat,
+    peer::wire::EntryHeartbeatReplyT& reply, TimePoint now)
+{
+    const InstanceId id(heartbeat.entry);
+    auto& entry = m_entries[id];
+    entry.id = id;
+    entry.incarnation = heartbeat.incarnation;
+    entry.dataCentre = DataCentreId(heartbeat.data_centre);
+    entry.region = RegionId(heartbeat.region);
+    entry.isDraining = heartbeat.draining;
+    entry.configVersion = heartbeat.config_version;
+    entry.lastHeard = now;
+    entry.demand.clear();
+    for (const auto& demand : heartbeat.demand)
+        entry.demand[ServiceId(demand->service)] = demand->waiting + demand->running;
+    entry.streams.clear();
+    for (const auto& worker : heartbeat.streams)
+        entry.streams.insert(WorkerId(worker));
+
+    if (!m_grantsProposed)
+        proposeGrants(m_grants.confirmed(heartbeat, state, m_grantsApplied));
+    for (const auto& blob : heartbeat.reports) {
+        rpc::WorkerReport workerReport;
+        if (!workerReport.ParseFromArray(blob->data.data(), static_cast<int>(blob->data.size())))
+            continue;
+        report(state, id, workerReport, now);
+        for (const auto& command : commandsFor(state, workerReport)) {
+            auto sent = std::make_unique<peer::wire::WorkerBlobT>();
+            sent->worker = workerReport.worker();
+            sent->data = toBytes(command);
+            reply.commands.push_back(std::move(sent));
+        }
+    }
+    m_grants.renewed(id, state, now);
+    reply.term = m_options.term.value;
+    reply.renewed = true;
+    reply.grants_version = state.grantsVersion().value;
+    if (heartbeat.grants_version != reply.grants_version) {
+        log::GrantChanges grants;
+        for (const auto& [key, grant] : state.grants()) {
+            if (key.second == id && grant.slots() > 0)
+                *grants.add_grants() = grant;
+        }
+        reply.grants = toBytes(grants);
+    }
+    reply.state_version = state.sharedVersion().value;
+    if (heartbeat.state_version != reply.state_version)
+        fillState(state, reply);
+    flush(state);
+}
+
+void Leader::fillState(const ControlState& state, peer::wire::EntryHeartbeatReplyT& reply) const
+{
+    log::ControlSnapshot shared;
+    for (const auto& [id, service] : state.services())
+        *shared.add_services() = service;
+    for (const auto& [id, worker] : state.workers()) {
+        if (worker.services_size() > 0)
+            *shared.add_workers() = worker;
+    }
+    for (const auto& worker : state.drained())
+        shared.add_drained(worker.str());
+    shared.set_config_version(state.configVersion());
+    shared.set_config(state.config());
+    reply.state = toBytes(shared);
+}
+
+void Leader::report(const ControlState& state, const InstanceId& entry, const rpc::WorkerReport& report, TimePoint now)
+{
+    const WorkerId id(report.worker());
+    const auto facts = state.workers().find(id);
+    if (facts == state.workers().end() || factsDiffer(facts->second, report)) {
+        noteFacts(state, report);
+        return;
+    }
+    auto& info = m_workers[id];
+    if (report.sequence() < info.sequence && report.incarnation() == info.incarnation)
+        return;
+    info.sequence = report.sequence();
+    info.incarnation = report.incarnation();
+    info.lastReport = now;
+    info.entry = entry;
+    if (info.isLost) {
+        info.isLost = false;
+        logState("control", "worker is heard again", { { "worker", id.str() } });
+        run(state,
+            m_engine.handle(
+                decision::WorkerAnnounced { workerFromRpc(facts->second), Incarnation { report.incarnation() } }, now));
+        if (facts->second.leaving() || state.drained().count(id))
+            run(state, m_engine.handle(decision::WorkerDraining { id, true }, now));
+    }
+    confirmFences(state, report);
+    reportTasks(state, report, now);
+}
+
+void Leader::noteFacts(const ControlState& state, const rpc::WorkerReport& report)
+{
+    const auto standing = state.workers().find(WorkerId(report.worker()));
+    const WorkerId id(report.worker());
+    if (id.empty() || m_factsProposed.count(id)
+        || (standing != state.workers().end() && standing->second.incarnation() > report.incarnation()))
+        return;
+    m_factsProposed.insert(id);
+    log::ControlCommand command;
+    *command.mutable_workers()->add_workers() = factsOf(report);
+    m_hooks.propose(std::move(command), [this, id](const absl::Status&) { m_factsProposed.erase(id); });
+}
+
+void Leader::reportTasks(const ControlState& state, const rpc::WorkerReport& report, TimePoint now)
+{
+    auto& info = m_workers[WorkerId(report.worker())];
+    info.running.clear();
+    decision::WorkerReport usage { WorkerId(report.worker()), {} };
+    log::ControlCommand command;
+    for (const auto& task : report.tasks()) {
+        const std::pair key { TaskId(task.task()), Epoch { task.epoch() } };
+        const auto placement = state.placements().find(key.first);
+        const bool isCurrent = placement != state.placements().end() && placement->second.epoch() == task.epoch();
+        if (!hasEnded(task.state())) {
+            info.running.insert(key);
+            if (!isCurrent)
+                continue;
+            usage.usage.push_back({ key.first, key.second, fromRpc(task.usage()) });
+            run(state, m_engine.handle(decision::TaskStarted { key.first, key.second }, now));
+            if (task.checkpoint() > 0)
+                run(state,
+                    m_engine.handle(decision::TaskCheckpointed { key.first, key.second, task.checkpoint() }, now));
+        } else if (isCurrent && m_endsProposed.insert(key).second) {
+            auto& end = *command.mutable_task_ends()->add_ends();
+            end.set_task(task.task());
+            end.set_epoch(task.epoch());
+            end.set_state(task.state());
+            end.set_reason(task.message());
+            end.set_checkpoint(task.checkpoint());
+        }
+    }
+    run(state, m_engine.handle(usage, now));
+    if (command.task_ends().ends_size() > 0) {
+        const auto ends = command.task_ends();
+        m_hooks.propose(std::move(command), [this, ends](const absl::Status&) {
+            for (const auto& end : ends.ends())
+                m_endsProposed.erase({ TaskId(end.task()), Epoch { end.epoch() } });
+        });
+    }
+}
+
+std::vector<rpc::WorkerCommand> Leader::commandsFor(const ControlState& state, const rpc::WorkerReport& report) const
+{
+    std::vector<rpc::WorkerCommand> commands;
+    const auto facts = state.workers().find(WorkerId(report.worker()));
+    if (facts == state.workers().end() || facts->second.incarnation() != report.incarnation())
+        return commands;
+    rpc::WorkerCommand renew;
+    renew.mutable_renew()->set_lease_ms(static_cast<uint32_t>(m_options.taskLease.count()));
+    renew.mutable_renew()->set_sequence(report.sequence());
+    std::set<std::pair<std::string, uint64_t>> reported;
+    for (const auto& task : report.tasks()) {
+        reported.emplace(task.task(), task.epoch());
+        const auto placement = state.placements().find(TaskId(task.task()));
+        const bool isCurrent = placement != state.placements().end() && placement->second.epoch() == task.epoch();
+        if (hasEnded(task.state())) {
+            if (!isCurrent) {
+                auto& ended = *renew.mutable_renew()->add_ended();
+                ended.set_task(task.task());
+                ended.set_epoch(task.epoch());
+            }
+            continue;
+        }
+        const auto wanted = m_wantedCommands.find({ TaskId(task.task()), Epoch { task.epoch() } });
+        if (!isCurrent) {
+            rpc::WorkerCommand stop;
+            stop.mutable_stop()->set_task(task.task());
+            stop.mutable_stop()->set_epoch(task.epoch());
+            commands.push_back(std::move(stop));
+        } else if (wanted != m_wantedCommands.end()) {
+            commands.push_back(wanted->second);
+        }
+    }
+    // A start may have been lost on its way. The worker ignores a start whose epoch it has seen.
+    for (const auto& task : state.tasksOn(WorkerId(report.worker()))) {
+        const auto& placement = state.placements().at(task);
+        if (!reported.count({ task.str(), placement.epoch() })
+            && placement.worker_incarnation() == report.incarnation())
+            commands.push_back(startCommand(state, placement));
+    }
+    fenceCommands(state, WorkerId(report.worker()), commands);
+    commands.push_back(std::move(renew));
+    return commands;
+}
+
+void Leader::fenceCommands(
+    const ControlState& state, const WorkerId& worker, std::vector<rpc::WorkerCommand>& commands) const
+{
+    for (auto it = state.grants().lower_bound({ worker, InstanceId() });
+         it != state.grants().end() && it->first.first == worker; ++it) {
+        const auto entry = m_entries.find(it->first.second);
+        const bool isLive = entry != m_entries.end();
+        if (isLive || it->second.slots() > 0 || it->second.held_slots() == 0)
+            continue;
+        rpc::WorkerCommand fence;
+        fence.mutable_fence()->set_entry(it->second.entry());
+        fence.mutable_fence()->set_epoch(it->second.epoch());
+        commands.push_back(std::move(fence));
+    }
+}
+
+void Leader::confirmFences(const ControlState& state, const rpc::WorkerReport& report)
+{
+    if (m_grantsProposed)
+        return;
+    std::vector<log::Grant> changes;
+    for (const auto& fence : report.fenced()) {
+        const auto grant = state.grants().find({ WorkerId(report.worker()), InstanceId(fence.entry()) });
+        if (grant == state.grants().end() || grant->second.slots() > 0 || fence.epoch() < grant->second.epoch())
+            continue;
+        changes.push_back(grant->second);
+        changes.back().set_held_slots(0);
+        changes.back().set_held_connections(0);
+    }
+    proposeGrants(std::move(changes));
+}
+
+void Leader::proposeGrants(std::vector<log::Grant> changes)
+{
+    if (changes.empty() || m_grantsProposed)
+        return;
+    m_grantsProposed = true;
+    log::ControlCommand command;
+    for (auto& grant : changes)
+        command.mutable_grants()->add_grants()->Swap(&grant);
+    m_hooks.propose(std::move(command), [this](const absl::Status&) { m_grantsProposed = false; });
+}
+
+void Leader::loseSilentWorkers(const ControlState& state, TimePoint now)
+{
+    for (auto& [id, info] : m_workers) {
+        if (info.isLost || now - info.lastReport < m_options.workerLost)
+            continue;
+        info.isLost = true;
+        info.entry = InstanceId();
+        logState("control", "worker is lost", { { "worker", id.str() } });
+        run(state, m_engine.handle(decision::WorkerLost { id }, now));
+    }
+}
+
+void Leader::tick(const ControlState& state, TimePoint now)
+{
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (now - it->second.lastHeard > m_options.grants.entryLost) {
+            logState("control", "entry is lost", { { "entry", it->first.str() } });
+            it = m_entries.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    loseSilentWorkers(state, now);
+    run(state, m_engine.tick(now));
+    // A new leader hears from the entries first; otherwise it would take the grants of all of them for abandoned.
+    const bool hasHeardEntries = now - m_startedAt > m_options.grants.entryLost || state.grants().empty();
+    if (!m_grantsProposed && hasHeardEntries)
+        proposeGrants(m_grants.plan(state, m_entries, now));
+    flush(state);
+}
+
+bool Leader::isLost(const WorkerId& worker) const
+{
+    const auto found = m_workers.find(worker);
+    return found == m_workers.end() || found->second.isLost;
+}
+
+std::string Leader::dump() const
+{
+    boost::json::object entries;
+    for (const auto& [id, entry] : m_entries) {
+        entries[id.str()] = boost::json::object { { "region", entry.region.str() },
+            { "data_centre", entry.dataCentre.str() }, { "config_version", entry.configVersion },
+            { "streams", entry.streams.size() }, { "draining", entry.isDraining } };
+    }
+    boost::json::object workers;
+    for (const auto& [id, info] : m_workers) {
+        workers[id.str()] = boost::json::object { { "lost", info.isLost }, { "leaving", info.isLeaving },
+            { "entry", info.entry.str() }, { "running", info.running.size() }, { "sequence", info.sequence } };
+    }
+    boost::json::object result { { "term", m_options.term.value }, { "entries", std::move(entries) },
+        { "workers", std::move(workers) } };
+    boost::json::error_code error;
+    auto engine = boost::json::parse(m_engine.dump(), error);
+    result["engine"] = error ? boost::json::value(nullptr) : engine;
+    return boost::json::serialize(result);
+}
+
+} // namespace turmericpier::control
--- a/src/control/state.cc
+++ b/src/control/state.cc
@@ -69,10 +69,11 @@
         applyTaskEnds(command.task_ends());
         break;
     case log::ControlCommand::kGrants:
-        applyGrants(command.grants());
+        applyGrants(index, command.grants());
         break;
     case log::ControlCommand::kWorkers:
         applyWorkers(command.workers());
+        m_sharedVersion = index;
         break;
     case log::ControlCommand::kJobEnds:
         applyJobEnds(command.job_ends());
@@ -94,6 +95,7 @@
         return refused("REQUEST_ID_REUSED", "request id " + request.request_id() + " was used for another command");
     }
     auto reply = carryOut(index, request);
+    m_sharedVersion = index;
     reply.set_request_id(request.request_id());
     reply.set_digest(digest);
     keepReply(reply);
@@ -189,6 +191,33 @@
     return accepted(m_configVersion);
 }
 
+const std::set<TaskId>& ControlState::tasksOn(const WorkerId& worker) const
+{
+    static const std::set<TaskId> none;
+    const auto found = m_tasksByWorker.find(worker);
+    return found == m_tasksByWorker.end() ? none : found->second;
+}
+
+void ControlState::place(const log::Placement& placement)
+{
+    const TaskId task(placement.task());
+    unplace(task);
+    m_tasksByWorker[WorkerId(placement.worker())].insert(task);
+    m_placements[task] = placement;
+}
+
+void ControlState::unplace(const TaskId& task)
+{
+    const auto standing = m_placements.find(task);
+    if (standing == m_placements.end())
+        return;
+    const auto tasks = m_tasksByWorker.find(WorkerId(standing->second.worker()));
+    tasks->second.erase(task);
+    if (tasks->second.empty())
+        m_tasksByWorker.erase(tasks);
+    m_placements.erase(standing);
+}
+
 log::Placements ControlState::applyPlacements(const log::Placements& placements)
 {
     log::Placements result;
@@ -202,7 +231,7 @@
         const auto standing = m_placements.find(task);
         if (standing != m_placements.end() && standing->second.epoch() >= placement.epoch())
             continue;
-        m_placements[task] = placement;
+        place(placement);
         *result.add_placements() = placement;
     }
     return result;
@@ -215,7 +244,7 @@
         const auto standing = m_placements.find(task);
         if (standing == m_placements.end() || standing->second.epoch() != end.epoch())
             continue;
-        m_placements.erase(standing);
+        unplace(task);
         const auto job = m_jobs.find(jobOf(task));
         if (job != m_jobs.end() && end.state() == rpc::TASK_FINISHED)
             job->second.endedTasks[task] = end;
@@ -227,27 +256,30 @@
     const auto worker = m_workers.find(WorkerId(grant.worker()));
     if (worker == m_workers.end())
         return true;
-    uint64_t slots = grant.slots();
-    uint64_t connections = grant.connections();
+    uint64_t slots = grant.held_slots();
+    uint64_t connections = grant.held_connections();
     for (auto it = m_grants.lower_bound({ WorkerId(grant.worker()), InstanceId() });
          it != m_grants.end() && it->first.first.str() == grant.worker(); ++it) {
         if (it->second.entry() == grant.entry())
             continue;
-        slots += it->second.slots();
-        connections += it->second.connections();
+        slots += it->second.held_slots();
+        connections += it->second.held_connections();
     }
     return slots > worker->second.slots() || connections > worker->second.connections();
 }
 
-void ControlState::applyGrants(const log::GrantChanges& changes)
+void ControlState::applyGrants(Index index, const log::GrantChanges& changes)
 {
+    m_grantsVersion = index;
     for (const auto& grant : changes.grants()) {
         m_nextGrantEpoch = std::max(m_nextGrantEpoch, Epoch { grant.epoch() + 1 });
         const GrantKey key { WorkerId(grant.worker()), InstanceId(grant.entry()) };
         const auto standing = m_grants.find(key);
         if (standing != m_grants.end() && standing->second.epoch() > grant.epoch())
             continue;
-        if (grant.slots() == 0)
+        if (grant.held_slots() < grant.slots() || grant.held_connections() < grant.connections())
+            continue;
+        if (grant.held_slots() == 0)
             m_grants.erase(key);
         else if (!exceedsWorker(grant))
             m_grants[key] = grant;
@@ -272,6 +304,9 @@
         job->second.hasEnded = true;
         job->second.outcome = end.outcome();
         job->second.reason = end.reason();
+        const TaskId first(end.job() + ".");
+        for (auto it = m_placements.lower_bound(first); it != m_placements.end() && jobOf(it->first) == job->first;)
+            unplace((it++)->first);
     }
 }
 
@@ -312,6 +347,8 @@
         *snapshot.add_replies() = m_replies.at(id);
     snapshot.set_next_epoch(m_nextEpoch.value);
     snapshot.set_next_grant_epoch(m_nextGrantEpoch.value);
+    snapshot.set_shared_version(m_sharedVersion.value);
+    snapshot.set_grants_version(m_grantsVersion.value);
     return snapshot.SerializeAsString();
 }
 
@@ -329,7 +366,7 @@
     for (const auto& service : snapshot.services())
         m_services[ServiceId(service.name())] = service;
     for (const auto& placement : snapshot.placements())
-        m_placements[TaskId(placement.task())] = placement;
+        place(placement);
     for (const auto& grant : snapshot.grants())
         m_grants[{ WorkerId(grant.worker()), InstanceId(grant.entry()) }] = grant;
     for (const auto& worker : snapshot.workers())
@@ -349,6 +386,8 @@
         keepReply(reply);
     m_nextEpoch = Epoch { snapshot.next_epoch() };
     m_nextGrantEpoch = Epoch { snapshot.next_grant_epoch() };
+    m_sharedVersion = Index { snapshot.shared_version() };
+    m_grantsVersion = Index { snapshot.grants_version() };
     return absl::OkStatus();
 }
 
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -42,6 +42,8 @@
     const std::map<ServiceId, rpc::Service>& services() const { return m_services; }
     const std::map<JobId, JobRecord>& jobs() const { return m_jobs; }
     const std::map<TaskId, log::Placement>& placements() const { return m_placements; }
+    /// Tasks placed on the worker, in the order of their ids.
+    const std::set<TaskId>& tasksOn(const WorkerId& worker) const;
     const std::map<GrantKey, log::Grant>& grants() const { return m_grants; }
     const std::map<WorkerId, rpc::WorkerReport>& workers() const { return m_workers; }
     const std::set<WorkerId>& drained() const { return m_drained; }
@@ -49,6 +51,9 @@
     const std::string& config() const { return m_config; }
     Epoch nextEpoch() const { return m_nextEpoch; }
     Epoch nextGrantEpoch() const { return m_nextGrantEpoch; }
+    /// Index of the last change of what every entry needs: services, workers, drain marks, configuration.
+    Index sharedVersion() const { return m_sharedVersion; }
+    Index grantsVersion() const { return m_grantsVersion; }
 
 private:
     log::KeptReply applyOperate(Index index, const rpc::OperateRequest& request);
@@ -58,9 +63,11 @@
     log::KeptReply putConfig(const rpc::PutConfig& request);
     log::Placements applyPlacements(const log::Placements& placements);
     void applyTaskEnds(const log::TaskEnds& ends);
-    void applyGrants(const log::GrantChanges& changes);
+    void applyGrants(Index index, const log::GrantChanges& changes);
     void applyWorkers(const log::WorkerFacts& facts);
     void applyJobEnds(const log::JobEnds& ends);
+    void place(const log::Placement& placement);
+    void unplace(const TaskId& task);
     bool exceedsWorker(const log::Grant& grant) const;
     void keepReply(const log::KeptReply& reply);
 
@@ -69,6 +76,7 @@
     std::map<ServiceId, rpc::Service> m_services;
     std::map<JobId, JobRecord> m_jobs;
     std::map<TaskId, log::Placement> m_placements;
+    std::map<WorkerId, std::set<TaskId>> m_tasksByWorker; ///< Derived from m_placements.
     std::map<GrantKey, log::Grant> m_grants;
     std::map<WorkerId, rpc::WorkerReport> m_workers;
     std::set<WorkerId> m_drained;
@@ -76,6 +84,8 @@
     std::string m_config = "{}";
     Epoch m_nextEpoch { 1 };
     Epoch m_nextGrantEpoch { 1 };
+    Index m_sharedVersion;
+    Index m_grantsVersion;
     std::map<std::string, log::KeptReply> m_replies;
     std::deque<std::string> m_replyOrder; ///< Oldest first.
 };
--- /dev/null
+++ b/src/rpc/entry.cc
@@ -0,0 +1,431 @@
+#include "turmericpier/rpc/entry.h"
+
+#include "peer_generated.h"
+#include "rpc/ledger-link.h"
+#include "rpc/peer-calls.h"
+#include "rpc/request-driver.h"
+#include "rpc/services.h"
+#include "rpc/worker-streams.h"
+#include "turmericpier/base/error.h"
+#include "turmericpier/base/event-loop.h"
+#include "turmericpier/base/log.h"
+
+#include <boost/json.hpp>
+#include <future>
+#include <grpcpp/server.h>
+#include <grpcpp/server_builder.h>
+
+namespace turmericpier::rpc {
+
+namespace {
+    constexpr Duration tickInterval = std::chrono::milliseconds(5);
+    constexpr Duration operatorDeadline = std::chrono::seconds(10);
+    constexpr Duration heartbeatTimeout = std::chrono::milliseconds(600);
+    constexpr Duration recordDeadline = std::chrono::minutes(10);
+    constexpr auto drainPollInterval = std::chrono::milliseconds(20);
+
+    std::vector<uint8_t> toBytes(const google::protobuf::MessageLite& message)
+    {
+        std::vector<uint8_t> bytes(message.ByteSizeLong());
+        message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
+        return bytes;
+    }
+
+    template <typename Message>
+    absl::StatusOr<Message> parseReply(const absl::StatusOr<peer::wire::EnvelopeT>& reply, const std::string& self)
+    {
+        if (!reply.ok())
+            return reply.status();
+        Message message;
+        const auto* body = reply->body.AsForwardReply();
+        if (!body || !message.ParseFromArray(body->reply.data(), static_cast<int>(body->reply.size())))
+            return makeError(
+                { absl::StatusCode::kInternal, turmericpier::Outcome::Unknown, "MALFORMED_REPLY", "forward", self },
+                "reply of the control leader cannot be parsed");
+        return message;
+    }
+} // namespace
+
+struct Entry::Impl {
+    Impl(const settings::Settings& settings, Incarnation incarnation, SendFunction send, const Clock& clock,
+        Metrics& metrics)
+        : m_settings(settings)
+        , m_incarnation(incarnation)
+        , m_clock(clock)
+        , m_metrics(metrics)
+        , m_loop("entry", clock)
+        , m_calls(std::move(send))
+        , m_control(m_calls, settings.controlVoters)
+        , m_streams(metrics)
+        , m_driver(m_settings, incarnation, driverHooks(), m_loop, clock, metrics)
+        , m_callerService(
+              [this](const CallRequest& request, CallerService::Done done) { call(request, std::move(done)); })
+        , m_operatorService(operatorHandlers())
+    {
+        for (const auto& [region, voters] : settings.ledgerVoters)
+            m_ledgers.emplace(region, std::make_unique<LedgerLink>(m_calls, GroupId("ledger-" + region.str()), voters));
+    }
+
+    RequestDriverHooks driverHooks()
+    {
+        RequestDriverHooks hooks;
+        hooks.commit = [this](const RegionId& region, log::LedgerItem item, TimePoint deadline, LedgerLink::Done done) {
+            m_ledgers.at(region)->commit(std::move(item), deadline, m_clock.now(), std::move(done));
+        };
+        return hooks;
+    }
+
+    absl::Status overloaded() const
+    {
+        return makeError({ absl::StatusCode::kResourceExhausted, turmericpier::Outcome::NotRun, "ENTRY_OVERLOADED",
+                             "admit", m_settings.instance.str() },
+            "the entry's work queue is full");
+    }
+
+    void call(const CallRequest& request, CallerService::Done done)
+    {
+        // The request lives until `done` runs.
+        auto shared = std::make_shared<CallerService::Done>(std::move(done));
+        if (!m_loop.post([this, &request, shared] { m_driver.submit(request, *shared); }))
+            (*shared)(overloaded(), {});
+    }
+
+    OperatorHandlers operatorHandlers()
+    {
+        OperatorHandlers handlers;
+        handlers.operate = [this](const OperateRequest& request, auto done) {
+            forward<OperateReply>(false, request, std::move(done));
+        };
+        handlers.read
+            = [this](const ReadRequest& request, auto done) { forward<ReadReply>(true, request, std::move(done)); };
+        handlers.exportLedger = [this](const ExportLedgerRequest& request, uint64_t after, auto done) {
+            exportLedger(request, after, std::move(done));
+        };
+        return handlers;
+    }
+
+    template <typename Reply>
+    void forward(
+        bool isRead, const google::protobuf::MessageLite& request, std::function<void(absl::StatusOr<Reply>)> done)
+    {
+        auto shared = std::make_shared<std::function<void(absl::StatusOr<Reply>)>>(std::move(done));
+        const bool queued = m_loop.post([this, isRead, bytes = toBytes(request), shared] {
+            const auto now = m_clock.now();
+            m_control.call(
+                [isRead, bytes] {
+                    peer::wire::ForwardT body;
+                    body.read = isRead;
+                    body.request = bytes;
+                    peer::wire::EnvelopeT envelope;
+                    envelope.body.Set(std::move(body));
+                    return envelope;
+                },
+                now, now + operatorDeadline,
+                [this, shared](absl::StatusOr<peer::wire::EnvelopeT> reply) {
+                    (*shared)(parseReply<Reply>(reply, m_settings.instance.str()));
+                });
+        });
+        if (!queued)
+            (*shared)(overloaded());
+    }
+
+    void exportLedger(
+        const ExportLedgerRequest& request, uint64_t after, std::function<void(absl::StatusOr<LedgerPage>)> done)
+    {
+        auto shared = std::make_shared<std::function<void(absl::StatusOr<LedgerPage>)>>(std::move(done));
+        const bool queued = m_loop.post([this, request, after, shared] {
+            const auto ledger = m_ledgers.find(RegionId(request.region()));
+            if (ledger == m_ledgers.end()) {
+                (*shared)(makeError({ absl::StatusCode::kNotFound, turmericpier::Outcome::NotRun, "NOT_FOUND", "export",
+                                        m_settings.instance.str() },
+                    "region \"" + request.region() + "\" has no ledger"));
+                return;
+            }
+            const auto now = m_clock.now();
+            ledger->second->leader().call(
+                [request, after] {
+                    peer::wire::LedgerReadT body;
+                    body.group = "ledger-" + request.region();
+                    body.from_index = after;
+                    body.partner = request.partner();
+                    peer::wire::EnvelopeT envelope;
+                    envelope.body.Set(std::move(body));
+                    return envelope;
+                },
+                now, now + operatorDeadline,
+                [this, shared](absl::StatusOr<peer::wire::EnvelopeT> reply) { (*shared)(parsePage(reply)); });
+        });
+        if (!queued)
+            (*shared)(overloaded());
+    }
+
+    absl::StatusOr<LedgerPage> parsePage(const absl::StatusOr<peer::wire::EnvelopeT>& reply) const
+    {
+        if (!reply.ok())
+            return reply.status();
+        const auto* body = reply->body.AsLedgerReadReply();
+        log::LedgerResults results;
+        if (!body || !results.ParseFromArray(body->results.data(), static_cast<int>(body->results.size())))
+            return makeError({ absl::StatusCode::kInternal, turmericpier::Outcome::Unknown, "MALFORMED_REPLY", "export",
+                                 m_settings.instance.str() },
+                "reply of the ledger cannot be parsed");
+        LedgerPage page;
+        page.next = body->next_index;
+        for (auto& result : *results.mutable_results())
+            page.records.push_back(std::move(*result.mutable_outcome()));
+        return page;
+    }
+
+    void receive(peer::Envelope& envelope)
+    {
+        if (const auto* reply = envelope.body.AsEntryHeartbeatReply(); reply && envelope.correlation == 0) {
+            sendCommands(*reply);
+            return;
+        }
+        m_calls.receive(std::move(envelope));
+    }
+
+    void tick()
+    {
+        m_loop.postAfter(tickInterval, [this] { tick(); });
+        const auto now = m_clock.now();
+        m_calls.tick(now);
+        m_control.tick(now);
+        for (auto& [region, ledger] : m_ledgers)
+            ledger->tick(now);
+        m_driver.tick();
+        m_isIdle = m_driver.isIdle();
+    }
+
+    void sendHeartbeat()
+    {
+        m_loop.postAfter(m_settings.entry.heartbeat, [this] { sendHeartbeat(); });
+        const auto sentAt = m_clock.now();
+        const auto to = m_control.leader();
+        peer::wire::EnvelopeT envelope;
+        envelope.body.Set(makeHeartbeat());
+        m_calls.call(to, std::move(envelope), sentAt + heartbeatTimeout,
+            [this, to, sentAt](const absl::StatusOr<peer::wire::EnvelopeT>& reply) {
+                if (!reply.ok()) {
+                    m_metrics.counter("heartbeats_failed_total").increment();
+                    m_control.suspectLeader(to);
+                    return;
+                }
+                heartbeatAnswered(*reply->body.AsEntryHeartbeatReply(), sentAt);
+            });
+    }
+
+    peer::wire::EntryHeartbeatT makeHeartbeat()
+    {
+        peer::wire::EntryHeartbeatT heartbeat;
+        heartbeat.entry = m_settings.instance.str();
+        heartbeat.incarnation = m_incarnation.value;
+        heartbeat.data_centre = m_settings.dataCentre.str();
+        heartbeat.region = m_settings.region.str();
+        heartbeat.draining = m_isDraining;
+        heartbeat.config_version = m_configVersion;
+        heartbeat.state_version = m_stateVersion;
+        heartbeat.grants_version = m_grantsVersion;
+        for (const auto& demand : m_driver.router().demand()) {
+            auto item = std::make_unique<peer::wire::ServiceDemandT>();
+            item->service = demand.service.str();
+            item->waiting = demand.waiting;
+            item->running = demand.running;
+            item->arrivals_per_s = demand.arrivalsPerSecond;
+            heartbeat.demand.push_back(std::move(item));
+        }
+        for (const auto& use : m_driver.router().grantUse()) {
+            auto item = std::make_unique<peer::wire::HeldGrantT>();
+            item->worker = use.worker.str();
+            item->epoch = use.epoch.value;
+            item->in_use = use.inUse;
+            heartbeat.held.push_back(std::move(item));
+        }
+        for (const auto& report : m_streams.takeReports()) {
+            auto blob = std::make_unique<peer::wire::WorkerBlobT>();
+            blob->worker = report.worker();
+            blob->data = toBytes(report);
+            heartbeat.reports.push_back(std::move(blob));
+        }
+        for (const auto& worker : m_streams.attached())
+            heartbeat.streams.push_back(worker.str());
+        return heartbeat;
+    }
+
+    void heartbeatAnswered(const peer::wire::EntryHeartbeatReplyT& reply, TimePoint sentAt)
+    {
+        if (reply.term < m_controlTerm)
+            return; // a deposed leader
+        m_controlTerm = reply.term;
+        if (!reply.state.empty() && reply.state_version >= m_stateVersion) {
+            log::ControlSnapshot state;
+            if (state.ParseFromArray(reply.state.data(), static_cast<int>(reply.state.size())))
+                takeOverState(state, reply.state_version);
+        }
+        if (reply.grants_version < m_grantsVersion)
+            return;
+        if (reply.grants_version != m_grantsVersion) {
+            log::GrantChanges grants;
+            grants.ParseFromArray(reply.grants.data(), static_cast<int>(reply.grants.size()));
+            m_driver.setGrants(grants, sentAt);
+            m_grantsVersion = reply.grants_version;
+        } else if (reply.renewed) {
+            m_driver.renewGrants(sentAt);
+        }
+        sendCommands(reply);
+        m_isReady = m_stateVersion > 0;
+    }
+
+    void takeOverState(const log::ControlSnapshot& state, uint64_t version)
+    {
+        m_driver.setState(state);
+        m_stateVersion = version;
+        if (state.config_version() > m_configVersion) {
+            m_configVersion = state.config_version();
+            logState("entry", "configuration in force", { { "version", std::to_string(m_configVersion) } });
+        }
+    }
+
+    void sendCommands(const peer::wire::EntryHeartbeatReplyT& reply)
+    {
+        for (const auto& blob : reply.commands) {
+            WorkerCommand command;
+            if (!command.ParseFromArray(blob->data.data(), static_cast<int>(blob->data.size()))
+                || !m_streams.send(WorkerId(blob->worker), std::move(command)))
+                m_metrics.counter("worker_commands_dropped_total").increment();
+        }
+    }
+
+    void recordOutcome(const LedgerRecord& record)
+    {
+        log::LedgerItem item;
+        *item.mutable_outcome() = record;
+        const auto ledger = m_ledgers.find(RegionId(record.home_region()));
+        if (ledger == m_ledgers.end()) {
+            logError("entry", "outcome for a region without a ledger", { { "region", record.home_region() } });
+            return;
+        }
+        const auto now = m_clock.now();
+        ledger->second->commit(std::move(item), now + recordDeadline, now,
+            [this, record](const absl::StatusOr<log::LedgerResult>& result) {
+                if (!result.ok())
+                    m_loop.post([this, record] { recordOutcome(record); });
+            });
+    }
+
+    absl::Status start()
+    {
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort(m_settings.rpcAddress, grpc::InsecureServerCredentials(), &port);
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0); // a second process on the address must fail
+        builder.RegisterService(&m_callerService);
+        builder.RegisterService(&m_operatorService);
+        builder.RegisterService(&m_streams);
+        m_server = builder.BuildAndStart();
+        if (!m_server || port == 0)
+            return makeError({ absl::StatusCode::kUnavailable, turmericpier::Outcome::NotRun, "ADDRESS_IN_USE",
+                                 "listen", m_settings.rpcAddress },
+                "cannot listen on " + m_settings.rpcAddress);
+        m_loop.postAfter(tickInterval, [this] { tick(); });
+        m_loop.postAfter(Duration::zero(), [this] { sendHeartbeat(); });
+        m_loop.start();
+        return absl::OkStatus();
+    }
+
+    void drain(Duration limit)
+    {
+        logState("entry", "draining");
+        m_isIdle = false;
+        m_loop.post([this] {
+            m_isDraining = true;
+            m_driver.beginDrain();
+        });
+        const auto deadline = std::chrono::steady_clock::now() + limit;
+        // Two looks in a row, so that a request that was just being accepted is seen.
+        for (int idle = 0; idle < 2 && std::chrono::steady_clock::now() < deadline;) {
+            std::this_thread::sleep_for(drainPollInterval);
+            idle = m_isIdle ? idle + 1 : 0;
+        }
+        logState("entry", "drained", { { "idle", m_isIdle ? "true" : "false" } });
+    }
+
+    void stop()
+    {
+        m_streams.closeAll();
+        if (m_server)
+            m_server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+        m_loop.stop();
+        m_server.reset();
+    }
+
+    std::string dump()
+    {
+        std::promise<std::string> result;
+        auto future = result.get_future();
+        const bool queued = m_loop.post([this, &result] {
+            boost::json::object object { { "instance", m_settings.instance.str() },
+                { "control_leader", m_control.leader().str() }, { "state_version", m_stateVersion },
+                { "grants_version", m_grantsVersion }, { "config_version", m_configVersion },
+                { "draining", m_isDraining.load() }, { "calls_waiting", m_calls.waiting() },
+                { "workers_attached", m_streams.attached().size() } };
+            boost::json::error_code error;
+            object["router"] = boost::json::parse(m_driver.router().dump(), error);
+            result.set_value(boost::json::serialize(object));
+        });
+        return queued ? future.get() : "{}";
+    }
+
+    const settings::Settings& m_settings;
+    const Incarnation m_incarnation;
+    const Clock& m_clock;
+    Metrics& m_metrics;
+    EventLoop m_loop;
+    PeerCalls m_calls;
+    LeaderCalls m_control;
+    std::map<RegionId, std::unique_ptr<LedgerLink>> m_ledgers;
+    WorkerStreams m_streams;
+    RequestDriver m_driver;
+    CallerService m_callerService;
+    OperatorService m_operatorService;
+    std::unique_ptr<grpc::Server> m_server;
+    uint64_t m_controlTerm = 0;
+    uint64_t m_stateVersion = 0;
+    uint64_t m_grantsVersion = 0;
+    uint64_t m_configVersion = 0;
+    std::atomic<bool> m_isDraining { false };
+    std::atomic<bool> m_isIdle { false };
+    std::atomic<bool> m_isReady { false };
+};
+
+Entry::Entry(const settings::Settings& settings, Incarnation incarnation, SendFunction send, const Clock& clock,
+    Metrics& metrics)
+    : m_impl(std::make_unique<Impl>(settings, incarnation, std::move(send), clock, metrics))
+{
+}
+
+Entry::~Entry() = default;
+
+absl::Status Entry::start() { return m_impl->start(); }
+
+void Entry::drain(Duration limit) { m_impl->drain(limit); }
+
+void Entry::stop() { m_impl->stop(); }
+
+void Entry::receive(peer::Envelope envelope)
+{
+    auto shared = std::make_shared<peer::Envelope>(std::move(envelope));
+    if (!m_impl->m_loop.post([this, shared] { m_impl->receive(*shared); }))
+        m_impl->m_metrics.counter("entry_dropped_total").increment();
+}
+
+void Entry::recordOutcome(LedgerRecord record)
+{
+    m_impl->m_loop.post([this, record = std::move(record)] { m_impl->recordOutcome(record); });
+}
+
+bool Entry::isReady() const { return m_impl->m_isReady; }
+
+std::string Entry::dump() const { return m_impl->dump(); }
+
+} // namespace turmericpier::rpc
--- a/test/control-state-test.cc
+++ b/test/control-state-test.cc
@@ -71,6 +71,8 @@
     grant.set_entry(entry);
     grant.set_slots(slots);
     grant.set_connections(slots);
+    grant.set_held_slots(slots);
+    grant.set_held_connections(slots);
     grant.set_epoch(epoch);
     state.apply(Index { 4 }, command.SerializeAsString());
 }
