--- a/include/turmericpier/consensus/message.h
+++ b/include/turmericpier/consensus/message.h
@@ -20,6 +20,7 @@
     HeartbeatReply,
     Snapshot,
     TimeoutNow, ///< Asks the receiver to campaign at once; used to move leadership.
+    SnapshotReply,
 };
 
 enum class EntryKind : uint8_t {
@@ -35,7 +36,7 @@
     std::string data;
 };
 
-/// State of the state machine after `index`.
+/// State of the state machine after `index`. A message carries a chunk of `data`; an empty chunk ends the transfer.
 struct Snapshot {
     Index index;
     Term term;
@@ -46,12 +47,18 @@
 struct Message {
     MessageType type = MessageType::Heartbeat;
     Term term;
-    Index logIndex; ///< Append: entry before the first one sent. Vote: last entry of the candidate.
+    /// Append: entry before the first one sent. AppendReply: last entry that matches, or `logIndex` of the rejected
+    /// append. Vote and PreVote: last entry of the candidate. SnapshotReply: index of the snapshot.
+    Index logIndex;
     Term logTerm;
     Index commit;
     bool reject = false;
-    Index rejectHint; ///< AppendReply with reject: the sender's last index.
-    uint64_t context = 0; ///< Heartbeat round, copied into the reply.
+    /// AppendReply with reject: the sender's last index that may match. Append: the leader's last index.
+    Index rejectHint;
+    /// Heartbeat: round, copied into the reply. Vote: 1 if leadership is handed over. Snapshot: offset of the chunk.
+    /// SnapshotReply: offset of the next chunk. AppendReply: incarnation of a replica that started with an empty disk
+    /// and has not caught up yet, otherwise 0. Append: that incarnation as last heard.
+    uint64_t context = 0;
     std::vector<LogEntry> entries;
     std::optional<Snapshot> snapshot;
 };
--- /dev/null
+++ b/src/consensus/core-leader.cc
@@ -0,0 +1,454 @@
+#include "consensus/core.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+/// Leader side of replication: appends, snapshots, leases, membership and transfer of leadership.
+namespace turmericpier::consensus {
+
+namespace {
+    // A transfer that failed is tried again after this many election timeouts.
+    constexpr int preferRetryTimeouts = 10;
+    // A new voter that makes no progress for this many election timeouts is given up.
+    constexpr int newVoterTimeouts = 10;
+} // namespace
+
+uint64_t Core::quorumOf(const std::function<uint64_t(const InstanceId&)>& valueOf) const
+{
+    std::vector<uint64_t> values;
+    for (const auto& voter : voters())
+        values.push_back(valueOf(voter));
+    std::ranges::sort(values, std::greater<> {});
+    return values.empty() ? 0 : values[values.size() / 2];
+}
+
+bool Core::hasQuorumContact() const
+{
+    const auto contact = quorumOf([this](const InstanceId& voter) -> uint64_t {
+        const auto found = m_progress.find(voter);
+        return (found == m_progress.end() ? m_now : found->second.lastHeard).sinceStart.count();
+    });
+    return m_now.sinceStart - Duration(contact) < m_options.electionTimeoutMin;
+}
+
+void Core::tickLeader()
+{
+    if (!hasQuorumContact())
+        return becomeFollower(m_hard.term, {});
+    if (!m_transferTo.empty() && m_now >= m_transferDeadline)
+        m_transferTo = {};
+    if (m_pendingVoter && m_now >= m_pendingVoter->deadline) {
+        m_changeResults.push_back({ m_pendingVoter->id,
+            refuse(absl::StatusCode::kDeadlineExceeded, "NOT_CAUGHT_UP",
+                absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")) });
+        m_progress.erase(m_pendingVoter->voter);
+        m_pendingVoter.reset();
+    }
+    if (m_now < m_heartbeatDue)
+        return;
+    startRound();
+    preferLeader();
+}
+
+void Core::startRound()
+{
+    m_roundWanted = false;
+    m_heartbeatDue = m_now + m_options.heartbeat;
+    m_rounds.emplace_back(++m_round, m_now);
+    for (auto& [peer, progress] : m_progress) {
+        Message heartbeat { .type = MessageType::Heartbeat, .context = m_round };
+        heartbeat.commit = std::min(progress.match, m_hard.commit);
+        send(peer, std::move(heartbeat));
+    }
+    confirmReads(); // a single voter needs no replies
+}
+
+uint64_t Core::quorumRound() const
+{
+    return quorumOf([this](const InstanceId& voter) {
+        const auto found = m_progress.find(voter);
+        return found == m_progress.end() ? m_round : found->second.ackedRound;
+    });
+}
+
+bool Core::leaseValid(TimePoint now) const { return m_role == Role::Leader && m_leaseAllowed && now < m_leaseEnd; }
+
+void Core::confirmReads()
+{
+    const auto acked = quorumRound();
+    while (!m_rounds.empty() && m_rounds.front().first <= acked) {
+        // Half the shortest election timeout leaves the other half for clocks that run at different rates.
+        m_leaseEnd = std::max(m_leaseEnd, m_rounds.front().second + m_options.electionTimeoutMin / 2);
+        m_rounds.pop_front();
+    }
+    std::erase_if(m_pendingReads, [&](const PendingRead& read) {
+        const bool confirmed = read.round <= acked && read.index <= m_hard.commit;
+        if (confirmed)
+            m_readResults.push_back({ read.id, true, read.index });
+        return confirmed;
+    });
+}
+
+void Core::read(uint64_t id, TimePoint now)
+{
+    tick(now);
+    if (m_role != Role::Leader) {
+        m_readResults.push_back({ id, false, {} });
+        return;
+    }
+    if (leaseValid(m_now) && m_hard.commit >= m_termStart) {
+        m_readResults.push_back({ id, true, m_hard.commit });
+        return;
+    }
+    // Reads that arrive together share the round that starts with the next takeReady().
+    m_roundWanted = true;
+    m_pendingReads.push_back({ id, m_round + 1, std::max(m_hard.commit, m_termStart) });
+}
+
+absl::StatusOr<Index> Core::propose(std::string data)
+{
+    if (m_role != Role::Leader)
+        return refuse(absl::StatusCode::kUnavailable, "NOT_LEADER",
+            m_leader.empty() ? "no leader is known" : absl::StrCat("the leader is ", m_leader.str()));
+    if (!m_transferTo.empty())
+        return refuse(absl::StatusCode::kUnavailable, "TRANSFERRING",
+            absl::StrCat("leadership is moving to ", m_transferTo.str()));
+    if (data.size() > maxEntryBytes)
+        return refuse(absl::StatusCode::kInvalidArgument, "ENTRY_TOO_LARGE",
+            absl::StrCat("an entry of ", data.size(), " bytes exceeds the limit of ", maxEntryBytes));
+    if (m_uncommittedBytes + data.size() > m_options.uncommittedBytes)
+        return refuse(absl::StatusCode::kResourceExhausted, "LOG_BACKLOG",
+            absl::StrCat(m_uncommittedBytes, " bytes of proposals wait to be committed"));
+    appendEntry(EntryKind::Data, std::move(data));
+    return m_log.last();
+}
+
+void Core::appendEntry(EntryKind kind, std::string data)
+{
+    m_uncommittedBytes += data.size();
+    m_log.append({ m_hard.term, m_log.last().next(), kind, std::move(data) });
+}
+
+void Core::replicateAll()
+{
+    for (auto& [peer, progress] : m_progress)
+        replicate(peer, progress);
+}
+
+void Core::replicate(const InstanceId& to, Progress& progress)
+{
+    if (progress.sending)
+        return;
+    if (progress.next <= m_log.base()) {
+        progress.sending = m_snapshot;
+        progress.sendOffset = 0;
+        return sendChunk(to, progress);
+    }
+    if (progress.probing) {
+        if (!progress.probeSent)
+            sendAppend(to, progress);
+        return;
+    }
+    while (progress.next <= m_log.last() && progress.inflightBytes < m_options.inflightBytes)
+        sendAppend(to, progress);
+}
+
+void Core::sendAppend(const InstanceId& to, Progress& progress)
+{
+    Message message { .type = MessageType::Append };
+    message.logIndex = Index { progress.next.value - 1 };
+    message.logTerm = *m_log.termAt(message.logIndex);
+    message.commit = m_hard.commit;
+    message.rejectHint = m_log.last();
+    message.context = progress.incarnation;
+    if (progress.next <= m_log.last())
+        message.entries = m_log.slice(progress.next, m_options.appendBytes);
+    if (progress.probing) {
+        progress.probeSent = true;
+    } else if (!message.entries.empty()) {
+        size_t bytes = 0;
+        for (const auto& entry : message.entries)
+            bytes += entry.data.size();
+        if (progress.inflight.empty())
+            progress.lastProgress = m_now;
+        progress.next = message.entries.back().index.next();
+        progress.inflight.emplace_back(message.entries.back().index, bytes);
+        progress.inflightBytes += bytes;
+    }
+    send(to, std::move(message));
+}
+
+void Core::sendChunk(const InstanceId& to, Progress& progress)
+{
+    const auto& snapshot = *progress.sending;
+    progress.sendOffset = std::min<uint64_t>(progress.sendOffset, snapshot.data.size());
+    progress.chunkSentAt = m_now;
+    Message message { .type = MessageType::Snapshot, .context = progress.sendOffset };
+    message.snapshot = Snapshot { snapshot.index, snapshot.term, snapshot.voters,
+        snapshot.data.substr(progress.sendOffset, m_options.snapshotChunkBytes) };
+    send(to, std::move(message));
+}
+
+void Core::onSnapshotReply(const InstanceId& from, const Message& message)
+{
+    const auto found = m_progress.find(from);
+    if (m_role != Role::Leader || found == m_progress.end())
+        return;
+    auto& progress = found->second;
+    progress.lastHeard = m_now;
+    if (!progress.sending || progress.sending->index != message.logIndex)
+        return;
+    if (m_pendingVoter && m_pendingVoter->voter == from && message.context > progress.sendOffset)
+        m_pendingVoter->deadline = m_now + newVoterTimeouts * m_options.electionTimeoutMin;
+    if (message.context == progress.sendOffset && progress.sendOffset < progress.sending->data.size())
+        return; // a duplicate; the next heartbeat reply repeats a chunk that was lost
+    progress.sendOffset = message.context;
+    sendChunk(from, progress);
+}
+
+void Core::noteIncarnation(Progress& progress, const Message& message)
+{
+    progress.recovering = message.context != 0;
+    if (message.context == 0 || message.context == progress.incarnation)
+        return;
+    // The peer lost its disk: what it acknowledged before is gone.
+    progress = Progress { .next = Index { 1 },
+        .lastProgress = m_now,
+        .lastHeard = m_now,
+        .ackedRound = progress.ackedRound,
+        .incarnation = message.context,
+        .recovering = true };
+    if (message.reject)
+        progress.next = std::min(message.rejectHint.next(), m_log.last().next());
+}
+
+void Core::onAppendReply(const InstanceId& from, const Message& message)
+{
+    const auto found = m_progress.find(from);
+    if (m_role != Role::Leader || found == m_progress.end())
+        return;
+    auto& progress = found->second;
+    progress.lastHeard = m_now;
+    noteIncarnation(progress, message);
+    if (message.reject)
+        return onAppendRejected(progress, message);
+    if (message.logIndex > m_log.last())
+        return;
+    if (progress.sending && message.logIndex >= progress.sending->index)
+        progress.sending = nullptr;
+    if (message.logIndex > progress.match) {
+        progress.match = message.logIndex;
+        progress.lastProgress = m_now;
+        if (m_pendingVoter && m_pendingVoter->voter == from)
+            m_pendingVoter->deadline = m_now + newVoterTimeouts * m_options.electionTimeoutMin;
+    }
+    if (message.logIndex >= progress.match) {
+        progress.probing = false;
+        progress.next = std::max(progress.next, progress.match.next());
+    }
+    while (!progress.inflight.empty() && progress.inflight.front().first <= progress.match) {
+        progress.inflightBytes -= progress.inflight.front().second;
+        progress.inflight.pop_front();
+    }
+    advanceCommit();
+    if (m_role != Role::Leader)
+        return;
+    advancePendingVoter();
+    advanceTransfer();
+}
+
+void Core::onAppendRejected(Progress& progress, const Message& message)
+{
+    const bool stale
+        = progress.probing ? message.logIndex.value + 1 != progress.next.value : message.logIndex <= progress.match;
+    if (stale || message.logIndex.value == 0)
+        return;
+    // The latest entry that may agree: not above the hint and of no later term than the peer's entry there.
+    Index agree = std::min(message.rejectHint, m_log.last());
+    while (agree > m_log.base() && *m_log.termAt(agree) > message.logTerm)
+        agree.value--;
+    progress.probing = true;
+    progress.probeSent = false;
+    progress.next = std::max(progress.match, agree).next();
+    progress.inflight.clear();
+    progress.inflightBytes = 0;
+}
+
+void Core::onHeartbeatReply(const InstanceId& from, const Message& message)
+{
+    const auto found = m_progress.find(from);
+    if (m_role != Role::Leader || found == m_progress.end())
+        return;
+    auto& progress = found->second;
+    progress.lastHeard = m_now;
+    progress.ackedRound = std::max(progress.ackedRound, std::min(message.context, m_round));
+    confirmReads();
+    resumeProgress(from, progress);
+    advanceTransfer();
+}
+
+void Core::resumeProgress(const InstanceId& to, Progress& progress)
+{
+    if (progress.sending) {
+        if (m_now - progress.chunkSentAt >= m_options.electionTimeoutMin)
+            sendChunk(to, progress);
+        return;
+    }
+    progress.probeSent = false; // a probe or its reply was lost, or is repeated without harm
+    const bool stalled = !progress.inflight.empty()
+        && m_now - progress.lastProgress >= std::max(2 * m_options.heartbeat, m_options.electionTimeoutMin / 2);
+    if (stalled) {
+        progress.probing = true;
+        progress.next = progress.match.next();
+        progress.inflight.clear();
+        progress.inflightBytes = 0;
+    }
+    // A peer that may have lost entries needs an answer to its latest reply, even without new entries.
+    if (progress.recovering && progress.next > m_log.last() && progress.inflight.empty())
+        sendAppend(to, progress);
+}
+
+void Core::advanceCommit()
+{
+    const Index reached { quorumOf([this](const InstanceId& voter) {
+        const auto found = m_progress.find(voter);
+        return (found == m_progress.end() ? m_persisted : found->second.match).value;
+    }) };
+    if (reached <= m_hard.commit || m_log.termAt(reached) != m_hard.term)
+        return;
+    for (Index index = m_hard.commit.next(); index <= reached; index = index.next())
+        m_uncommittedBytes -= std::min(m_uncommittedBytes, m_log.at(index).data.size());
+    const auto before = m_hard.commit;
+    commitTo(reached);
+    confirmReads();
+    if (before < m_log.voters().index && m_log.voters().index <= m_hard.commit)
+        onVotersCommitted();
+}
+
+void Core::onVotersCommitted()
+{
+    std::erase_if(m_progress, [this](const auto& item) {
+        const bool pending = m_pendingVoter && m_pendingVoter->voter == item.first;
+        if (isVoter(item.first) || pending)
+            return false;
+        // Tells a removed peer that it is out, so that it does not campaign.
+        Message heartbeat { .type = MessageType::Heartbeat, .context = m_round };
+        heartbeat.commit = std::min(item.second.match, m_hard.commit);
+        send(item.first, std::move(heartbeat));
+        return true;
+    });
+    if (isVoter(m_options.self))
+        return;
+    // The leader removed itself: the most advanced peer takes over at once.
+    const auto best = std::ranges::max_element(m_progress, {}, [](const auto& item) { return item.second.match; });
+    if (best != m_progress.end())
+        send(best->first, { .type = MessageType::TimeoutNow });
+    becomeFollower(m_hard.term, {});
+}
+
+absl::Status Core::checkMembershipChange() const
+{
+    if (m_role != Role::Leader)
+        return refuse(absl::StatusCode::kUnavailable, "NOT_LEADER", "only the leader changes the voters");
+    if (m_hard.commit < m_termStart)
+        return refuse(absl::StatusCode::kUnavailable, "LEADER_NOT_READY",
+            "the leader has not committed an entry of its own term yet");
+    if (m_pendingVoter || m_log.voters().index > m_hard.commit)
+        return refuse(
+            absl::StatusCode::kFailedPrecondition, "CHANGE_IN_PROGRESS", "another change of the voters is in progress");
+    if (!m_transferTo.empty())
+        return refuse(absl::StatusCode::kUnavailable, "TRANSFERRING", "leadership is moving");
+    return absl::OkStatus();
+}
+
+void Core::addVoter(uint64_t id, const InstanceId& voter, TimePoint now)
+{
+    tick(now);
+    auto status = checkMembershipChange();
+    if (status.ok() && isVoter(voter))
+        status = refuse(absl::StatusCode::kAlreadyExists, "VOTER_EXISTS", absl::StrCat(voter.str(), " is a voter"));
+    if (!status.ok()) {
+        m_changeResults.push_back({ id, status });
+        return;
+    }
+    m_progress[voter] = { .next = m_log.last().next(), .lastProgress = m_now, .lastHeard = m_now };
+    m_pendingVoter = PendingVoter { id, voter, m_log.last(), m_now + newVoterTimeouts * m_options.electionTimeoutMin };
+}
+
+void Core::advancePendingVoter()
+{
+    if (!m_pendingVoter)
+        return;
+    const auto& progress = m_progress[m_pendingVoter->voter];
+    if (progress.match < m_pendingVoter->target || progress.recovering || !m_transferTo.empty())
+        return;
+    auto next = voters();
+    next.push_back(m_pendingVoter->voter);
+    const auto id = m_pendingVoter->id;
+    m_pendingVoter.reset();
+    proposeVoters(id, next);
+}
+
+void Core::removeVoter(uint64_t id, const InstanceId& voter)
+{
+    auto status = checkMembershipChange();
+    if (status.ok() && !isVoter(voter))
+        status = refuse(absl::StatusCode::kNotFound, "NO_SUCH_VOTER", absl::StrCat(voter.str(), " is no voter"));
+    if (status.ok() && voters().size() == 1)
+        status = refuse(absl::StatusCode::kFailedPrecondition, "LAST_VOTER", "the last voter can not be removed");
+    if (!status.ok()) {
+        m_changeResults.push_back({ id, status });
+        return;
+    }
+    auto next = voters();
+    std::erase(next, voter);
+    proposeVoters(id, next);
+}
+
+void Core::proposeVoters(uint64_t id, const std::vector<InstanceId>& voters)
+{
+    appendEntry(EntryKind::Membership, encodeVoters(voters));
+    m_changeResults.push_back({ id, m_log.last() });
+}
+
+void Core::transferLeadership(const InstanceId& to, TimePoint now)
+{
+    tick(now);
+    if (m_role != Role::Leader || to == m_options.self || !isVoter(to) || !m_transferTo.empty())
+        return;
+    m_transferTo = to;
+    m_transferSent = false;
+    m_transferDeadline = m_now + m_options.electionTimeoutMin;
+    advanceTransfer();
+}
+
+void Core::advanceTransfer()
+{
+    if (m_role != Role::Leader || m_transferTo.empty() || m_transferSent)
+        return;
+    const auto found = m_progress.find(m_transferTo);
+    if (found == m_progress.end() || found->second.match != m_log.last() || found->second.recovering)
+        return;
+    // The receiver's votes ignore the lease, however late the message arrives in this term.
+    m_leaseAllowed = false;
+    m_transferSent = true;
+    send(m_transferTo, { .type = MessageType::TimeoutNow });
+}
+
+void Core::preferLeader()
+{
+    const auto& preferred = m_options.preferredLeaders;
+    if (preferred.empty() || std::ranges::find(preferred, m_options.self) != preferred.end() || m_now < m_preferAfter
+        || !m_transferTo.empty() || m_pendingVoter || m_log.voters().index > m_hard.commit)
+        return;
+    for (const auto& candidate : preferred) {
+        const auto found = m_progress.find(candidate);
+        if (!isVoter(candidate) || found == m_progress.end() || found->second.match < m_hard.commit
+            || found->second.recovering || m_now - found->second.lastHeard > 3 * m_options.heartbeat)
+            continue;
+        m_preferAfter = m_now + preferRetryTimeouts * m_options.electionTimeoutMax;
+        return transferLeadership(candidate, m_now);
+    }
+}
+
+} // namespace turmericpier::consensus
