Add first versions of the pure decision policies

Cause: the engine and the control leader need fair shares, preemption, size estimates, worker health, restart pacing and grant sizing, each small enough to be tested on its own. They have no I/O, threads or clock, and iterate in the order of ids alone.

--- /dev/null
+++ b/src/decision/fair-share.cc
@@ -0,0 +1,176 @@
+#include "turmericpier/decision/fair-share.h"
+
+#include <algorithm>
+
+namespace turmericpier::decision {
+
+namespace {
+
+    // Keeps the ratio finite for teams without a quota; they rank after every team that has one.
+    constexpr double smallestQuotaShare = 1e-6;
+
+    int64_t above(int64_t usage, int64_t quota) { return std::max<int64_t>(0, usage - quota); }
+
+    Resources above(const Resources& usage, const Resources& quota)
+    {
+        return { MilliCpu { above(usage.cpu.value, quota.cpu.value) },
+            MemoryMib { above(usage.memory.value, quota.memory.value) },
+            Accelerators { above(usage.accelerators.value, quota.accelerators.value) } };
+    }
+
+    double ratio(int64_t part, int64_t whole)
+    {
+        return part <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(std::max<int64_t>(whole, 1));
+    }
+
+    // True if what `wanted` adds above quota is still there in each dimension: `lendable` is shared by all teams.
+    bool canBorrow(int64_t wanted, int64_t quota, int64_t total, int64_t lendable)
+    {
+        return wanted <= quota || total <= lendable;
+    }
+
+} // namespace
+
+void FairShare::setCapacity(const Resources& capacity)
+{
+    m_waiting.clear();
+    m_overQuota.clear();
+    m_capacity = capacity;
+    for (const auto& [team, state] : m_teams)
+        rank(team, state);
+}
+
+void FairShare::setTeam(const Team& team)
+{
+    update(team.id, [&](State& state) {
+        m_quotas += team.quota - state.quota;
+        state.quota = team.quota;
+    });
+}
+
+void FairShare::removeTeam(const TeamId& team) { setTeam(Team { team, {} }); }
+
+void FairShare::setWaiting(const TeamId& team, bool waiting)
+{
+    update(team, [&](State& state) { state.waiting = waiting; });
+}
+
+void FairShare::take(const TeamId& team, const Resources& resources)
+{
+    update(team, [&](State& state) {
+        state.usage += resources;
+        m_usage += resources;
+    });
+}
+
+void FairShare::release(const TeamId& team, const Resources& resources)
+{
+    update(team, [&](State& state) {
+        state.usage -= resources;
+        m_usage -= resources;
+    });
+}
+
+FairShare::Admission FairShare::admission(const TeamId& team, const Resources& request) const
+{
+    const State& state = stateOf(team);
+    const Resources wanted = state.usage + request;
+    if (fits(wanted, state.quota))
+        return Admission::Quota;
+    const Resources total = m_usage + request;
+    const Resources& quota = state.quota;
+    const bool lent = canBorrow(wanted.cpu.value, quota.cpu.value, total.cpu.value,
+                          std::max(m_capacity.cpu.value, m_quotas.cpu.value))
+        && canBorrow(wanted.memory.value, quota.memory.value, total.memory.value,
+            std::max(m_capacity.memory.value, m_quotas.memory.value))
+        && canBorrow(wanted.accelerators.value, quota.accelerators.value, total.accelerators.value,
+            std::max(m_capacity.accelerators.value, m_quotas.accelerators.value));
+    return lent ? Admission::Borrowed : Admission::Refused;
+}
+
+std::optional<TeamId> FairShare::next() const
+{
+    if (m_waiting.empty())
+        return std::nullopt;
+    return m_waiting.begin()->team;
+}
+
+std::optional<TeamId> FairShare::nextAfter(const TeamId& team) const
+{
+    auto it = m_waiting.upper_bound(rankOf(team, stateOf(team)));
+    if (it == m_waiting.end())
+        return std::nullopt;
+    return it->team;
+}
+
+std::vector<FairShare::OverQuota> FairShare::overQuota() const
+{
+    std::vector<OverQuota> result;
+    result.reserve(m_overQuota.size());
+    for (const Rank& rank : m_overQuota)
+        result.push_back({ rank.team, excess(rank.team), -rank.ratio });
+    return result;
+}
+
+Resources FairShare::excess(const TeamId& team) const
+{
+    const State& state = stateOf(team);
+    return above(state.usage, state.quota);
+}
+
+Resources FairShare::usage(const TeamId& team) const { return stateOf(team).usage; }
+
+Resources FairShare::quota(const TeamId& team) const { return stateOf(team).quota; }
+
+double FairShare::dominantShare(const TeamId& team) const { return shareOf(stateOf(team).usage); }
+
+double FairShare::shareOf(const Resources& resources) const
+{
+    return std::max(
+        { ratio(resources.cpu.value, m_capacity.cpu.value), ratio(resources.memory.value, m_capacity.memory.value),
+            ratio(resources.accelerators.value, m_capacity.accelerators.value) });
+}
+
+FairShare::Rank FairShare::rankOf(const TeamId& team, const State& state) const
+{
+    const bool borrows = state.quota == Resources {} || !fits(state.usage, state.quota);
+    return { borrows, shareOf(state.usage) / std::max(shareOf(state.quota), smallestQuotaShare), team };
+}
+
+FairShare::Rank FairShare::excessRankOf(const TeamId& team, const State& state) const
+{
+    return { true, -shareOf(above(state.usage, state.quota)), team };
+}
+
+void FairShare::unrank(const TeamId& team, const State& state)
+{
+    if (state.waiting)
+        m_waiting.erase(rankOf(team, state));
+    if (!fits(state.usage, state.quota))
+        m_overQuota.erase(excessRankOf(team, state));
+}
+
+void FairShare::rank(const TeamId& team, const State& state)
+{
+    if (state.waiting)
+        m_waiting.insert(rankOf(team, state));
+    if (!fits(state.usage, state.quota))
+        m_overQuota.insert(excessRankOf(team, state));
+}
+
+template <typename Change> void FairShare::update(const TeamId& team, const Change& change)
+{
+    State& state = m_teams[team];
+    unrank(team, state);
+    change(state);
+    rank(team, state);
+}
+
+const FairShare::State& FairShare::stateOf(const TeamId& team) const
+{
+    static const State none;
+    auto it = m_teams.find(team);
+    return it == m_teams.end() ? none : it->second;
+}
+
+} // namespace turmericpier::decision
--- /dev/null
+++ b/src/decision/grant-policy.cc
@@ -0,0 +1,484 @@
+#include "turmericpier/decision/grant-policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+#include <set>
+#include <tuple>
+
+namespace turmericpier::decision {
+
+namespace {
+
+    using std::chrono::duration;
+
+    // Below it a peak counts as no demand.
+    constexpr double leastDemand = 0.5;
+
+    enum Tier : size_t { // Index of the distance between an entry and a pool.
+        SameDataCentre,
+        SameRegion,
+        PaidLink,
+        tierCount,
+    };
+
+    struct WorkerState {
+        const GrantWorker* worker = nullptr;
+        int64_t free = 0; ///< Slots that no grant may act on.
+        int64_t freeConnections = 0;
+        int64_t connectionsPerSlot = 1;
+        size_t pool = 0;
+    };
+
+    struct GrantState {
+        const StandingGrant* standing = nullptr;
+        size_t worker = 0;
+        uint32_t slots = 0; ///< As planned.
+    };
+
+    // Workers of one data centre that take the same services.
+    struct Pool {
+        DataCentreId dataCentre;
+        RegionId region;
+        std::vector<ServiceId> services;
+        std::vector<size_t> workers;
+        int64_t slots = 0;
+        int64_t left = 0; ///< Slots not yet part of a target.
+    };
+
+    struct Claim {
+        size_t entry = 0;
+        ServiceId service;
+        int64_t floor = 0;
+        int64_t want = 0;
+        int64_t given = 0;
+    };
+
+    struct EntryPool {
+        int64_t target = 0;
+        int64_t have = 0;
+        std::vector<size_t> grants; ///< Indexes of grants that may change, in order of worker and epoch.
+    };
+
+    // Splits `amount` by weight, without exceeding any weight; rounding goes to the largest remainders.
+    std::vector<int64_t> split(int64_t amount, const std::vector<int64_t>& weights)
+    {
+        int64_t total = 0;
+        for (int64_t weight : weights)
+            total += weight;
+        if (total <= amount)
+            return weights;
+        std::vector<int64_t> parts(weights.size());
+        std::vector<std::pair<int64_t, size_t>> remainders;
+        int64_t left = amount;
+        for (size_t i = 0; i < weights.size(); ++i) {
+            parts[i] = amount * weights[i] / total;
+            left -= parts[i];
+            remainders.emplace_back(-(amount * weights[i] % total), i);
+        }
+        std::sort(remainders.begin(), remainders.end());
+        for (size_t i = 0; i < remainders.size() && left > 0; ++i, --left)
+            ++parts[remainders[i].second];
+        return parts;
+    }
+
+    class Planner {
+    public:
+        Planner(const GrantPolicyOptions& options, const GrantInput& input)
+            : m_options(options)
+            , m_input(input)
+        {
+            indexWorkers();
+            indexEntries();
+            indexGrants();
+        }
+
+        void addClaim(size_t entry, const ServiceId& service, int64_t want)
+        {
+            m_claims.push_back({ entry, service, 0, want, 0 });
+        }
+        const std::vector<const GrantEntry*>& entries() const { return m_entries; }
+        std::vector<GrantChange> run();
+
+    private:
+        void indexWorkers();
+        void indexEntries();
+        void indexGrants();
+        Tier tierOf(size_t entry, const Pool& pool) const;
+        void setFloors();
+        void allot(int64_t Claim::*goal);
+        void allotTier(int64_t Claim::*goal, Tier tier);
+        void shrinkPool(size_t pool);
+        void shrink(EntryPool& entryPool, int64_t count);
+        void growPool(size_t pool);
+        void resize(GrantState& grant, uint32_t slots);
+        GrantState& grantFor(size_t entry, size_t worker);
+        std::vector<GrantChange> changes() const;
+
+        const GrantPolicyOptions& m_options;
+        const GrantInput& m_input;
+        std::vector<WorkerState> m_workers;
+        std::map<WorkerId, size_t> m_workerIndex;
+        std::vector<Pool> m_pools;
+        std::vector<const GrantEntry*> m_entries;
+        std::map<InstanceId, size_t> m_entryIndex;
+        std::vector<GrantState> m_grants; ///< Those of the input, then new ones.
+        std::vector<std::pair<size_t, size_t>> m_newGrants; ///< Entry and worker of grants after those of the input.
+        std::map<std::pair<size_t, size_t>, size_t> m_grantIndex; ///< By entry and worker: the grant that may change.
+        std::vector<std::vector<EntryPool>> m_entryPools; ///< By pool and entry.
+        std::vector<Claim> m_claims;
+    };
+
+    void Planner::indexWorkers()
+    {
+        std::map<std::tuple<RegionId, DataCentreId, std::vector<ServiceId>>, size_t> pools;
+        for (const GrantWorker& worker : m_input.workers)
+            m_workerIndex.try_emplace(worker.worker, 0);
+        m_workers.resize(m_workerIndex.size());
+        size_t next = 0;
+        for (auto& [id, index] : m_workerIndex)
+            index = next++;
+        for (const GrantWorker& worker : m_input.workers) {
+            WorkerState& state = m_workers[m_workerIndex.at(worker.worker)];
+            state.worker = &worker;
+            // A slot without a connection is of no use.
+            state.free = std::min(worker.slots, worker.connections);
+            state.freeConnections = worker.connections;
+            state.connectionsPerSlot = state.free > 0 ? state.freeConnections / state.free : 1;
+        }
+        for (size_t i = 0; i < m_workers.size(); ++i) {
+            WorkerState& state = m_workers[i];
+            const GrantWorker& worker = *state.worker;
+            std::vector<ServiceId> services = worker.services;
+            std::sort(services.begin(), services.end());
+            auto [it, added] = pools.try_emplace({ worker.region, worker.dataCentre, services }, m_pools.size());
+            if (added)
+                m_pools.push_back({ worker.dataCentre, worker.region, std::move(services), {}, 0, 0 });
+            state.pool = it->second;
+            if (worker.leaving)
+                continue;
+            m_pools[state.pool].workers.push_back(i);
+            m_pools[state.pool].slots += state.free;
+        }
+    }
+
+    void Planner::indexEntries()
+    {
+        for (const GrantEntry& entry : m_input.entries) {
+            if (entry.alive)
+                m_entries.push_back(&entry);
+        }
+        std::sort(m_entries.begin(), m_entries.end(),
+            [](const GrantEntry* a, const GrantEntry* b) { return a->entry < b->entry; });
+        for (size_t i = 0; i < m_entries.size(); ++i)
+            m_entryIndex.emplace(m_entries[i]->entry, i);
+        m_entryPools.assign(m_pools.size(), std::vector<EntryPool>(m_entries.size()));
+    }
+
+    void Planner::indexGrants()
+    {
+        for (const StandingGrant& grant : m_input.grants) {
+            GrantState state { &grant, 0, grant.slots };
+            auto worker = m_workerIndex.find(grant.worker);
+            auto entry = m_entryIndex.find(grant.entry);
+            if (worker != m_workerIndex.end()) {
+                WorkerState& workerState = m_workers[worker->second];
+                state.worker = worker->second;
+                workerState.free -= std::max({ grant.slots, grant.heldSlots, grant.inUse });
+                workerState.freeConnections -= std::max(grant.connections, grant.heldConnections);
+            }
+            if (worker == m_workerIndex.end() || entry == m_entryIndex.end()
+                || m_workers[worker->second].worker->leaving) {
+                state.slots = 0;
+            } else if (grant.slots > 0) {
+                const std::pair key { entry->second, worker->second };
+                auto [it, added] = m_grantIndex.try_emplace(key, m_grants.size());
+                if (!added) { // Only the latest epoch goes on.
+                    GrantState& known = m_grants[it->second];
+                    if (known.standing->epoch < grant.epoch) {
+                        known.slots = 0;
+                        it->second = m_grants.size();
+                    } else
+                        state.slots = 0;
+                }
+            }
+            m_grants.push_back(state);
+        }
+        for (const auto& [key, index] : m_grantIndex) {
+            EntryPool& entryPool = m_entryPools[m_workers[key.second].pool][key.first];
+            entryPool.have += m_grants[index].slots;
+            entryPool.grants.push_back(index);
+        }
+    }
+
+    Tier Planner::tierOf(size_t entry, const Pool& pool) const
+    {
+        const GrantEntry& state = *m_entries[entry];
+        if (state.region != pool.region)
+            return PaidLink;
+        return state.dataCentre == pool.dataCentre ? SameDataCentre : SameRegion;
+    }
+
+    void Planner::setFloors()
+    {
+        int64_t slots = 0;
+        for (Pool& pool : m_pools) {
+            pool.left = pool.slots;
+            slots += pool.slots;
+        }
+        std::vector<int64_t> wantOfEntry(m_entries.size());
+        int64_t want = 0;
+        for (const Claim& claim : m_claims) {
+            wantOfEntry[claim.entry] += claim.want;
+            want += claim.want;
+        }
+        for (Claim& claim : m_claims) {
+            const auto part = static_cast<double>(claim.want) / static_cast<double>(wantOfEntry[claim.entry]);
+            const auto share = m_options.floorShare * static_cast<double>(slots)
+                * static_cast<double>(wantOfEntry[claim.entry]) / static_cast<double>(want);
+            claim.floor = std::max<int64_t>(1, std::llround(std::ceil(m_options.floorSlots * part)));
+            claim.floor = std::max(claim.floor, std::min<int64_t>(claim.want, std::llround(share * part)));
+            claim.want = std::max(claim.want, claim.floor);
+        }
+    }
+
+    void Planner::allot(int64_t Claim::*goal)
+    {
+        for (size_t tier = 0; tier < tierCount; ++tier)
+            allotTier(goal, static_cast<Tier>(tier));
+    }
+
+    void Planner::allotTier(int64_t Claim::*goal, Tier tier)
+    {
+        // A round gives each claim a part of each pool by the pool's size. What one pool could not give is asked of the
+        // others in the next round; three rounds leave nothing that matters.
+        constexpr int rounds = 3;
+        for (int round = 0; round < rounds; ++round) {
+            std::vector<std::vector<std::pair<size_t, int64_t>>> asked(m_pools.size());
+            for (size_t i = 0; i < m_claims.size(); ++i) {
+                const Claim& claim = m_claims[i];
+                const int64_t missing = claim.*goal - claim.given;
+                if (missing <= 0)
+                    continue;
+                std::vector<int64_t> left(m_pools.size());
+                for (size_t p = 0; p < m_pools.size(); ++p) {
+                    const Pool& pool = m_pools[p];
+                    if (pool.left > 0 && tierOf(claim.entry, pool) == tier
+                        && std::binary_search(pool.services.begin(), pool.services.end(), claim.service))
+                        left[p] = pool.left;
+                }
+                const auto parts = split(missing, left);
+                for (size_t p = 0; p < m_pools.size(); ++p) {
+                    if (parts[p] > 0)
+                        asked[p].emplace_back(i, parts[p]);
+                }
+            }
+            for (size_t p = 0; p < m_pools.size(); ++p) {
+                std::vector<int64_t> weights;
+                for (const auto& [claim, amount] : asked[p])
+                    weights.push_back(amount);
+                const auto parts = split(m_pools[p].left, weights);
+                for (size_t i = 0; i < parts.size(); ++i) {
+                    Claim& claim = m_claims[asked[p][i].first];
+                    claim.given += parts[i];
+                    m_pools[p].left -= parts[i];
+                    m_entryPools[p][claim.entry].target += parts[i];
+                }
+            }
+        }
+    }
+
+    void Planner::shrinkPool(size_t pool)
+    {
+        // Slots that are free now, or will be when withdrawals under way are confirmed, need not be taken from anybody.
+        int64_t lacking = 0;
+        for (const EntryPool& entryPool : m_entryPools[pool])
+            lacking += std::max<int64_t>(0, entryPool.target - entryPool.have);
+        for (const EntryPool& entryPool : m_entryPools[pool])
+            lacking += entryPool.have;
+        lacking -= m_pools[pool].slots;
+        for (size_t entry = 0; entry < m_entries.size(); ++entry) {
+            EntryPool& entryPool = m_entryPools[pool][entry];
+            const int64_t excess = entryPool.have - entryPool.target;
+            if (excess <= 0)
+                continue;
+            const bool paid = tierOf(entry, m_pools[pool]) == PaidLink;
+            const auto bound = paid
+                ? entryPool.target
+                : std::llround(m_options.shrinkFactor * static_cast<double>(entryPool.target)) + m_options.shrinkSlack;
+            const int64_t count = entryPool.have > bound ? excess : std::min(excess, lacking);
+            if (count <= 0)
+                continue;
+            shrink(entryPool, count);
+            lacking -= count;
+        }
+    }
+
+    void Planner::shrink(EntryPool& entryPool, int64_t count)
+    {
+        // Idle slots go first; among equals the largest grant, so that the entry keeps many workers.
+        using Item = std::tuple<int64_t, uint32_t, size_t>;
+        std::priority_queue<Item> queue;
+        const auto push = [&](size_t index) {
+            const GrantState& grant = m_grants[index];
+            if (grant.slots > 0)
+                queue.emplace(int64_t { grant.slots } - grant.standing->inUse, grant.slots, index);
+        };
+        for (size_t index : entryPool.grants)
+            push(index);
+        for (; count > 0 && !queue.empty(); --count) {
+            const size_t index = std::get<2>(queue.top());
+            queue.pop();
+            --m_grants[index].slots;
+            --entryPool.have;
+            push(index);
+        }
+    }
+
+    GrantState& Planner::grantFor(size_t entry, size_t worker)
+    {
+        auto [it, added] = m_grantIndex.try_emplace({ entry, worker }, m_grants.size());
+        if (added) {
+            m_grants.push_back({ nullptr, worker, 0 });
+            m_newGrants.emplace_back(entry, worker);
+        }
+        return m_grants[it->second];
+    }
+
+    void Planner::resize(GrantState& grant, uint32_t slots)
+    {
+        WorkerState& worker = m_workers[grant.worker];
+        const auto held = [&](uint32_t count) {
+            return grant.standing ? std::max({ count, grant.standing->heldSlots, grant.standing->inUse }) : count;
+        };
+        const auto heldConnections = [&](uint32_t count) {
+            const auto connections = static_cast<uint32_t>(count * worker.connectionsPerSlot);
+            return grant.standing
+                ? std::max({ connections, grant.standing->heldConnections, grant.standing->connections })
+                : connections;
+        };
+        worker.free -= int64_t { held(slots) } - held(grant.slots);
+        worker.freeConnections -= int64_t { heldConnections(slots) } - heldConnections(grant.slots);
+        grant.slots = slots;
+    }
+
+    void Planner::growPool(size_t pool)
+    {
+        std::vector<EntryPool>& entries = m_entryPools[pool];
+        // Slots of a shrink that is not confirmed yet are given back first: they cost the worker nothing.
+        for (EntryPool& entryPool : entries) {
+            for (size_t index : entryPool.grants) {
+                GrantState& grant = m_grants[index];
+                const uint32_t held = grant.standing->heldSlots;
+                if (grant.slots >= held || entryPool.have >= entryPool.target)
+                    continue;
+                const auto back = std::min<int64_t>(held - grant.slots, entryPool.target - entryPool.have);
+                resize(grant, grant.slots + static_cast<uint32_t>(back));
+                entryPool.have += back;
+            }
+        }
+        // One slot at a time on the worker with the most free slots, entries in turn: this spreads every entry over
+        // many workers.
+        std::set<std::pair<int64_t, size_t>> byFree;
+        for (size_t worker : m_pools[pool].workers) {
+            if (m_workers[worker].free > 0)
+                byFree.emplace(-m_workers[worker].free, worker);
+        }
+        for (bool grown = true; grown && !byFree.empty();) {
+            grown = false;
+            for (size_t entry = 0; entry < entries.size() && !byFree.empty(); ++entry) {
+                if (entries[entry].have >= entries[entry].target)
+                    continue;
+                const size_t worker = byFree.begin()->second;
+                byFree.erase(byFree.begin());
+                grown = true;
+                if (m_workers[worker].freeConnections < m_workers[worker].connectionsPerSlot)
+                    continue;
+                GrantState& grant = grantFor(entry, worker);
+                resize(grant, grant.slots + 1);
+                ++entries[entry].have;
+                if (m_workers[worker].free > 0)
+                    byFree.emplace(-m_workers[worker].free, worker);
+            }
+        }
+    }
+
+    std::vector<GrantChange> Planner::changes() const
+    {
+        std::vector<GrantChange> result;
+        for (size_t i = 0; i < m_grants.size(); ++i) {
+            const GrantState& grant = m_grants[i];
+            const StandingGrant* standing = grant.standing;
+            const uint32_t before = standing ? standing->slots : 0;
+            if (grant.slots == before)
+                continue;
+            GrantChange change;
+            if (standing) {
+                change.worker = standing->worker;
+                change.entry = standing->entry;
+                change.epoch = standing->epoch;
+            } else {
+                const auto& [entry, worker] = m_newGrants[i - m_input.grants.size()];
+                change.worker = m_workers[worker].worker->worker;
+                change.entry = m_entries[entry]->entry;
+            }
+            using Kind = GrantChange::Kind;
+            change.kind = grant.slots == 0 ? Kind::Release
+                : !standing                ? Kind::New
+                : grant.slots > before     ? Kind::Grow
+                                           : Kind::Shrink;
+            change.slots = grant.slots;
+            if (grant.slots > 0)
+                change.connections = static_cast<uint32_t>(grant.slots * m_workers[grant.worker].connectionsPerSlot);
+            result.push_back(std::move(change));
+        }
+        std::sort(result.begin(), result.end(), [](const GrantChange& a, const GrantChange& b) {
+            return std::tie(a.worker, a.entry, a.epoch) < std::tie(b.worker, b.entry, b.epoch);
+        });
+        return result;
+    }
+
+    std::vector<GrantChange> Planner::run()
+    {
+        setFloors();
+        allot(&Claim::floor);
+        allot(&Claim::want);
+        for (size_t pool = 0; pool < m_pools.size(); ++pool) {
+            shrinkPool(pool);
+            growPool(pool);
+        }
+        return changes();
+    }
+
+} // namespace
+
+GrantPolicy::GrantPolicy(GrantPolicyOptions options)
+    : m_options(options)
+{
+}
+
+double GrantPolicy::recentDemand(const InstanceId& entry, const GrantDemand& demand, TimePoint now)
+{
+    Peak& peak = m_peaks[{ entry, demand.service }];
+    const double halfLives = duration<double>(now - peak.at) / duration<double>(m_options.demandHalfLife);
+    const auto current = static_cast<double>(uint64_t { demand.waiting } + demand.running);
+    peak = { std::max(current, peak.value * std::exp2(-std::max(0.0, halfLives))), now };
+    return peak.value;
+}
+
+std::vector<GrantChange> GrantPolicy::plan(const GrantInput& input, TimePoint now)
+{
+    Planner planner(m_options, input);
+    for (size_t i = 0; i < planner.entries().size(); ++i) {
+        const GrantEntry& entry = *planner.entries()[i];
+        for (const GrantDemand& demand : entry.demand) {
+            const double recent = recentDemand(entry.entry, demand, now);
+            if (recent >= leastDemand)
+                planner.addClaim(i, demand.service, std::llround(std::ceil(recent * m_options.headroom)));
+        }
+    }
+    std::erase_if(m_peaks, [&](const auto& item) { return now - item.second.at > m_options.demandHalfLife; });
+    return planner.run();
+}
+
+} // namespace turmericpier::decision
--- /dev/null
+++ b/src/decision/worker-health.cc
@@ -0,0 +1,247 @@
+#include "turmericpier/decision/worker-health.h"
+
+#include <absl/strings/str_format.h>
+#include <algorithm>
+
+namespace turmericpier::decision {
+
+namespace {
+
+    constexpr size_t maxFailedOn = 8;
+    constexpr size_t maxSucceededOn = 2;
+    constexpr size_t maxSuccessesPerWorker = 4;
+    // Failures that outweigh one success after the first of them.
+    constexpr uint32_t failuresPerSuccess = 2;
+
+    template <typename T> void addDistinct(std::vector<T>& list, const T& item, size_t max)
+    {
+        if (list.size() < max && std::find(list.begin(), list.end(), item) == list.end())
+            list.push_back(item);
+    }
+
+    // Moves the record of the job to the end, or adds one, forgetting the oldest if there are too many.
+    template <typename Record> Record& renew(std::vector<Record>& records, const JobId& job, TimePoint now, size_t max)
+    {
+        auto it = std::find_if(records.begin(), records.end(), [&](const Record& record) { return record.job == job; });
+        if (it != records.end())
+            std::rotate(it, std::next(it), records.end());
+        else {
+            if (records.size() >= max)
+                records.erase(records.begin());
+            records.push_back(Record { job });
+        }
+        records.back().at = now;
+        return records.back();
+    }
+
+} // namespace
+
+WorkerHealth::WorkerHealth(WorkerHealthOptions options)
+    : m_options(options)
+{
+}
+
+void WorkerHealth::addWorker(const WorkerId& worker) { m_workers.try_emplace(worker); }
+
+void WorkerHealth::removeWorker(const WorkerId& worker)
+{
+    m_workers.erase(worker);
+    m_quarantined.erase(worker);
+}
+
+std::vector<HealthChange> WorkerHealth::taskSucceeded(const WorkerId& worker, const JobId& job, TimePoint now)
+{
+    std::vector<HealthChange> changes;
+    addDistinct(touch(job).succeededOn, worker, maxSucceededOn);
+    if (auto it = m_workers.find(worker); it != m_workers.end()) {
+        WorkerState& state = it->second;
+        renew(state.successes, job, now, maxSuccessesPerWorker);
+        std::erase_if(state.failures, [&](const Failure& failure) { return failure.job == job; });
+        if (state.quarantined && state.probing) {
+            endProbe(state, false, now);
+            if (++state.probeSuccesses >= m_options.successesToReturn) {
+                state = WorkerState { .successes = std::move(state.successes) };
+                m_quarantined.erase(worker);
+                changes.push_back(
+                    { worker, false, absl::StrFormat("%d probes in a row succeeded", m_options.successesToReturn) });
+            }
+        }
+    }
+    prove(job, worker, now, changes);
+    return changes;
+}
+
+std::vector<HealthChange> WorkerHealth::taskFailed(const WorkerId& worker, const JobId& job, TimePoint now)
+{
+    std::vector<HealthChange> changes;
+    addDistinct(touch(job).failedOn, worker, maxFailedOn);
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end())
+        return changes;
+    WorkerState& state = it->second;
+    renew(state.failures, job, now, m_options.maxFailuresPerWorker).proved = succeededElsewhere(job, worker);
+    if (!state.quarantined)
+        judge(worker, now, changes);
+    else if (state.probing)
+        endProbe(state, !isSuspect(job), now);
+    return changes;
+}
+
+void WorkerHealth::probeAborted(const WorkerId& worker, TimePoint now)
+{
+    if (auto it = m_workers.find(worker); it != m_workers.end())
+        endProbe(it->second, false, now);
+}
+
+void WorkerHealth::probeStarted(const WorkerId& worker)
+{
+    if (auto it = m_workers.find(worker); it != m_workers.end())
+        it->second.probing = true;
+}
+
+WorkerHealth::Admission WorkerHealth::admission(const WorkerId& worker, TimePoint now) const
+{
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end())
+        return Admission::None;
+    if (!it->second.quarantined)
+        return Admission::All;
+    return !it->second.probing && now >= it->second.nextProbe ? Admission::Probe : Admission::None;
+}
+
+double WorkerHealth::suspicion(const WorkerId& worker, TimePoint now) const
+{
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end())
+        return 0;
+    double points = 0;
+    TimePoint first = now;
+    for (const Failure& failure : it->second.failures) {
+        if (now - failure.at > m_options.window || (!failure.proved && isSuspect(failure.job)))
+            continue;
+        points += failure.proved ? 1 : 0.5;
+        first = std::min(first, failure.at);
+    }
+    for (const Success& success : it->second.successes)
+        points -= success.at >= first ? failuresPerSuccess : 0;
+    return std::clamp(points / m_options.suspectJobs, 0.0, 1.0);
+}
+
+bool WorkerHealth::isSuspect(const JobId& job) const
+{
+    auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return false;
+    const JobState& state = it->second;
+    const auto failed = std::count_if(state.failedOn.begin(), state.failedOn.end(),
+        [&](const WorkerId& worker) { return runsOthersWell(worker, job); });
+    return static_cast<size_t>(failed) >= m_options.suspectWorkers + failuresPerSuccess * state.succeededOn.size();
+}
+
+size_t WorkerHealth::failedWorkers(const JobId& job) const
+{
+    auto it = m_jobs.find(job);
+    return it == m_jobs.end() ? 0 : it->second.failedOn.size();
+}
+
+void WorkerHealth::jobEnded(const JobId& job)
+{
+    auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return;
+    m_jobsByUse.erase(it->second.lastUse);
+    m_jobs.erase(it);
+}
+
+WorkerHealth::JobState& WorkerHealth::touch(const JobId& job)
+{
+    auto it = m_jobs.find(job);
+    if (it == m_jobs.end()) {
+        if (m_jobs.size() >= m_options.maxJobs)
+            jobEnded(JobId(m_jobsByUse.begin()->second));
+        it = m_jobs.try_emplace(job).first;
+    } else
+        m_jobsByUse.erase(it->second.lastUse);
+    it->second.lastUse = ++m_uses;
+    m_jobsByUse.emplace(m_uses, job);
+    return it->second;
+}
+
+bool WorkerHealth::succeededElsewhere(const JobId& job, const WorkerId& worker) const
+{
+    auto it = m_jobs.find(job);
+    if (it == m_jobs.end())
+        return false;
+    return std::any_of(it->second.succeededOn.begin(), it->second.succeededOn.end(),
+        [&](const WorkerId& other) { return other != worker; });
+}
+
+bool WorkerHealth::runsOthersWell(const WorkerId& worker, const JobId& job) const
+{
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end() || it->second.quarantined)
+        return false;
+    return std::any_of(it->second.successes.begin(), it->second.successes.end(),
+        [&](const Success& success) { return success.job != job; });
+}
+
+void WorkerHealth::prove(const JobId& job, const WorkerId& worker, TimePoint now, std::vector<HealthChange>& changes)
+{
+    for (const WorkerId& other : m_jobs.at(job).failedOn) {
+        auto it = m_workers.find(other);
+        if (other == worker || it == m_workers.end())
+            continue;
+        for (Failure& failure : it->second.failures) {
+            if (failure.job == job)
+                failure.proved = true;
+        }
+        judge(other, now, changes);
+    }
+}
+
+void WorkerHealth::endProbe(WorkerState& state, bool failed, TimePoint now)
+{
+    state.probing = false;
+    state.nextProbe = now;
+    if (!failed)
+        return;
+    state.probeSuccesses = 0;
+    state.probeDelay = std::min(2 * state.probeDelay, m_options.maxProbeDelay);
+    state.nextProbe = now + state.probeDelay;
+}
+
+void WorkerHealth::judge(const WorkerId& worker, TimePoint now, std::vector<HealthChange>& changes)
+{
+    WorkerState& state = m_workers.at(worker);
+    if (state.quarantined)
+        return;
+    uint32_t failed = 0;
+    TimePoint first = now;
+    for (const Failure& failure : state.failures) {
+        if (!failure.proved || now - failure.at > m_options.window)
+            continue;
+        ++failed;
+        first = std::min(first, failure.at);
+    }
+    const auto succeeded = static_cast<uint32_t>(std::count_if(
+        state.successes.begin(), state.successes.end(), [&](const Success& success) { return success.at >= first; }));
+    if (failed < m_options.suspectJobs || failed <= failuresPerSuccess * succeeded || !mayQuarantineOneMore())
+        return;
+    state.quarantined = true;
+    state.probing = false;
+    state.probeSuccesses = 0;
+    state.probeDelay = m_options.firstProbeDelay;
+    state.nextProbe = now + state.probeDelay;
+    m_quarantined.insert(worker);
+    changes.push_back({ worker, true,
+        absl::StrFormat("%d jobs failed here and succeeded elsewhere within %d s; %d jobs succeeded here since", failed,
+            std::chrono::duration_cast<std::chrono::seconds>(m_options.window).count(), succeeded) });
+}
+
+bool WorkerHealth::mayQuarantineOneMore() const
+{
+    const auto limit = m_options.maxQuarantinedShare * static_cast<double>(m_workers.size());
+    return static_cast<double>(m_quarantined.size() + 1) <= limit;
+}
+
+} // namespace turmericpier::decision
