Add the frames and transport of the inner protocol and the ledger state

Cause: the other packages need peer::Transport and ledger::LedgerState.

Change: frames with magic, version, length and an XXH3 checksum over header and body; a decoder that verifies the FlatBuffers body and names the fault; a Boost.Asio transport with one I/O thread, one outgoing connection per peer, bounded queues and jittered reconnect; conversion of consensus messages; the ledger state with compare-and-set attempts.

TransportOptions gains queueBytesPerPeer and maxIncoming. outcomesAfter does not part outcomes of one index, because a reader that goes on after the last index would miss the rest.

--- a/include/turmericpier/ledger/state.h
+++ b/include/turmericpier/ledger/state.h
@@ -28,7 +28,9 @@
     log::LedgerResults apply(Index index, const log::LedgerBatch& batch);
     /// The standing outcome or claim of a key; UNSPECIFIED if there is none.
     log::LedgerResult find(const std::string& key) const;
-    /// Up to `limit` outcomes with a log index above `after`, in log order; `partner` empty for all.
+    /// Up to `limit` outcomes with a log index above `after`, in log order; `partner` empty for all. Outcomes of one
+    /// index come together, so that reading on after the last index misses none; if the first index alone has more
+    /// than `limit`, all of its outcomes are returned.
     log::LedgerResults outcomesAfter(Index after, const std::string& partner, size_t limit) const;
     /// Claims without an outcome.
     log::LedgerResults openClaims(size_t limit) const;
--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -30,9 +30,13 @@
     Address listen;
     std::map<InstanceId, Address> peers;
     size_t queuePerPeer = 4'096; ///< Messages waiting for one peer; more are dropped and counted.
+    size_t queueBytesPerPeer = 16U << 20U; ///< Bytes waiting for one peer; a single message always fits.
+    size_t maxIncoming = 256; ///< Incoming connections; more are closed and counted.
 };
 
 /// Sends and receives envelopes. Messages to one peer keep their order; a message may be lost, never duplicated.
+/// Each process sends over its own connection to a peer and receives over the peer's connection to it. What waits for
+/// a peer is dropped when an attempt to connect to it fails, because it would be stale by the time of the next one.
 class Transport {
 public:
     /// Runs on the I/O thread and must not block.
--- /dev/null
+++ b/src/peer/frame.cc
@@ -0,0 +1,190 @@
+#include "turmericpier/peer/frame.h"
+
+#include "peer_generated.h"
+#include "turmericpier/base/error.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <bit>
+#include <cstring>
+#include <xxhash.h>
+
+namespace turmericpier::peer {
+
+static_assert(std::endian::native == std::endian::little, "frame headers are copied in host byte order");
+
+namespace {
+    constexpr size_t versionOffset = 4;
+    constexpr size_t flagsOffset = 5;
+    constexpr size_t reservedOffset = 6;
+    constexpr size_t lengthOffset = 8;
+    constexpr size_t checksumOffset = 12;
+
+    constexpr size_t maxTableDepth = 16; // The schema nests four tables.
+    // A table takes at least 8 bytes: its offset in the parent and the offset of its vtable.
+    constexpr size_t maxTables = maxFrameBody / 8;
+
+    template <typename T> T load(const char* from)
+    {
+        T value;
+        std::memcpy(&value, from, sizeof value);
+        return value;
+    }
+
+    uint64_t checksumOf(const char* header, const void* body, size_t size)
+    {
+        return XXH3_64bits_withSeed(body, size, XXH3_64bits(header, checksumOffset));
+    }
+
+    absl::Status frameError(FrameFault fault, std::string_view step, std::string_view message)
+    {
+        return makeError({ absl::StatusCode::kDataLoss, Outcome::Unknown, std::string(toString(fault)),
+                             std::string(step), std::string() },
+            message);
+    }
+} // namespace
+
+std::string_view toString(FrameFault fault)
+{
+    switch (fault) {
+    case FrameFault::BadMagic:
+        return "BAD_MAGIC";
+    case FrameFault::BadVersion:
+        return "BAD_VERSION";
+    case FrameFault::BadFlags:
+        return "BAD_FLAGS";
+    case FrameFault::TooLarge:
+        return "TOO_LARGE";
+    case FrameFault::BadChecksum:
+        return "BAD_CHECKSUM";
+    case FrameFault::BadBody:
+        return "BAD_BODY";
+    case FrameFault::Truncated:
+        break;
+    }
+    return "TRUNCATED";
+}
+
+absl::StatusOr<std::string> encodeFrame(const wire::EnvelopeT& envelope)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::Envelope::Pack(builder, &envelope));
+    const size_t size = builder.GetSize();
+    if (size > maxFrameBody)
+        return makeError({ absl::StatusCode::kResourceExhausted, Outcome::NotRun,
+                             std::string(toString(FrameFault::TooLarge)), "encode frame", envelope.from },
+            absl::StrCat("message body of ", size, " bytes exceeds the limit of ", maxFrameBody));
+    std::string frame(frameHeaderSize + size, '\0');
+    frameMagic.copy(frame.data(), frameMagic.size());
+    frame[versionOffset] = static_cast<char>(protocolVersion);
+    const auto length = static_cast<uint32_t>(size);
+    std::memcpy(frame.data() + lengthOffset, &length, sizeof length);
+    const uint64_t checksum = checksumOf(frame.data(), builder.GetBufferPointer(), size);
+    std::memcpy(frame.data() + checksumOffset, &checksum, sizeof checksum);
+    std::memcpy(frame.data() + frameHeaderSize, builder.GetBufferPointer(), size);
+    return frame;
+}
+
+void FrameDecoder::append(std::string_view bytes)
+{
+    if (m_fault)
+        return;
+    if (m_begin == m_buffer.size()) {
+        m_buffer.clear();
+        m_begin = 0;
+    } else if (m_begin > m_buffer.size() / 2) {
+        // Moving at most once per doubling keeps the cost per received byte constant.
+        m_buffer.erase(0, m_begin);
+        m_begin = 0;
+    }
+    m_buffer.append(bytes);
+}
+
+absl::StatusOr<std::optional<wire::EnvelopeT>> FrameDecoder::next()
+{
+    if (m_fault)
+        return m_error;
+    const size_t available = m_buffer.size() - m_begin;
+    const char* header = m_buffer.data() + m_begin;
+    if (auto status = checkHeader(header, available); !status.ok())
+        return status;
+    if (available < frameHeaderSize)
+        return std::optional<wire::EnvelopeT>();
+    const auto size = load<uint32_t>(header + lengthOffset);
+    if (available < frameHeaderSize + size)
+        return std::optional<wire::EnvelopeT>();
+    const char* body = header + frameHeaderSize;
+    const auto checksum = load<uint64_t>(header + checksumOffset);
+    if (checksum != checksumOf(header, body, size))
+        return fail(FrameFault::BadChecksum, absl::StrCat("frame of ", size, " bytes does not match its checksum"));
+    auto envelope = decodeBody(body, size);
+    if (!envelope.ok())
+        return envelope.status();
+    m_begin += frameHeaderSize + size;
+    return std::optional<wire::EnvelopeT>(*std::move(envelope));
+}
+
+absl::Status FrameDecoder::finish()
+{
+    if (m_fault)
+        return m_error;
+    const size_t rest = m_buffer.size() - m_begin;
+    if (rest == 0)
+        return absl::OkStatus();
+    return fail(FrameFault::Truncated, absl::StrCat("stream ended ", rest, " bytes into a frame"));
+}
+
+absl::Status FrameDecoder::fail(FrameFault fault, std::string_view message)
+{
+    m_fault = fault;
+    m_error = frameError(fault, "decode frame", message);
+    m_buffer = std::string();
+    m_begin = 0;
+    return m_error;
+}
+
+/// Checks each field as soon as it is complete, so that a stream of another protocol fails on its first bytes.
+absl::Status FrameDecoder::checkHeader(const char* header, size_t available)
+{
+    const std::string_view magic(header, std::min(available, frameMagic.size()));
+    if (magic != frameMagic.substr(0, magic.size()))
+        return fail(FrameFault::BadMagic,
+            absl::StrCat("frame starts with ", absl::BytesToHexString(std::string(magic)), ", not with the magic"));
+    if (available <= versionOffset)
+        return absl::OkStatus();
+    const auto version = static_cast<uint8_t>(header[versionOffset]);
+    if (version != protocolVersion)
+        return fail(FrameFault::BadVersion,
+            absl::StrCat("frame has protocol version ", version, ", this process speaks ", protocolVersion));
+    if (available < lengthOffset + sizeof(uint32_t))
+        return absl::OkStatus();
+    if (header[flagsOffset] != 0 || load<uint16_t>(header + reservedOffset) != 0)
+        return fail(FrameFault::BadFlags, "flags and reserved bytes of a frame must be 0");
+    const auto size = load<uint32_t>(header + lengthOffset);
+    if (size > maxFrameBody)
+        return fail(
+            FrameFault::TooLarge, absl::StrCat("frame body of ", size, " bytes exceeds the limit of ", maxFrameBody));
+    return absl::OkStatus();
+}
+
+absl::StatusOr<wire::EnvelopeT> FrameDecoder::decodeBody(const char* body, size_t size)
+{
+    m_aligned.resize((size + sizeof(uint64_t) - 1) / sizeof(uint64_t));
+    if (size > 0)
+        std::memcpy(m_aligned.data(), body, size);
+    const auto* data = reinterpret_cast<const uint8_t*>(m_aligned.data());
+    flatbuffers::Verifier verifier(data, size, maxTableDepth, maxTables);
+    if (!wire::VerifyEnvelopeBuffer(verifier))
+        return fail(FrameFault::BadBody, absl::StrCat("frame body of ", size, " bytes is no valid envelope"));
+    // The generated verifier accepts a union whose type is unknown or whose table is missing.
+    const auto* root = wire::GetEnvelope(data);
+    const auto type = root->body_type();
+    if (type > wire::Body::MAX || (type != wire::Body::NONE) != (root->body() != nullptr))
+        return fail(FrameFault::BadBody,
+            absl::StrCat("envelope has body type ", static_cast<int>(type), ", which is unknown or has no table"));
+    wire::EnvelopeT envelope;
+    root->UnPackTo(&envelope);
+    return envelope;
+}
+
+} // namespace turmericpier::peer
--- /dev/null
+++ b/src/peer/incoming.cc
@@ -0,0 +1,188 @@
+#include "peer/incoming.h"
+
+#include "peer/socket-options.h"
+#include "peer_generated.h"
+#include "turmericpier/base/error.h"
+#include "turmericpier/base/log.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <boost/asio/buffer.hpp>
+
+namespace turmericpier::peer::detail {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+    constexpr std::chrono::milliseconds acceptRetryDelay { 100 }; // After a failed accept, such as no free descriptors.
+
+    std::string counterName(FrameFault fault)
+    {
+        return absl::StrCat("peer_frames_refused_", absl::AsciiStrToLower(std::string(toString(fault))), "_total");
+    }
+
+    std::string addressOf(const tcp::socket& socket)
+    {
+        error_code error;
+        const auto endpoint = socket.remote_endpoint(error);
+        return error ? "unknown" : absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+    }
+} // namespace
+
+Incoming::Incoming(asio::io_context& io, size_t maxConnections, Metrics& metrics)
+    : m_maxConnections(maxConnections)
+    , m_received(metrics.counter("peer_messages_received_total"))
+    , m_receivedBytes(metrics.counter("peer_bytes_received_total"))
+    , m_overLimit(metrics.counter("peer_connections_over_limit_total"))
+    , m_superseded(metrics.counter("peer_connections_superseded_total"))
+    , m_connectionCount(metrics.gauge("peer_incoming_connections"))
+    , m_acceptor(io)
+    , m_acceptRetry(io)
+{
+    for (size_t i = 0; i < m_faults.size(); ++i)
+        m_faults[i] = &metrics.counter(counterName(static_cast<FrameFault>(i)));
+}
+
+absl::Status Incoming::listen(const Address& address)
+{
+    const auto fail = [&](const error_code& error) {
+        const auto where = absl::StrCat(address.host, ":", address.port);
+        return makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "LISTEN_FAILED", "listen", where },
+            absl::StrCat("cannot listen on ", where, ": ", error.message()));
+    };
+    error_code error;
+    const auto host = asio::ip::make_address(address.host, error);
+    if (error)
+        return fail(error);
+    const tcp::endpoint endpoint(host, address.port);
+    if (m_acceptor.open(endpoint.protocol(), error); error)
+        return fail(error);
+    if (m_acceptor.set_option(tcp::acceptor::reuse_address(true), error); error)
+        return fail(error);
+    if (m_acceptor.bind(endpoint, error); error)
+        return fail(error);
+    if (m_acceptor.listen(asio::socket_base::max_listen_connections, error); error)
+        return fail(error);
+    m_port = m_acceptor.local_endpoint(error).port();
+    accept();
+    return absl::OkStatus();
+}
+
+void Incoming::accept()
+{
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            m_acceptRetry.expires_after(acceptRetryDelay);
+            m_acceptRetry.async_wait([this](error_code cancelled) {
+                if (!cancelled)
+                    accept();
+            });
+            return;
+        }
+        if (m_connections.size() >= m_maxConnections) {
+            m_overLimit.increment();
+        } else {
+            setOptions(socket);
+            auto connection = std::make_shared<Connection>(*this, std::move(socket), m_nextSerial++);
+            m_connections.insert(connection);
+            m_connectionCount.set(static_cast<int64_t>(m_connections.size()));
+            connection->read();
+        }
+        accept();
+    });
+}
+
+/// After a reconnect, what is unread on the older connection of a sender is dropped: it would arrive out of order.
+bool Incoming::isCurrent(const ConnectionPtr& connection, const std::string& from)
+{
+    if (!connection->peer.empty() && connection->peer != from)
+        return false; // A connection carries the messages of one sender.
+    auto& current = m_current[from];
+    if (current == connection)
+        return true;
+    if (current && current->serial > connection->serial)
+        return false;
+    const auto older = std::exchange(current, connection);
+    connection->peer = from;
+    if (older) {
+        m_superseded.increment();
+        older->close("replaced by a newer connection of the same peer");
+    }
+    return true;
+}
+
+Incoming::Connection::Connection(Incoming& owner, tcp::socket socket, uint64_t serial)
+    : owner(owner)
+    , socket(std::move(socket))
+    , serial(serial)
+{
+}
+
+void Incoming::Connection::read()
+{
+    socket.async_read_some(asio::buffer(buffer), [self = shared_from_this()](error_code error, size_t size) {
+        if (!self->socket.is_open())
+            return;
+        if (!error) {
+            self->owner.m_receivedBytes.increment(size);
+            self->decoder.append({ self->buffer.data(), size });
+            if (self->decode())
+                self->read();
+            return;
+        }
+        if (const auto status = self->decoder.finish(); !status.ok()) {
+            self->owner.m_faults[static_cast<size_t>(*self->decoder.fault())]->increment();
+            self->close(std::string(status.message()));
+            return;
+        }
+        self->close(error.message());
+    });
+}
+
+/// Returns false once the connection is closed.
+bool Incoming::Connection::decode()
+{
+    while (true) {
+        auto next = decoder.next();
+        if (!next.ok()) {
+            owner.m_faults[static_cast<size_t>(*decoder.fault())]->increment();
+            logError("peer", "refused a frame and closed its connection",
+                { { "peer", peer }, { "address", addressOf(socket) },
+                    { "reason", std::string(toString(*decoder.fault())) },
+                    { "message", std::string(next.status().message()) } });
+            close("frame refused");
+            return false;
+        }
+        if (!*next)
+            return true;
+        if (!owner.isCurrent(shared_from_this(), (*next)->from)) {
+            close("replaced by a newer connection of the same peer, or its sender changed");
+            return false;
+        }
+        owner.m_received.increment();
+        if (owner.m_handler)
+            owner.m_handler(*std::move(*next));
+    }
+}
+
+void Incoming::Connection::close(std::string_view reason)
+{
+    if (!socket.is_open())
+        return;
+    if (!peer.empty())
+        logState("peer", "incoming connection closed", { { "peer", peer }, { "reason", std::string(reason) } });
+    error_code ignored;
+    socket.close(ignored);
+    // Keeps this connection alive to the end of the function.
+    const auto self = shared_from_this();
+    if (const auto found = owner.m_current.find(peer); found != owner.m_current.end() && found->second == self)
+        owner.m_current.erase(found);
+    owner.m_connections.erase(self);
+    owner.m_connectionCount.set(static_cast<int64_t>(owner.m_connections.size()));
+}
+
+} // namespace turmericpier::peer::detail
--- /dev/null
+++ b/test/ledger-state-test.cc
@@ -0,0 +1,168 @@
+#include "turmericpier/ledger/state.h"
+
+#include "log.pb.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericpier;
+using namespace turmericpier::ledger;
+using log::LedgerResult;
+
+namespace {
+log::LedgerItem claimOf(
+    const std::string& id, const std::string& entry, uint32_t attempt, const std::string& worker = "w1")
+{
+    log::LedgerItem item;
+    auto& claim = *item.mutable_claim();
+    claim.set_key(requestKey("duftwerk", "east", id));
+    claim.set_entry(entry);
+    claim.set_incarnation(1);
+    claim.set_worker(worker);
+    claim.set_attempt(attempt);
+    claim.set_service("till");
+    return item;
+}
+
+log::LedgerItem outcomeOf(
+    const std::string& id, rpc::Outcome outcome, uint32_t attempts, const std::string& partner = "duftwerk")
+{
+    log::LedgerItem item;
+    auto& record = *item.mutable_outcome();
+    record.set_partner(partner);
+    record.set_home_region("east");
+    record.set_request_id(id);
+    record.set_service("till");
+    record.set_outcome(outcome);
+    record.set_worker("w1");
+    record.set_attempts(attempts);
+    return item;
+}
+
+/// Applies items at successive indexes.
+struct Ledger {
+    LedgerResult apply(const log::LedgerItem& item)
+    {
+        log::LedgerBatch batch;
+        *batch.add_items() = item;
+        return state.apply(Index { ++index }, batch).results(0);
+    }
+
+    LedgerState state;
+    uint64_t index = 0;
+};
+} // namespace
+
+// Guards against two runs of a non-repeatable request, and against a claim refused to its own holder after a lost
+// reply.
+TEST_CASE("one claim stands and its holder may repeat it", "[ledger]")
+{
+    Ledger ledger;
+    CHECK(ledger.apply(claimOf("r1", "e1", 1)).code() == LedgerResult::ACCEPTED);
+    CHECK(ledger.apply(claimOf("r1", "e1", 1)).code() == LedgerResult::ACCEPTED);
+    for (const auto& other : { claimOf("r1", "e2", 1), claimOf("r1", "e1", 1, "w2"), claimOf("r1", "e2", 0) }) {
+        const auto refused = ledger.apply(other);
+        CHECK(refused.code() == LedgerResult::CLAIMED_BEFORE);
+        CHECK(refused.claim().entry() == "e1");
+        CHECK(refused.claim().worker() == "w1");
+    }
+}
+
+// Guards against two entries that both replace the same fenced attempt, and against an entry that replaces an attempt
+// it has not seen.
+TEST_CASE("only the attempt that follows the standing one replaces it", "[ledger]")
+{
+    Ledger ledger;
+    ledger.apply(claimOf("r1", "e1", 1));
+    CHECK(ledger.apply(claimOf("r1", "e2", 2)).code() == LedgerResult::ACCEPTED);
+    const auto second = ledger.apply(claimOf("r1", "e3", 2));
+    CHECK(second.code() == LedgerResult::CLAIMED_BEFORE);
+    CHECK(second.claim().entry() == "e2");
+    CHECK(ledger.apply(claimOf("r1", "e1", 1)).code() == LedgerResult::CLAIMED_BEFORE);
+    CHECK(ledger.apply(claimOf("r1", "e3", 4)).code() == LedgerResult::CLAIMED_BEFORE);
+    CHECK(ledger.apply(claimOf("r1", "e3", 3)).code() == LedgerResult::ACCEPTED);
+    CHECK(ledger.state.openClaims(10).results_size() == 1);
+}
+
+// Guards against a request that is counted twice or whose outcome changes.
+TEST_CASE("the first outcome of a request stands", "[ledger]")
+{
+    Ledger ledger;
+    const auto first = ledger.apply(outcomeOf("r1", rpc::RAN, 1));
+    CHECK(first.code() == LedgerResult::ACCEPTED);
+    CHECK(first.outcome().index() == 1);
+    const auto repeated = ledger.apply(outcomeOf("r1", rpc::RAN, 1));
+    CHECK(repeated.code() == LedgerResult::ACCEPTED);
+    CHECK(repeated.outcome().index() == 1);
+    const auto other = ledger.apply(outcomeOf("r1", rpc::NOT_RUN, 2));
+    CHECK(other.code() == LedgerResult::ENDED_BEFORE);
+    CHECK(other.outcome().outcome() == rpc::RAN);
+    CHECK(ledger.apply(claimOf("r1", "e1", 1)).code() == LedgerResult::ENDED_BEFORE);
+    CHECK(ledger.state.find("duftwerk/east/r1").outcome().outcome() == rpc::RAN);
+    CHECK(ledger.state.outcomesAfter(Index {}, "", 10).results_size() == 1);
+}
+
+// Guards against NOT_RUN for a request whose newer attempt may run, and against a run that is not accounted for.
+TEST_CASE("an outcome of a replaced attempt is stale unless it ran", "[ledger]")
+{
+    Ledger ledger;
+    ledger.apply(claimOf("r1", "e1", 1));
+    ledger.apply(claimOf("r1", "e2", 2));
+    for (auto outcome : { rpc::NOT_RUN, rpc::UNKNOWN }) {
+        const auto stale = ledger.apply(outcomeOf("r1", outcome, 1));
+        CHECK(stale.code() == LedgerResult::STALE_ATTEMPT);
+        CHECK(stale.claim().entry() == "e2");
+    }
+    CHECK(ledger.apply(outcomeOf("r1", rpc::RAN, 1)).code() == LedgerResult::ACCEPTED);
+    CHECK(ledger.apply(outcomeOf("r1", rpc::NOT_RUN, 2)).code() == LedgerResult::ENDED_BEFORE);
+    CHECK(ledger.state.openClaims(10).results_size() == 0);
+}
+
+// Guards against an export that skips records at the end of a page.
+TEST_CASE("pages of an export do not part the outcomes of one index", "[ledger]")
+{
+    LedgerState state;
+    for (uint64_t index = 1; index <= 4; ++index) {
+        log::LedgerBatch batch;
+        for (int i = 0; i < 3; ++i)
+            *batch.add_items() = outcomeOf(
+                std::to_string(index) + "-" + std::to_string(i), rpc::RAN, 1, i == 0 ? "duftwerk" : "restoration");
+        state.apply(Index { index }, batch);
+    }
+    for (const auto& [partner, expected] : { std::pair { "", 12 }, std::pair { "duftwerk", 4 } }) {
+        for (size_t limit : { 1, 2, 4, 5, 7, 100 }) {
+            int seen = 0;
+            Index after;
+            while (true) {
+                const auto page = state.outcomesAfter(after, partner, limit);
+                if (page.results_size() == 0)
+                    break;
+                seen += page.results_size();
+                after = Index { page.results(page.results_size() - 1).outcome().index() };
+            }
+            CHECK(seen == expected);
+        }
+    }
+}
+
+// Guards against replicas that differ after one of them installed a snapshot.
+TEST_CASE("a restored ledger equals the one it came from", "[ledger]")
+{
+    Ledger ledger;
+    for (int i = 0; i < 50; ++i) {
+        ledger.apply(claimOf("c" + std::to_string(i), "e1", 1));
+        ledger.apply(outcomeOf("r" + std::to_string(i), i % 2 == 0 ? rpc::RAN : rpc::UNKNOWN, 1));
+    }
+    Ledger other;
+    REQUIRE(other.state.restore(ledger.state.snapshot()).ok());
+    other.index = ledger.index;
+    CHECK(other.state.snapshot() == ledger.state.snapshot());
+    CHECK(other.state.dump() == ledger.state.dump());
+    for (auto* one : { &ledger, &other }) {
+        CHECK(one->apply(claimOf("c7", "e2", 1)).code() == LedgerResult::CLAIMED_BEFORE);
+        CHECK(one->apply(outcomeOf("r7", rpc::RAN, 1)).code() == LedgerResult::ENDED_BEFORE);
+        CHECK(one->apply(outcomeOf("c7", rpc::RAN, 1)).code() == LedgerResult::ACCEPTED);
+    }
+    CHECK(other.state.snapshot() == ledger.state.snapshot());
+    CHECK_FALSE(other.state.restore("\xff\xff").ok());
+    CHECK(other.state.snapshot() == ledger.state.snapshot());
+}
--- /dev/null
+++ b/test/peer-convert-test.cc
@@ -0,0 +1,60 @@
+#include "turmericpier/peer/convert.h"
+
+#include "peer_generated.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericpier;
+using namespace turmericpier::peer;
+
+// Guards against a field that is lost or mixed up between the log and the wire.
+TEST_CASE("a consensus message survives the conversion with every field", "[peer]")
+{
+    const consensus::Message message {
+        .type = consensus::MessageType::AppendReply,
+        .term = Term { 1 },
+        .logIndex = Index { 2 },
+        .logTerm = Term { 3 },
+        .commit = Index { 4 },
+        .reject = true,
+        .rejectHint = Index { 5 },
+        .context = 6,
+        .entries = { { Term { 7 }, Index { 8 }, consensus::EntryKind::Membership, std::string("a\0b", 3) } },
+        .snapshot = consensus::Snapshot { Index { 9 }, Term { 10 }, { InstanceId("i1"), InstanceId("i2") }, "state" },
+    };
+    const auto wire = toWire(GroupId("east"), message);
+    CHECK(wire.group == "east");
+    const auto back = fromWire(wire);
+    REQUIRE(back.ok());
+    CHECK(back->type == message.type);
+    CHECK(back->term == message.term);
+    CHECK(back->logIndex == message.logIndex);
+    CHECK(back->logTerm == message.logTerm);
+    CHECK(back->commit == message.commit);
+    CHECK(back->reject);
+    CHECK(back->rejectHint == message.rejectHint);
+    CHECK(back->context == message.context);
+    REQUIRE(back->entries.size() == 1);
+    CHECK(back->entries[0].term == Term { 7 });
+    CHECK(back->entries[0].index == Index { 8 });
+    CHECK(back->entries[0].kind == consensus::EntryKind::Membership);
+    CHECK(back->entries[0].data == message.entries[0].data);
+    REQUIRE(back->snapshot);
+    CHECK(back->snapshot->index == Index { 9 });
+    CHECK(back->snapshot->term == Term { 10 });
+    CHECK(back->snapshot->voters == message.snapshot->voters);
+    CHECK(back->snapshot->data == "state");
+}
+
+// Guards against a message of a newer version that is taken for one of this version.
+TEST_CASE("unknown types and kinds are refused", "[peer]")
+{
+    auto wire = toWire(GroupId("east"), {});
+    wire.type = static_cast<wire::ConsensusType>(200);
+    CHECK_FALSE(fromWire(wire).ok());
+    wire.type = wire::ConsensusType::Append;
+    wire.entries.push_back(std::make_unique<wire::LogEntryT>());
+    CHECK(fromWire(wire).ok());
+    wire.entries[0]->kind = static_cast<wire::EntryKind>(9);
+    CHECK_FALSE(fromWire(wire).ok());
+}
