--- a/include/turmericpier/ledger/reconcile.h
+++ b/include/turmericpier/ledger/reconcile.h
@@ -6,10 +6,17 @@
 #include <string>
 #include <vector>
 
+namespace turmericpier::rpc {
+class LedgerRecord;
+}
+
 /// Comparison of two ledgers, request by request.
 namespace turmericpier::ledger {
 
-/// One line of a ledger file: a JSON object with request_id, service, outcome and, optionally, further members.
+/// One line of a ledger file: a JSON object with request_id, service, outcome and, optionally, partner, home_region and
+/// further members:
+///
+///     {"partner":"duftwerk","home_region":"east","request_id":"r1","service":"till","outcome":"RAN"}
 struct LedgerLine {
     std::string partner;
     std::string homeRegion;
@@ -41,8 +48,12 @@
     std::vector<Difference> differences; ///< Ordered by partner, home region and request id.
 };
 
-/// Reads JSON lines. A malformed line is an error that names its number.
+/// The line of a record in a ledger file, without the line feed.
+std::string toJsonLine(const rpc::LedgerRecord& record);
+/// Reads JSON lines. A malformed line is an error that names its number. Empty lines are passed over.
 absl::StatusOr<std::vector<LedgerLine>> parseLedger(std::istream& in, const std::string& name);
+/// Partners and home regions are compared only if some line of either ledger names them: a partner may keep the ledger
+/// of its own requests alone. Of a duplicated request, the first line counts.
 Reconciliation reconcile(const std::vector<LedgerLine>& here, const std::vector<LedgerLine>& there);
 std::string toString(const Difference& difference);
 
