Serve the whole path with separate processes

Cause: the packages did not run together. Change: one binary with run, check-settings and operator commands; ledger replicas; process wiring; load of requests; a stand-in worker for tests.

--- /dev/null
+++ b/scripts/lib-cluster.sh
@@ -0,0 +1,63 @@
+# Functions that start and stop a loopback cluster; sourced by other scripts. All processes are ended by their ids.
+
+binary=build/turmericpier
+standin=build/standin-worker
+
+# write_settings FOLDER INSTANCE NUMBER DATA_CENTRE REGION ROLES: settings of one instance, for 5 instances e1 to e5 of
+# which e1 to e3 hold the control and ledger logs. Ports follow from $base_port.
+write_settings() {
+    local folder=$1 instance=$2 number=$3 data_centre=$4 region=$5 roles=$6
+    local peers="" i
+    for i in 1 2 3 4 5; do
+        peers="$peers${peers:+, }\"e$i\": \"127.0.0.1:$((base_port + 100 + i))\""
+    done
+    cat > "$folder/$instance.json" <<JSON
+{
+  "instance": "$instance", "data_centre": "$data_centre", "region": "$region", "roles": [$roles],
+  "rpc_address": "127.0.0.1:$((base_port + number))",
+  "peer_address": "127.0.0.1:$((base_port + 100 + number))",
+  "admin_address": "127.0.0.1:$((base_port + 200 + number))",
+  "data_folder": "$folder/$instance",
+  "peers": { $peers },
+  "control_voters": ["e1", "e2", "e3"],
+  "ledger_voters": { "east": ["e1", "e2", "e3"] },
+  "leases": { "grant_in_region_ms": 10000, "task_ms": 10000 }
+}
+JSON
+}
+
+# start_instance FOLDER INSTANCE: starts the process and keeps its id in pid_INSTANCE.
+start_instance() {
+    "$binary" run --settings "$1/$2.json" >> "$1/$2.log" 2>&1 &
+    eval "pid_$2=$!"
+}
+
+# start_worker FOLDER NUMBER DATA_CENTRE REGION [FLAG...]: starts stand-in worker w NUMBER.
+start_worker() {
+    local folder=$1 number=$2 data_centre=$3 region=$4
+    shift 4
+    "$standin" --id "w$number" --address "127.0.0.1:$((base_port + 300 + number))" --entries "$entries" \
+        --data_centre "$data_centre" --region "$region" --rack "rack$(((number - 1) / 8))" --services till \
+        --execution_log "$folder/w$number.executions" "$@" >> "$folder/w$number.log" 2>&1 &
+    eval "pid_w$number=$!"
+}
+
+# pid_of NAME: the process id of an instance or worker.
+pid_of() {
+    eval "echo \${pid_$1:-}"
+}
+
+# stop_all: asks every process to stop, and ends those that have not stopped after 20 s.
+stop_all() {
+    local name pid waited=0
+    for name in w1 w2 w3 w4 w5 w6 w7 w8 e5 e4 e3 e2 e1; do
+        pid=$(pid_of "$name")
+        [ -n "$pid" ] && kill -TERM "$pid" 2>/dev/null
+    done
+    while [ -n "$(jobs -rp)" ] && [ "$waited" -lt 200 ]; do
+        sleep 0.1
+        waited=$((waited + 1))
+    done
+    for pid in $(jobs -rp); do kill -KILL "$pid" 2>/dev/null; done
+    wait 2>/dev/null
+}
--- /dev/null
+++ b/src/app/operator-client.cc
@@ -0,0 +1,81 @@
+#include "app/operator-client.h"
+
+#include "app/flags.h"
+#include "rpc/status.h"
+#include "turmericpier/base/error.h"
+
+#include <absl/strings/str_split.h>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <grpcpp/create_channel.h>
+
+namespace turmericpier::app {
+
+namespace {
+    std::chrono::system_clock::time_point deadline()
+    {
+        return std::chrono::system_clock::now() + std::chrono::milliseconds(FLAGS_timeout_ms);
+    }
+
+    absl::Status noEntries()
+    {
+        return makeError({ absl::StatusCode::kInvalidArgument, Outcome::NotRun, "NO_ENTRIES", "connect", "" },
+            "--entries names no address");
+    }
+
+    /// Calls `attempt` for each entry until one answers with anything but UNAVAILABLE.
+    template <typename Reply, typename Attempt> absl::StatusOr<Reply> tryEntries(const char* step, Attempt attempt)
+    {
+        absl::Status last = noEntries();
+        const auto end = deadline();
+        for (const auto& address : entryAddresses()) {
+            auto stub = rpc::Operator::NewStub(grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+            grpc::ClientContext context;
+            context.set_deadline(end);
+            Reply reply;
+            last = rpc::fromGrpc(attempt(*stub, context, reply), step, address);
+            if (last.ok())
+                return reply;
+            if (!absl::IsUnavailable(last))
+                break;
+        }
+        return last;
+    }
+} // namespace
+
+std::vector<std::string> entryAddresses() { return absl::StrSplit(FLAGS_entries, ',', absl::SkipEmpty()); }
+
+std::string newRequestId() { return boost::uuids::to_string(boost::uuids::random_generator()()); }
+
+absl::StatusOr<rpc::OperateReply> operate(rpc::OperateRequest request)
+{
+    request.set_request_id(FLAGS_request_id.empty() ? newRequestId() : FLAGS_request_id);
+    return tryEntries<rpc::OperateReply>(
+        "operate", [&](auto& stub, auto& context, auto& reply) { return stub.Operate(&context, request, &reply); });
+}
+
+absl::StatusOr<std::string> read(const rpc::ReadRequest& request)
+{
+    const auto reply = tryEntries<rpc::ReadReply>(
+        "read", [&](auto& stub, auto& context, auto& result) { return stub.Read(&context, request, &result); });
+    if (!reply.ok())
+        return reply.status();
+    return reply->json();
+}
+
+absl::StatusOr<std::vector<rpc::LedgerRecord>> exportLedger(const std::string& region, const std::string& partner)
+{
+    rpc::ExportLedgerRequest request;
+    request.set_region(region);
+    request.set_partner(partner);
+    return tryEntries<std::vector<rpc::LedgerRecord>>("export", [&](auto& stub, auto& context, auto& records) {
+        records.clear();
+        auto reader = stub.ExportLedger(&context, request);
+        rpc::LedgerRecord record;
+        while (reader->Read(&record))
+            records.push_back(record);
+        return reader->Finish();
+    });
+}
+
+} // namespace turmericpier::app
--- /dev/null
+++ b/src/app/process.cc
@@ -0,0 +1,212 @@
+#include "turmericpier/app/process.h"
+
+#include "operator.pb.h"
+#include "peer/refusal.h"
+#include "turmericpier/base/clock.h"
+#include "turmericpier/base/error.h"
+#include "turmericpier/base/log.h"
+#include "turmericpier/base/metrics.h"
+#include "turmericpier/control/service.h"
+#include "turmericpier/ledger/replica.h"
+#include "turmericpier/peer/convert.h"
+#include "turmericpier/peer/transport.h"
+#include "turmericpier/rpc/entry.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace turmericpier::app {
+
+namespace {
+    // Longer than the longest deadline of a request.
+    constexpr Duration drainLimit = std::chrono::seconds(65);
+
+    /// Grows with each start of a process, also after its disk is lost.
+    Incarnation newIncarnation()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return Incarnation { static_cast<uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(now).count()) };
+    }
+} // namespace
+
+struct Process::Impl {
+    explicit Impl(settings::Settings settings)
+        : m_settings(std::move(settings))
+        , m_incarnation(newIncarnation())
+        , m_transport({ m_settings.instance, m_incarnation, m_settings.peerAddress, m_settings.peers }, m_metrics)
+    {
+    }
+
+    bool hasRole(settings::Role role) const { return m_settings.roles.count(role) > 0; }
+
+    absl::Status open()
+    {
+        const auto send = [this](const InstanceId& to, peer::Envelope envelope) {
+            return m_transport.send(to, std::move(envelope));
+        };
+        if (hasRole(settings::Role::Control)) {
+            control::ServiceHooks hooks;
+            hooks.send = send;
+            hooks.recordJob = [this](rpc::LedgerRecord record) { m_entry->recordOutcome(std::move(record)); };
+            auto control = control::Service::open(m_settings, std::move(hooks), m_clock, m_metrics);
+            if (!control.ok())
+                return control.status();
+            m_control = std::move(*control);
+        }
+        for (const auto& [region, voters] : m_settings.ledgerVoters) {
+            if (!hasRole(settings::Role::Ledger) || std::count(voters.begin(), voters.end(), m_settings.instance) == 0)
+                continue;
+            auto replica = ledger::Replica::open(m_settings, region, send, m_clock, m_metrics);
+            if (!replica.ok())
+                return replica.status();
+            m_ledgers[ledger::groupOf(region)] = std::move(*replica);
+        }
+        m_entry = std::make_unique<rpc::Entry>(m_settings, m_incarnation, send, m_clock, m_metrics);
+        return absl::OkStatus();
+    }
+
+    void receive(peer::Envelope envelope)
+    {
+        using peer::wire::Body;
+        switch (envelope.body.type) {
+        case Body::Consensus:
+            receiveConsensus(envelope);
+            break;
+        case Body::Forward:
+            m_control ? m_control->forward(std::move(envelope)) : refuse(envelope);
+            break;
+        case Body::EntryHeartbeat:
+            m_control ? m_control->heartbeat(std::move(envelope)) : refuse(envelope);
+            break;
+        case Body::LedgerSubmit:
+        case Body::LedgerRead:
+            receiveLedger(std::move(envelope));
+            break;
+        case Body::ForwardReply:
+        case Body::Refusal:
+        case Body::EntryHeartbeatReply:
+        case Body::LedgerReply:
+        case Body::LedgerReadReply:
+            m_entry->receive(std::move(envelope));
+            break;
+        case Body::NONE:
+            m_metrics.counter("envelopes_without_body_total").increment();
+            break;
+        }
+    }
+
+    void receiveConsensus(const peer::Envelope& envelope)
+    {
+        const auto* body = envelope.body.AsConsensus();
+        auto message = peer::fromWire(*body);
+        if (!message.ok()) {
+            m_metrics.counter("consensus_messages_malformed_total").increment();
+            return;
+        }
+        const InstanceId from(envelope.from);
+        const auto ledger = m_ledgers.find(GroupId(body->group));
+        if (body->group == "control" && m_control)
+            m_control->receiveConsensus(from, std::move(*message));
+        else if (ledger != m_ledgers.end())
+            ledger->second->receiveConsensus(from, std::move(*message));
+        else
+            m_metrics.counter("consensus_messages_unknown_group_total").increment();
+    }
+
+    void receiveLedger(peer::Envelope envelope)
+    {
+        const bool isSubmit = envelope.body.type == peer::wire::Body::LedgerSubmit;
+        const auto& group = isSubmit ? envelope.body.AsLedgerSubmit()->group : envelope.body.AsLedgerRead()->group;
+        const auto ledger = m_ledgers.find(GroupId(group));
+        if (ledger == m_ledgers.end())
+            refuse(envelope);
+        else if (isSubmit)
+            ledger->second->submit(std::move(envelope));
+        else
+            ledger->second->read(std::move(envelope));
+    }
+
+    void refuse(const peer::Envelope& request)
+    {
+        const auto status = makeError(
+            { absl::StatusCode::kUnavailable, Outcome::NotRun, "MISSING_ROLE", "receive", m_settings.instance.str() },
+            m_settings.instance.str() + " does not have the role for this message");
+        m_transport.send(InstanceId(request.from), peer::refusalOf(request, status, InstanceId()));
+    }
+
+    std::string dump() const
+    {
+        boost::json::object result { { "instance", m_settings.instance.str() }, { "incarnation", m_incarnation.value },
+            { "data_centre", m_settings.dataCentre.str() }, { "region", m_settings.region.str() } };
+        boost::json::error_code error;
+        if (m_control)
+            result["control"] = boost::json::parse(m_control->dump(), error);
+        for (const auto& [group, replica] : m_ledgers)
+            result[group.str()] = boost::json::parse(replica->dump(), error);
+        result["entry"] = boost::json::parse(m_entry->dump(), error);
+        result["transport"] = boost::json::parse(m_transport.dump(), error);
+        return boost::json::serialize(result);
+    }
+
+    absl::Status start()
+    {
+        m_transport.setHandler([this](peer::Envelope envelope) { receive(std::move(envelope)); });
+        if (hasRole(settings::Role::Entry)) {
+            if (auto status = m_entry->start(); !status.ok())
+                return status;
+        }
+        if (auto status = m_transport.start(); !status.ok())
+            return status;
+        for (auto& [group, replica] : m_ledgers)
+            replica->start();
+        if (m_control)
+            m_control->start();
+        logState("process", "started");
+        return absl::OkStatus();
+    }
+
+    void shutDown()
+    {
+        if (hasRole(settings::Role::Entry)) {
+            m_entry->drain(drainLimit);
+            m_entry->stop();
+        }
+        if (m_control)
+            m_control->stop();
+        for (auto& [group, replica] : m_ledgers)
+            replica->stop();
+        m_transport.stop();
+        logState("process", "stopped");
+    }
+
+    const settings::Settings m_settings;
+    const Incarnation m_incarnation;
+    SteadyClock m_clock;
+    Metrics m_metrics;
+    peer::Transport m_transport;
+    std::unique_ptr<control::Service> m_control;
+    std::map<GroupId, std::unique_ptr<ledger::Replica>> m_ledgers;
+    std::unique_ptr<rpc::Entry> m_entry; ///< Also used for calls to ledgers by instances without the role entry.
+};
+
+Process::Process(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Process::~Process() = default;
+
+absl::StatusOr<std::unique_ptr<Process>> Process::open(settings::Settings settings)
+{
+    auto impl = std::make_unique<Impl>(std::move(settings));
+    if (auto status = impl->open(); !status.ok())
+        return status;
+    return std::unique_ptr<Process>(new Process(std::move(impl)));
+}
+
+absl::Status Process::start() { return m_impl->start(); }
+
+void Process::shutDown() { m_impl->shutDown(); }
+
+} // namespace turmericpier::app
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -7,6 +7,7 @@
 #include "peer/refusal.h"
 #include "turmericpier/base/event-loop.h"
 #include "turmericpier/base/log.h"
+#include "turmericpier/peer/convert.h"
 
 #include <boost/json.hpp>
 
@@ -72,7 +73,12 @@
         return hooks;
     }
 
-    void sendConsensus(const InstanceId& to, consensus::Message message);
+    void sendConsensus(const InstanceId& to, const consensus::Message& message)
+    {
+        peer::wire::EnvelopeT envelope;
+        envelope.body.Set(peer::toWire(GroupId("control"), message));
+        m_hooks.send(to, std::move(envelope));
+    }
 
     /// On the thread of the group.
     std::string apply(Index index, std::string_view data)
--- /dev/null
+++ b/src/ledger/replica.cc
@@ -0,0 +1,192 @@
+#include "turmericpier/ledger/replica.h"
+
+#include "log.pb.h"
+#include "peer/refusal.h"
+#include "turmericpier/base/error.h"
+#include "turmericpier/base/log.h"
+#include "turmericpier/ledger/state.h"
+#include "turmericpier/peer/convert.h"
+
+#include <boost/json.hpp>
+#include <mutex>
+
+namespace turmericpier::ledger {
+
+namespace {
+    // Keeps a page well under the frame limit of 4 MiB at about 200 bytes a record.
+    constexpr size_t recordsPerPage = 2'000;
+
+    std::vector<uint8_t> toBytes(const std::string& text) { return { text.begin(), text.end() }; }
+} // namespace
+
+GroupId groupOf(const RegionId& region) { return GroupId("ledger-" + region.str()); }
+
+struct Replica::Impl {
+    Impl(const settings::Settings& settings, const RegionId& region, Send send, Metrics& metrics)
+        : m_self(settings.instance)
+        , m_groupId(groupOf(region))
+        , m_send(std::move(send))
+        , m_metrics(metrics)
+    {
+    }
+
+    consensus::GroupOptions groupOptions(const settings::Settings& settings, const RegionId& region) const
+    {
+        return { .group = m_groupId,
+            .self = m_self,
+            .voters = settings.ledgerVoters.at(region),
+            .preferredLeaders = {},
+            .folder = settings.dataFolder / m_groupId.str(),
+            .heartbeat = settings.consensus.heartbeat,
+            .electionTimeoutMin = settings.consensus.electionTimeoutMin,
+            .electionTimeoutMax = settings.consensus.electionTimeoutMax,
+            .snapshotEvery = settings.consensus.snapshotEvery,
+            .seed = std::hash<std::string> {}(m_self.str() + m_groupId.str()) };
+    }
+
+    consensus::GroupHooks groupHooks()
+    {
+        consensus::GroupHooks hooks;
+        hooks.send = [this](const InstanceId& to, const consensus::Message& message) {
+            peer::wire::EnvelopeT envelope;
+            envelope.body.Set(peer::toWire(m_groupId, message));
+            m_send(to, std::move(envelope));
+        };
+        hooks.apply = [this](Index index, std::string_view data) { return apply(index, data); };
+        hooks.snapshot = [this] {
+            std::lock_guard lock(m_mutex);
+            return m_state.snapshot();
+        };
+        hooks.restore = [this](std::string_view data) {
+            std::lock_guard lock(m_mutex);
+            return m_state.restore(data);
+        };
+        hooks.roleChanged = [this](const consensus::RoleChange& change) {
+            std::lock_guard lock(m_mutex);
+            m_leaderHint = change.leader;
+            logState("ledger", change.isLeader ? "became leader" : "follows",
+                { { "group", m_groupId.str() }, { "term", std::to_string(change.term.value) },
+                    { "leader", change.leader.str() } });
+        };
+        return hooks;
+    }
+
+    std::string apply(Index index, std::string_view data)
+    {
+        log::LedgerBatch batch;
+        if (!batch.ParseFromArray(data.data(), static_cast<int>(data.size())))
+            return {};
+        m_metrics.counter("ledger_items_total").increment(static_cast<uint64_t>(batch.items_size()));
+        std::lock_guard lock(m_mutex);
+        return m_state.apply(index, batch).SerializeAsString();
+    }
+
+    void refuse(const peer::Envelope& request, const absl::Status& status)
+    {
+        InstanceId hint;
+        {
+            std::lock_guard lock(m_mutex);
+            hint = m_leaderHint;
+        }
+        m_send(InstanceId(request.from), peer::refusalOf(request, status, hint));
+    }
+
+    void submit(const std::shared_ptr<peer::Envelope>& envelope)
+    {
+        const auto* body = envelope->body.AsLedgerSubmit();
+        m_metrics.counter("ledger_batches_total").increment();
+        std::string data(body->batch.begin(), body->batch.end());
+        log::LedgerBatch batch;
+        if (!batch.ParseFromString(data))
+            return refuse(*envelope,
+                makeError(
+                    { absl::StatusCode::kInvalidArgument, Outcome::NotRun, "MALFORMED_BATCH", "ledger", m_self.str() },
+                    "ledger batch cannot be parsed"));
+        m_group->propose(std::move(data), [this, envelope](const absl::StatusOr<consensus::Applied>& result) {
+            if (!result.ok())
+                return refuse(*envelope, result.status());
+            peer::wire::LedgerReplyT reply;
+            reply.results = toBytes(result->result);
+            m_send(InstanceId(envelope->from), peer::replyTo(*envelope, std::move(reply)));
+        });
+    }
+
+    void read(const std::shared_ptr<peer::Envelope>& envelope)
+    {
+        m_group->read([this, envelope](const absl::Status& status) {
+            if (!status.ok())
+                return refuse(*envelope, status);
+            m_send(InstanceId(envelope->from), peer::replyTo(*envelope, page(*envelope->body.AsLedgerRead())));
+        });
+    }
+
+    peer::wire::LedgerReadReplyT page(const peer::wire::LedgerReadT& request) const
+    {
+        peer::wire::LedgerReadReplyT reply;
+        log::LedgerResults results;
+        std::lock_guard lock(m_mutex);
+        if (!request.key.empty()) {
+            *results.add_results() = m_state.find(request.key);
+        } else {
+            results = m_state.outcomesAfter(Index { request.from_index }, request.partner, recordsPerPage);
+            if (results.results_size() > 0)
+                reply.next_index = results.results(results.results_size() - 1).outcome().index();
+        }
+        reply.results = toBytes(results.SerializeAsString());
+        return reply;
+    }
+
+    const InstanceId m_self;
+    const GroupId m_groupId;
+    Send m_send;
+    Metrics& m_metrics;
+    std::unique_ptr<consensus::Group> m_group;
+    mutable std::mutex m_mutex; ///< Guards the members below.
+    LedgerState m_state;
+    InstanceId m_leaderHint;
+};
+
+Replica::Replica(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+Replica::~Replica() = default;
+
+absl::StatusOr<std::unique_ptr<Replica>> Replica::open(
+    const settings::Settings& settings, const RegionId& region, Send send, const Clock& clock, Metrics& metrics)
+{
+    auto impl = std::make_unique<Impl>(settings, region, std::move(send), metrics);
+    auto group = consensus::Group::open(impl->groupOptions(settings, region), impl->groupHooks(), clock, metrics);
+    if (!group.ok())
+        return group.status();
+    impl->m_group = std::move(*group);
+    return std::unique_ptr<Replica>(new Replica(std::move(impl)));
+}
+
+void Replica::start() { m_impl->m_group->start(); }
+
+void Replica::stop() { m_impl->m_group->stop(); }
+
+void Replica::receiveConsensus(const InstanceId& from, consensus::Message message)
+{
+    m_impl->m_group->receive(from, std::move(message));
+}
+
+void Replica::submit(peer::Envelope envelope) { m_impl->submit(std::make_shared<peer::Envelope>(std::move(envelope))); }
+
+void Replica::read(peer::Envelope envelope) { m_impl->read(std::make_shared<peer::Envelope>(std::move(envelope))); }
+
+std::string Replica::dump() const
+{
+    boost::json::object result;
+    boost::json::error_code error;
+    {
+        std::lock_guard lock(m_impl->m_mutex);
+        result["state"] = boost::json::parse(m_impl->m_state.dump(), error);
+    }
+    result["log"] = boost::json::parse(m_impl->m_group->dump(), error);
+    return boost::json::serialize(result);
+}
+
+} // namespace turmericpier::ledger
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,1 +1,3 @@
-int main() { return 0; }
+#include "turmericpier/app/cli.h"
+
+int main(int argc, char** argv) { return turmericpier::app::runCommandLine(argc, argv); }
--- a/src/peer/convert.cc
+++ b/src/peer/convert.cc
@@ -14,7 +14,7 @@
     // The enumerations are converted by value.
     static_assert(static_cast<int>(MessageType::PreVote) == static_cast<int>(wire::ConsensusType::PreVote));
     static_assert(static_cast<int>(MessageType::Append) == static_cast<int>(wire::ConsensusType::Append));
-    static_assert(static_cast<int>(MessageType::TimeoutNow) == static_cast<int>(wire::ConsensusType::MAX));
+    static_assert(static_cast<int>(MessageType::SnapshotReply) == static_cast<int>(wire::ConsensusType::MAX));
     static_assert(static_cast<int>(EntryKind::Data) == static_cast<int>(wire::EntryKind::Data));
     static_assert(static_cast<int>(EntryKind::Empty) == static_cast<int>(wire::EntryKind::MAX));
 
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -1,7 +1,6 @@
 #include "turmericpier/rpc/entry.h"
 
 #include "peer_generated.h"
-#include "rpc/ledger-link.h"
 #include "rpc/peer-calls.h"
 #include "rpc/request-driver.h"
 #include "rpc/services.h"
@@ -9,6 +8,8 @@
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/event-loop.h"
 #include "turmericpier/base/log.h"
+#include "turmericpier/ledger/client.h"
+#include "turmericpier/ledger/replica.h"
 
 #include <boost/json.hpp>
 #include <future>
@@ -21,6 +22,8 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(5);
     constexpr Duration operatorDeadline = std::chrono::seconds(10);
     constexpr Duration heartbeatTimeout = std::chrono::milliseconds(600);
+    // Above all correlations of PeerCalls, so that replies to the ledger client are told apart.
+    constexpr uint64_t firstLedgerCorrelation = uint64_t { 1 } << 62U;
     constexpr Duration recordDeadline = std::chrono::minutes(10);
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
@@ -54,8 +57,10 @@
         , m_clock(clock)
         , m_metrics(metrics)
         , m_loop("entry", clock)
-        , m_calls(std::move(send))
+        , m_send(std::move(send))
+        , m_calls(m_send)
         , m_control(m_calls, settings.controlVoters)
+        , m_ledger(ledgerOptions(), ledgerHooks(), metrics)
         , m_streams(metrics)
         , m_driver(m_settings, incarnation, driverHooks(), m_loop, clock, metrics)
         , m_callerService(
@@ -63,15 +68,39 @@
         , m_operatorService(operatorHandlers())
     {
         for (const auto& [region, voters] : settings.ledgerVoters)
-            m_ledgers.emplace(region, std::make_unique<LedgerLink>(m_calls, GroupId("ledger-" + region.str()), voters));
+            m_ledgerReads.emplace(region, std::make_unique<LeaderCalls>(m_calls, voters));
+        m_loop.setBatchEnd([this] { m_ledger.flush(m_clock.now()); });
+    }
+
+    ledger::ClientOptions ledgerOptions() const
+    {
+        ledger::ClientOptions options;
+        for (const auto& [region, voters] : m_settings.ledgerVoters)
+            options.groups.push_back({ ledger::groupOf(region), voters });
+        options.firstCorrelation = firstLedgerCorrelation;
+        options.seed = m_incarnation.value;
+        return options;
+    }
+
+    ledger::ClientHooks ledgerHooks()
+    {
+        ledger::ClientHooks hooks;
+        hooks.send = [this](const InstanceId& to, uint64_t correlation, peer::wire::LedgerSubmitT submit) {
+            peer::wire::EnvelopeT envelope;
+            envelope.correlation = correlation;
+            envelope.body.Set(std::move(submit));
+            return m_send(to, std::move(envelope));
+        };
+        return hooks;
     }
 
     RequestDriverHooks driverHooks()
     {
         RequestDriverHooks hooks;
-        hooks.commit = [this](const RegionId& region, log::LedgerItem item, TimePoint deadline, LedgerLink::Done done) {
-            m_ledgers.at(region)->commit(std::move(item), deadline, m_clock.now(), std::move(done));
-        };
+        hooks.commit
+            = [this](const RegionId& region, log::LedgerItem item, TimePoint deadline, ledger::Client::Done done) {
+                  m_ledger.submit(ledger::groupOf(region), std::move(item), deadline, std::move(done), m_clock.now());
+              };
         return hooks;
     }
 
@@ -134,15 +163,15 @@
     {
         auto shared = std::make_shared<std::function<void(absl::StatusOr<LedgerPage>)>>(std::move(done));
         const bool queued = m_loop.post([this, request, after, shared] {
-            const auto ledger = m_ledgers.find(RegionId(request.region()));
-            if (ledger == m_ledgers.end()) {
+            const auto ledger = m_ledgerReads.find(RegionId(request.region()));
+            if (ledger == m_ledgerReads.end()) {
                 (*shared)(makeError({ absl::StatusCode::kNotFound, turmericpier::Outcome::NotRun, "NOT_FOUND", "export",
                                         m_settings.instance.str() },
                     "region \"" + request.region() + "\" has no ledger"));
                 return;
             }
             const auto now = m_clock.now();
-            ledger->second->leader().call(
+            ledger->second->call(
                 [request, after] {
                     peer::wire::LedgerReadT body;
                     body.group = "ledger-" + request.region();
@@ -182,7 +211,14 @@
             sendCommands(*reply);
             return;
         }
-        m_calls.receive(std::move(envelope));
+        if (envelope.correlation < firstLedgerCorrelation) {
+            m_calls.receive(std::move(envelope));
+            return;
+        }
+        if (const auto* reply = envelope.body.AsLedgerReply())
+            m_ledger.replied(envelope.correlation, *reply, m_clock.now());
+        else if (const auto* refusal = envelope.body.AsRefusal())
+            m_ledger.refused(envelope.correlation, *refusal, m_clock.now());
     }
 
     void tick()
@@ -191,8 +227,9 @@
         const auto now = m_clock.now();
         m_calls.tick(now);
         m_control.tick(now);
-        for (auto& [region, ledger] : m_ledgers)
-            ledger->tick(now);
+        m_ledger.tick(now);
+        for (auto& [region, reads] : m_ledgerReads)
+            reads->tick(now);
         m_driver.tick();
         m_isIdle = m_driver.isIdle();
     }
@@ -300,17 +337,19 @@
     {
         log::LedgerItem item;
         *item.mutable_outcome() = record;
-        const auto ledger = m_ledgers.find(RegionId(record.home_region()));
-        if (ledger == m_ledgers.end()) {
+        const RegionId region(record.home_region());
+        if (!m_ledgerReads.count(region)) {
             logError("entry", "outcome for a region without a ledger", { { "region", record.home_region() } });
             return;
         }
         const auto now = m_clock.now();
-        ledger->second->commit(std::move(item), now + recordDeadline, now,
+        m_ledger.submit(
+            ledger::groupOf(region), std::move(item), now + recordDeadline,
             [this, record](const absl::StatusOr<log::LedgerResult>& result) {
                 if (!result.ok())
                     m_loop.post([this, record] { recordOutcome(record); });
-            });
+            },
+            now);
     }
 
     absl::Status start()
@@ -381,9 +420,11 @@
     const Clock& m_clock;
     Metrics& m_metrics;
     EventLoop m_loop;
+    SendFunction m_send;
     PeerCalls m_calls;
     LeaderCalls m_control;
-    std::map<RegionId, std::unique_ptr<LedgerLink>> m_ledgers;
+    std::map<RegionId, std::unique_ptr<LeaderCalls>> m_ledgerReads;
+    ledger::Client m_ledger;
     WorkerStreams m_streams;
     RequestDriver m_driver;
     CallerService m_callerService;
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -31,7 +31,10 @@
         return ledger::requestKey(request.partner(), request.home_region(), request.request_id());
     }
 
-    turmericpier::Outcome outcomeOf(const LedgerRecord& record) { return static_cast<turmericpier::Outcome>(record.outcome()); }
+    turmericpier::Outcome outcomeOf(const LedgerRecord& record)
+    {
+        return static_cast<turmericpier::Outcome>(record.outcome());
+    }
 } // namespace
 
 RequestDriver::RequestDriver(const settings::Settings& settings, Incarnation incarnation, RequestDriverHooks hooks,
