Store ledger records compactly

Cause: memory per record bounds the ledger holder (64 MB), and a protobuf message with a string key for each took over 500 bytes.

Change: records are varints and a request id in blocks of 4,096; partners, regions, services, workers and reasons are interned; a set of record numbers hashed by 64-bit key digests finds them. Claims keep numbers instead of strings. Keys are compared by digest.

--- a/src/ledger/state.cc
+++ b/src/ledger/state.cc
@@ -1,11 +1,14 @@
 #include "turmericpier/ledger/state.h"
 
+#include "ledger/record-store.h"
 #include "log.pb.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <algorithm>
 #include <boost/json.hpp>
+#include <optional>
 #include <vector>
 
 namespace turmericpier::ledger {
@@ -21,15 +24,12 @@
 }
 
 namespace {
-    std::string keyOf(const LedgerRecord& record)
+    /// The key's parts are hashed like those of a record.
+    uint64_t digestOfKey(const std::string& key)
     {
-        return requestKey(record.partner(), record.home_region(), record.request_id());
-    }
-
-    bool isSame(const Claim& a, const Claim& b)
-    {
-        return a.entry() == b.entry() && a.incarnation() == b.incarnation() && a.worker() == b.worker()
-            && a.attempt() == b.attempt();
+        const std::vector<std::string> parts = absl::StrSplit(key, absl::MaxSplits('/', 2));
+        const auto part = [&](size_t i) { return i < parts.size() ? parts[i] : std::string(); };
+        return detail::digestOf(part(0), part(1), part(2));
     }
 
     bool isSame(const LedgerRecord& a, const LedgerRecord& b)
@@ -56,15 +56,44 @@
 } // namespace
 
 struct LedgerState::Impl {
-    absl::flat_hash_map<std::string, Claim> claims; ///< Those without an outcome.
-    absl::flat_hash_map<std::string, size_t> outcomeOf; ///< Position in `outcomes`.
-    std::vector<LedgerRecord> outcomes; ///< In log order.
-    Index applied;
+    /// A claim with its strings as numbers; the key is kept by the map.
+    struct CompactClaim {
+        uint32_t entry = 0;
+        uint32_t worker = 0;
+        uint32_t service = 0;
+        uint32_t attempt = 0;
+        uint64_t incarnation = 0;
+
+        friend bool operator==(const CompactClaim&, const CompactClaim&) = default;
+    };
+    using Claims = absl::flat_hash_map<std::string, CompactClaim>;
+
+    Claims claims; ///< Those without an outcome.
+    detail::Interner names; ///< Of the claims.
+    detail::RecordStore outcomes;
+
+    CompactClaim compact(const Claim& claim)
+    {
+        return { names.numberOf(claim.entry()), names.numberOf(claim.worker()), names.numberOf(claim.service()),
+            claim.attempt(), claim.incarnation() };
+    }
 
-    const LedgerRecord* findOutcome(const std::string& key) const
+    Claim expand(const Claims::value_type& stored) const
     {
-        const auto found = outcomeOf.find(key);
-        return found == outcomeOf.end() ? nullptr : &outcomes[found->second];
+        Claim claim;
+        claim.set_key(stored.first);
+        claim.set_entry(names.textOf(stored.second.entry));
+        claim.set_incarnation(stored.second.incarnation);
+        claim.set_worker(names.textOf(stored.second.worker));
+        claim.set_attempt(stored.second.attempt);
+        claim.set_service(names.textOf(stored.second.service));
+        return claim;
+    }
+
+    std::optional<LedgerRecord> findOutcome(uint64_t digest) const
+    {
+        const auto number = outcomes.find(digest);
+        return number ? std::optional(outcomes.at(*number)) : std::nullopt;
     }
 
     /// The attempts of a key are counted up by compare-and-set: only the claim that follows the standing one replaces
@@ -72,14 +101,15 @@
     /// attempts may come from an entry that has not seen the standing one, which may still run.
     LedgerResult apply(const Claim& claim)
     {
-        if (const auto* outcome = findOutcome(claim.key()))
+        if (const auto outcome = findOutcome(digestOfKey(claim.key())))
             return resultOf(LedgerResult::ENDED_BEFORE, *outcome);
-        const auto [standing, isNew] = claims.try_emplace(claim.key(), claim);
-        if (isNew || isSame(standing->second, claim))
-            return resultOf(LedgerResult::ACCEPTED, claim);
-        if (uint64_t { claim.attempt() } != uint64_t { standing->second.attempt() } + 1)
-            return resultOf(LedgerResult::CLAIMED_BEFORE, standing->second);
-        standing->second = claim;
+        const auto next = compact(claim);
+        const auto [standing, isNew] = claims.try_emplace(claim.key(), next);
+        if (isNew || standing->second == next)
+            return resultOf(LedgerResult::ACCEPTED, expand(*standing));
+        if (uint64_t { next.attempt } != uint64_t { standing->second.attempt } + 1)
+            return resultOf(LedgerResult::CLAIMED_BEFORE, expand(*standing));
+        standing->second = next;
         return resultOf(LedgerResult::ACCEPTED, claim);
     }
 
@@ -88,30 +118,34 @@
     /// one.
     LedgerResult apply(Index index, const LedgerRecord& record)
     {
-        const std::string key = keyOf(record);
-        if (const auto* outcome = findOutcome(key)) {
+        const auto digest = detail::digestOf(record.partner(), record.home_region(), record.request_id());
+        if (const auto outcome = findOutcome(digest)) {
             const auto code = isSame(*outcome, record) ? LedgerResult::ACCEPTED : LedgerResult::ENDED_BEFORE;
             return resultOf(code, *outcome);
         }
-        const auto claim = claims.find(key);
+        const auto claim = claims.find(requestKey(record.partner(), record.home_region(), record.request_id()));
         if (claim != claims.end()) {
-            if (record.attempts() < claim->second.attempt() && record.outcome() != rpc::RAN)
-                return resultOf(LedgerResult::STALE_ATTEMPT, claim->second);
+            if (record.attempts() < claim->second.attempt && record.outcome() != rpc::RAN)
+                return resultOf(LedgerResult::STALE_ATTEMPT, expand(*claim));
             claims.erase(claim);
         }
-        outcomeOf.emplace(key, outcomes.size());
-        outcomes.push_back(record);
-        outcomes.back().set_index(index.value);
-        return resultOf(LedgerResult::ACCEPTED, outcomes.back());
+        auto result = resultOf(LedgerResult::ACCEPTED, record);
+        result.mutable_outcome()->set_index(index.value);
+        outcomes.append(digest, result.outcome());
+        return result;
     }
 
-    std::vector<const Claim*> sortedClaims() const
+    /// The first `limit` claims by key.
+    std::vector<const Claims::value_type*> sortedClaims(size_t limit) const
     {
-        std::vector<const Claim*> sorted;
+        std::vector<const Claims::value_type*> sorted;
         sorted.reserve(claims.size());
-        for (const auto& [key, claim] : claims)
+        for (const auto& claim : claims)
             sorted.push_back(&claim);
-        std::ranges::sort(sorted, {}, [](const Claim* claim) -> const std::string& { return claim->key(); });
+        const auto end = sorted.begin() + static_cast<ptrdiff_t>(std::min(limit, sorted.size()));
+        std::ranges::partial_sort(
+            sorted, end, {}, [](const auto* claim) -> const std::string& { return claim->first; });
+        sorted.erase(end, sorted.end());
         return sorted;
     }
 };
@@ -134,31 +168,31 @@
         else if (item.has_outcome())
             result = m_impl->apply(index, item.outcome());
     }
-    m_impl->applied = index;
     return results;
 }
 
 LedgerResult LedgerState::find(const std::string& key) const
 {
-    if (const auto* outcome = m_impl->findOutcome(key))
+    if (const auto outcome = m_impl->findOutcome(digestOfKey(key)))
         return resultOf(LedgerResult::ENDED_BEFORE, *outcome);
     const auto claim = m_impl->claims.find(key);
-    return claim == m_impl->claims.end() ? LedgerResult() : resultOf(LedgerResult::CLAIMED_BEFORE, claim->second);
+    return claim == m_impl->claims.end() ? LedgerResult()
+                                         : resultOf(LedgerResult::CLAIMED_BEFORE, m_impl->expand(*claim));
 }
 
 LedgerResults LedgerState::outcomesAfter(Index after, const std::string& partner, size_t limit) const
 {
     LedgerResults results;
     const auto& outcomes = m_impl->outcomes;
-    const auto first = std::ranges::upper_bound(outcomes, after.value, {}, &LedgerRecord::index);
     size_t wholeIndexes = 0; // Results up to the last change of index.
     uint64_t index = 0;
-    for (auto next = first; next != outcomes.end(); ++next) {
-        if (!partner.empty() && next->partner() != partner)
+    for (size_t number = outcomes.firstAfter(after); number < outcomes.size(); ++number) {
+        const auto record = outcomes.at(number);
+        if (!partner.empty() && record.partner() != partner)
             continue;
         const auto size = static_cast<size_t>(results.results_size());
-        if (next->index() != index) {
-            index = next->index();
+        if (record.index() != index) {
+            index = record.index();
             wholeIndexes = size;
         }
         // Records of one index are not parted: the reader goes on after the last index that it has seen.
@@ -167,7 +201,7 @@
                 static_cast<int>(wholeIndexes), static_cast<int>(size - wholeIndexes));
             break;
         }
-        *results.add_results() = resultOf(LedgerResult::ENDED_BEFORE, *next);
+        *results.add_results() = resultOf(LedgerResult::ENDED_BEFORE, record);
     }
     return results;
 }
@@ -175,21 +209,18 @@
 LedgerResults LedgerState::openClaims(size_t limit) const
 {
     LedgerResults results;
-    for (const auto* claim : m_impl->sortedClaims()) {
-        if (static_cast<size_t>(results.results_size()) >= limit)
-            break;
-        *results.add_results() = resultOf(LedgerResult::CLAIMED_BEFORE, *claim);
-    }
+    for (const auto* claim : m_impl->sortedClaims(limit))
+        *results.add_results() = resultOf(LedgerResult::CLAIMED_BEFORE, m_impl->expand(*claim));
     return results;
 }
 
 std::string LedgerState::snapshot() const
 {
     log::LedgerSnapshot snapshot;
-    for (const auto* claim : m_impl->sortedClaims())
-        *snapshot.add_claims() = *claim;
-    for (const auto& outcome : m_impl->outcomes)
-        *snapshot.add_outcomes() = outcome;
+    for (const auto* claim : m_impl->sortedClaims(m_impl->claims.size()))
+        *snapshot.add_claims() = m_impl->expand(*claim);
+    for (size_t number = 0; number < m_impl->outcomes.size(); ++number)
+        *snapshot.add_outcomes() = m_impl->outcomes.at(number);
     return snapshot.SerializeAsString();
 }
 
@@ -199,23 +230,21 @@
     if (!snapshot.ParseFromArray(data.data(), static_cast<int>(data.size())))
         return absl::DataLossError(absl::StrCat("ledger snapshot of ", data.size(), " bytes is malformed"));
     auto impl = std::make_unique<Impl>();
-    for (auto& claim : *snapshot.mutable_claims())
-        impl->claims.emplace(claim.key(), claim);
-    for (auto& outcome : *snapshot.mutable_outcomes()) {
-        impl->outcomeOf.emplace(keyOf(outcome), impl->outcomes.size());
-        impl->applied.value = std::max(impl->applied.value, outcome.index());
-        impl->outcomes.push_back(std::move(outcome));
-    }
+    for (const auto& claim : snapshot.claims())
+        impl->claims.emplace(claim.key(), impl->compact(claim));
+    for (const auto& record : snapshot.outcomes())
+        impl->outcomes.append(detail::digestOf(record.partner(), record.home_region(), record.request_id()), record);
     m_impl = std::move(impl);
     return absl::OkStatus();
 }
 
 std::string LedgerState::dump() const
 {
+    const auto& outcomes = m_impl->outcomes;
     return boost::json::serialize(boost::json::object {
         { "claims", m_impl->claims.size() },
-        { "outcomes", m_impl->outcomes.size() },
-        { "last_outcome_index", m_impl->outcomes.empty() ? 0 : m_impl->outcomes.back().index() },
+        { "outcomes", outcomes.size() },
+        { "last_outcome_index", outcomes.size() == 0 ? 0 : outcomes.at(outcomes.size() - 1).index() },
     });
 }
 
--- a/test/ledger-state-test.cc
+++ b/test/ledger-state-test.cc
@@ -166,3 +166,34 @@
     CHECK_FALSE(other.state.restore("\xff\xff").ok());
     CHECK(other.state.snapshot() == ledger.state.snapshot());
 }
+
+// Guards against records that change or can not be found once the compact store has grown past its first block.
+TEST_CASE("ten thousand records keep every member", "[ledger]")
+{
+    constexpr int count = 10'000;
+    LedgerState state;
+    const auto recordOf = [](int i) {
+        auto item = outcomeOf("r" + std::to_string(i), static_cast<rpc::Outcome>(i % 3), i % 5);
+        auto& record = *item.mutable_outcome();
+        record.set_partner(i % 2 == 0 ? "duftwerk" : "restoration");
+        record.set_reason(i % 7 == 0 ? "QUEUE_FULL" : "");
+        record.set_worker("w" + std::to_string(i % 100));
+        record.set_job(i % 11 == 0);
+        return item;
+    };
+    for (int i = 0; i < count; ++i) {
+        log::LedgerBatch batch;
+        *batch.add_items() = recordOf(i);
+        state.apply(Index { static_cast<uint64_t>(i + 1) * 1'000 }, batch);
+    }
+    const auto all = state.outcomesAfter(Index {}, "", count + 1);
+    REQUIRE(all.results_size() == count);
+    for (int i = 0; i < count; ++i) {
+        auto expected = recordOf(i).outcome();
+        expected.set_index(static_cast<uint64_t>(i + 1) * 1'000);
+        const auto key = requestKey(expected.partner(), expected.home_region(), expected.request_id());
+        REQUIRE(all.results(i).outcome().SerializeAsString() == expected.SerializeAsString());
+        REQUIRE(state.find(key).outcome().SerializeAsString() == expected.SerializeAsString());
+    }
+    CHECK(state.outcomesAfter(Index { 5'000'000 }, "", 1).results(0).outcome().index() == 5'001'000);
+}
