--- a/src/peer/frame.cc
+++ b/src/peer/frame.cc
@@ -20,6 +20,7 @@
     constexpr size_t lengthOffset = 8;
     constexpr size_t checksumOffset = 12;
 
+    constexpr size_t maxKeptBuilder = 256U << 10U; // Bytes that each sending thread keeps.
     constexpr size_t maxTableDepth = 16; // The schema nests four tables.
     // A table takes at least 8 bytes: its offset in the parent and the offset of its vtable.
     constexpr size_t maxTables = maxFrameBody / 8;
@@ -67,21 +68,27 @@
 
 absl::StatusOr<std::string> encodeFrame(const wire::EnvelopeT& envelope)
 {
-    flatbuffers::FlatBufferBuilder builder;
+    // Kept between calls: growing a new buffer would copy a large message several times.
+    thread_local flatbuffers::FlatBufferBuilder builder;
+    builder.Clear();
     builder.Finish(wire::Envelope::Pack(builder, &envelope));
     const size_t size = builder.GetSize();
     if (size > maxFrameBody)
         return makeError({ absl::StatusCode::kResourceExhausted, Outcome::NotRun,
                              std::string(toString(FrameFault::TooLarge)), "encode frame", envelope.from },
             absl::StrCat("message body of ", size, " bytes exceeds the limit of ", maxFrameBody));
-    std::string frame(frameHeaderSize + size, '\0');
-    frameMagic.copy(frame.data(), frameMagic.size());
+    std::string frame;
+    frame.reserve(frameHeaderSize + size);
+    frame.append(frameMagic);
+    frame.resize(frameHeaderSize);
     frame[versionOffset] = static_cast<char>(protocolVersion);
     const auto length = static_cast<uint32_t>(size);
     std::memcpy(frame.data() + lengthOffset, &length, sizeof length);
     const uint64_t checksum = checksumOf(frame.data(), builder.GetBufferPointer(), size);
     std::memcpy(frame.data() + checksumOffset, &checksum, sizeof checksum);
-    std::memcpy(frame.data() + frameHeaderSize, builder.GetBufferPointer(), size);
+    frame.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
+    if (size > maxKeptBuilder)
+        builder.Reset();
     return frame;
 }
 
--- a/test/peer-frame-test.cc
+++ b/test/peer-frame-test.cc
@@ -4,6 +4,10 @@
 #include "turmericpier/base/error.h"
 
 #include <catch2/catch.hpp>
+#include <cstring>
+#include <random>
+#include <set>
+#include <xxhash.h>
 
 using namespace turmericpier;
 using namespace turmericpier::peer;
@@ -15,6 +19,60 @@
     REQUIRE(frame.ok());
     return *std::move(frame);
 }
+
+/// A frame with a right checksum around any bytes.
+std::string frameAround(const std::string& body)
+{
+    std::string frame = frameOf(numberedEnvelope(1)).substr(0, frameHeaderSize);
+    const auto length = static_cast<uint32_t>(body.size());
+    std::memcpy(frame.data() + 8, &length, sizeof length);
+    const uint64_t checksum = XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(frame.data(), 12));
+    std::memcpy(frame.data() + 12, &checksum, sizeof checksum);
+    return frame + body;
+}
+
+struct Decoded {
+    std::vector<wire::EnvelopeT> envelopes;
+    std::optional<FrameFault> fault;
+    absl::Status status;
+};
+
+Decoded decodeStream(const std::string& stream, size_t step)
+{
+    FrameDecoder decoder;
+    Decoded result;
+    for (size_t at = 0; at < stream.size(); at += step) {
+        decoder.append(std::string_view(stream).substr(at, step));
+        while (true) {
+            auto next = decoder.next();
+            if (!next.ok() || !*next)
+                break;
+            result.envelopes.push_back(*std::move(*next));
+        }
+    }
+    result.status = decoder.finish();
+    result.fault = decoder.fault();
+    return result;
+}
+
+/// Checks that only this fault is found, after `whole` envelopes, however the stream is cut.
+void checkFault(const std::string& stream, FrameFault fault, const std::string& part, size_t whole = 0)
+{
+    for (size_t step : { size_t { 1 }, size_t { 7 }, stream.size() }) {
+        const auto result = decodeStream(stream, step);
+        CHECK(result.envelopes.size() == whole);
+        REQUIRE(result.fault == fault);
+        CHECK(detailsOf(result.status).reason == toString(fault));
+        CHECK(detailsOf(result.status).step == "decode frame");
+        CHECK(std::string(result.status.message()).find(part) != std::string::npos);
+    }
+}
+
+std::string flipped(std::string frame, size_t at)
+{
+    frame[at] = static_cast<char>(frame[at] ^ 1);
+    return frame;
+}
 } // namespace
 
 // Guards against a decoder that depends on how the stream was cut into reads.
@@ -46,3 +104,122 @@
     CHECK(detailsOf(frame.status()).reason == "TOO_LARGE");
     CHECK(detailsOf(frame.status()).outcome == Outcome::NotRun);
 }
+
+// Guards against a damaged frame that is taken for a message, and against an error that does not name the reason.
+TEST_CASE("each kind of malformed frame has its own fault", "[peer]")
+{
+    const std::string good = frameOf(numberedEnvelope(1));
+    checkFault(good + flipped(good, 2), FrameFault::BadMagic, "magic", 1);
+    checkFault("GET /dump HTTP/1.1\r\n\r\n", FrameFault::BadMagic, "frame starts with 47");
+    checkFault("G", FrameFault::BadMagic, "47");
+    checkFault(good + flipped(good, 4), FrameFault::BadVersion, "protocol version 0, this process speaks 1", 1);
+    checkFault(good + flipped(good, 5), FrameFault::BadFlags, "must be 0", 1);
+    checkFault(good + flipped(good, 7), FrameFault::BadFlags, "must be 0", 1);
+    checkFault(good + flipped(good, 11), FrameFault::TooLarge, "exceeds the limit of 4194304", 1);
+    checkFault(good + flipped(good, 15), FrameFault::BadChecksum, "checksum", 1);
+    checkFault(good + flipped(good, good.size() - 1), FrameFault::BadChecksum, "checksum", 1);
+    checkFault(good + good.substr(0, 5), FrameFault::Truncated, "5 bytes into a frame", 1);
+    checkFault(good + good.substr(0, good.size() - 1), FrameFault::Truncated, "bytes into a frame", 1);
+}
+
+// Guards against a body with a right checksum that is read beyond its end or as another type.
+TEST_CASE("a body that is no envelope is refused", "[peer]")
+{
+    checkFault(frameAround(""), FrameFault::BadBody, "0 bytes");
+    checkFault(frameAround(std::string(64, '\xff')), FrameFault::BadBody, "64 bytes");
+    const auto withType = [](uint8_t type, bool withTable) {
+        flatbuffers::FlatBufferBuilder builder;
+        const auto table = wire::CreateForward(builder).Union();
+        wire::EnvelopeBuilder envelope(builder);
+        envelope.add_body_type(static_cast<wire::Body>(type));
+        if (withTable)
+            envelope.add_body(table);
+        builder.Finish(envelope.Finish());
+        return std::string(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    };
+    const auto forward = static_cast<uint8_t>(wire::Body::Forward);
+    CHECK(decodeStream(frameAround(withType(forward, true)), 1'000).status.ok());
+    checkFault(frameAround(withType(forward, false)), FrameFault::BadBody, "has no table");
+    checkFault(frameAround(withType(200, true)), FrameFault::BadBody, "body type 200");
+    checkFault(frameAround(withType(0, true)), FrameFault::BadBody, "body type 0");
+}
+
+// Guards against a decoder that goes on after a fault, where it may find a frame inside the body of another one.
+TEST_CASE("nothing is decoded after a fault", "[peer]")
+{
+    const std::string good = frameOf(numberedEnvelope(1));
+    FrameDecoder decoder;
+    decoder.append(flipped(good, 0));
+    const auto first = decoder.next().status();
+    decoder.append(good);
+    CHECK(decoder.next().status() == first);
+    CHECK(decoder.finish() == first);
+}
+
+// Guards against crashes and wrong messages on streams damaged by bit flips, cuts and splices.
+TEST_CASE("a damaged stream yields only messages that were sent", "[peer]")
+{
+    std::vector<std::string> frames;
+    std::set<std::string> sent;
+    for (uint64_t i = 0; i < 6; ++i) {
+        const auto envelope = i % 2 == 0 ? numberedEnvelope(i) : appendEnvelope(i, 40 * i);
+        frames.push_back(frameOf(envelope));
+        sent.insert(bytesOf(envelope));
+    }
+    std::mt19937_64 random(20'240'601);
+    const auto below = [&](size_t bound) { return static_cast<size_t>(random() % bound); };
+    size_t faults = 0;
+    size_t decoded = 0;
+    for (int round = 0; round < 20'000; ++round) {
+        std::string stream;
+        for (size_t n = 1 + below(5); n > 0; --n)
+            stream += frames[below(frames.size())];
+        for (size_t n = below(4); n > 0; --n) {
+            const size_t at = below(stream.size());
+            switch (below(4)) {
+            case 0:
+                stream[at] = static_cast<char>(stream[at] ^ (1 << below(8)));
+                break;
+            case 1:
+                stream.erase(at, 1 + below(40));
+                break;
+            case 2:
+                stream.insert(at, frames[below(frames.size())].substr(below(100)));
+                break;
+            default:
+                stream[at] = static_cast<char>(below(256));
+            }
+            if (stream.empty())
+                stream = "x";
+        }
+        const auto result = decodeStream(stream, 1 + below(stream.size()));
+        faults += result.fault ? 1 : 0;
+        decoded += result.envelopes.size();
+        for (const auto& envelope : result.envelopes)
+            REQUIRE(sent.contains(bytesOf(envelope)));
+    }
+    // The damage must neither be too rare nor so heavy that nothing is decoded.
+    CHECK(faults > 5'000);
+    CHECK(decoded > 20'000);
+}
+
+// Guards against reads outside the body when a faulty sender puts a right checksum on a damaged body.
+TEST_CASE("a damaged body with a right checksum never crashes the decoder", "[peer]")
+{
+    const std::string body = bytesOf(appendEnvelope(4, 30));
+    std::mt19937_64 random(7);
+    size_t accepted = 0;
+    for (int round = 0; round < 30'000; ++round) {
+        std::string damaged = body;
+        for (size_t n = 1 + random() % 3; n > 0; --n)
+            damaged[random() % damaged.size()] = static_cast<char>(random() % 256);
+        if (random() % 4 == 0)
+            damaged.resize(random() % damaged.size());
+        const auto result = decodeStream(frameAround(damaged), 10'000);
+        REQUIRE((!result.fault || result.fault == FrameFault::BadBody));
+        // Reads every member.
+        for (const auto& envelope : result.envelopes)
+            accepted += bytesOf(envelope).empty() ? 0 : 1;
+    }
+    CHECK(accepted > 1'000);
+}
--- a/test/peer-transport-test.cc
+++ b/test/peer-transport-test.cc
@@ -1,7 +1,12 @@
 #include "turmericpier/peer/transport.h"
 
 #include "peer-samples.h"
+#include "turmericpier/peer/frame.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
@@ -53,6 +58,22 @@
             return;
     }
 }
+
+/// Sends raw bytes over a connection of its own and waits for the node to close it.
+void sendRaw(const Address& address, const std::string& bytes, bool endsStream)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect({ boost::asio::ip::make_address(address.host), address.port });
+    boost::system::error_code ignored; // The node closes the connection at the first bad byte.
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    if (endsStream)
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    std::string rest;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(rest), ignored);
+    CHECK(rest.empty());
+}
 } // namespace
 
 // Guards against reordered, duplicated or mislabelled messages.
@@ -129,3 +150,70 @@
     REQUIRE_FALSE(status.ok());
     CHECK(std::string(status.message()).find(std::to_string(a.transport.port())) != std::string::npos);
 }
+
+// Guards against a malformed frame that goes unnoticed, stays connected or harms other connections.
+TEST_CASE("a malformed frame closes its connection and is counted by its reason", "[peer]")
+{
+    Node b("b");
+    Node a("a", { { InstanceId("b"), b.address() } });
+    sendUntilReceived(a, b, InstanceId("b"));
+    const std::string good = *encodeFrame(numberedEnvelope(7));
+    const auto flippedAt = [&](size_t at) {
+        std::string frame = good;
+        frame[at] = static_cast<char>(frame[at] ^ 1);
+        return frame;
+    };
+    sendRaw(b.address(), "GET / HTTP/1.1\r\n\r\n", false);
+    sendRaw(b.address(), flippedAt(4), false);
+    sendRaw(b.address(), flippedAt(6), false);
+    sendRaw(b.address(), flippedAt(11), false);
+    sendRaw(b.address(), flippedAt(good.size() - 1), false);
+    sendRaw(b.address(), good.substr(0, good.size() - 1), true);
+    for (const char* reason : { "bad_magic", "bad_version", "bad_flags", "too_large", "bad_checksum", "truncated" }) {
+        INFO(reason);
+        CHECK(b.metrics.counter(std::string("peer_frames_refused_") + reason + "_total").value() == 1);
+    }
+    CHECK(a.transport.send(InstanceId("b"), numberedEnvelope(99)));
+    std::unique_lock lock(b.mutex);
+    b.changed.wait(lock, [&] { return b.received.back().correlation == 99; });
+    for (const auto& envelope : b.received)
+        CHECK(envelope.from == "a");
+}
+
+// Guards against messages of an old connection that arrive after those of the new one.
+TEST_CASE("a newer connection of a sender replaces the older one", "[peer]")
+{
+    using boost::asio::ip::tcp;
+    Node b("b");
+    boost::asio::io_context io;
+    tcp::socket older(io);
+    tcp::socket newer(io);
+    for (auto* socket : { &older, &newer })
+        socket->connect({ boost::asio::ip::make_address("127.0.0.1"), b.transport.port() });
+    const auto send = [&](tcp::socket& socket, uint64_t number) {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(*encodeFrame(numberedEnvelope(number))), ignored);
+    };
+    send(older, 1);
+    b.waitFor(1);
+    send(newer, 2);
+    b.waitFor(2);
+    send(older, 3);
+    send(newer, 4);
+    b.waitFor(3);
+    CHECK(b.received[2].correlation == 4);
+    CHECK(b.metrics.counter("peer_connections_superseded_total").value() == 1);
+}
+
+// Guards against connections that use up the descriptors of the process.
+TEST_CASE("incoming connections over the limit are closed and counted", "[peer]")
+{
+    Metrics metrics;
+    Transport transport({ .self = InstanceId("b"), .listen = { "127.0.0.1", 0 }, .maxIncoming = 1 }, metrics);
+    REQUIRE(transport.start().ok());
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket first(io);
+    first.connect({ boost::asio::ip::make_address("127.0.0.1"), transport.port() });
+    sendRaw({ "127.0.0.1", transport.port() }, "", false);
+    CHECK(metrics.counter("peer_connections_over_limit_total").value() == 1);
+}
