Complete the request router

The first router scanned all workers for each dispatch and had no retry budget, no ejection, no admission estimate and no paid-link bound.

Workers are indexed by service, distance and load, waiting requests by deadline with their rank, and timers by time, so each input costs O(log n). Retries and the paid link draw on token buckets filled by requests. Ejected workers return after three probes; at most half of a service's workers are ejected. An attempt whose request ended keeps its slot until a query tells its end. A key that is submitted again while open joins its first ticket, so that one entry never runs it twice at once. A hedge queries the slow attempt first and starts another only if the worker has not seen it.

Additions to the interface, all defaulted: worker incarnations (NotSeen from a restarted worker proves nothing), mustClaim, ClaimedBefore for outcomes, claimAttempt, the key in QueryWorker, and answeredTicket in Reply.

--- a/include/turmericpier/routing/router.h
+++ b/include/turmericpier/routing/router.h
@@ -43,6 +43,8 @@
     RegionId region;
     bool leaving = false;
     std::vector<ServiceId> services;
+    Incarnation
+        incarnation; ///< Of the worker process; 0 if not known. NotSeen from another incarnation proves nothing.
 };
 
 struct ServiceInfo {
@@ -59,7 +61,16 @@
     uint32_t maxAttempts = 4;
     Duration backoffBase = std::chrono::milliseconds(10);
     Duration backoffMax = std::chrono::milliseconds(500);
-    std::function<bool(const Request&)> mayHedge; ///< Asked for repeatable requests alone; without it none is hedged.
+    /// Asked for repeatable requests alone; without it none is hedged. A request must not run on two workers at once,
+    /// so a hedge fences the slow attempt by a query first and starts another only if the worker has not seen it.
+    std::function<bool(const Request&)> mayHedge;
+    /// Asked for repeatable requests alone: true claims the request before dispatch, which also keeps two entries from
+    /// running it at once after a resend. Costs one ledger commit; without it repeatable requests are not claimed.
+    std::function<bool(const Request&)> mustClaim;
+    Duration resolveGrace = std::chrono::milliseconds(500); ///< After the deadline, to learn how an attempt ended.
+    uint32_t paidLinkPercent
+        = 10; ///< Share of a service's requests that may use the paid link while it has local workers.
+    uint32_t paidLinkOutagePercent = 50; ///< The same while it has no local worker.
 };
 
 /// Send the request to the worker.
@@ -69,6 +80,7 @@
     WorkerId worker;
     Epoch grantEpoch;
     Duration timeout;
+    Incarnation workerIncarnation; ///< The worker refuses the request if it is another incarnation; 0 for any.
 };
 
 /// Commit the claim of a non-repeatable request; its dispatch follows claimCommitted().
@@ -76,6 +88,7 @@
     Ticket ticket;
     uint32_t attempt = 0;
     WorkerId worker;
+    Incarnation workerIncarnation; ///< To be kept in the claim; 0 if not known.
 };
 
 /// Commit the outcome; the reply follows outcomeCommitted().
@@ -86,6 +99,9 @@
     WorkerId worker; ///< That ran or may have run it.
     uint32_t answeredAttempt = 0; ///< Whose answer counts; 0 for none.
     uint32_t attempts = 0;
+    /// Latest attempt that this entry claimed or saw the end of; 0 for none. The ledger answers ClaimedBefore, and
+    /// keeps nothing, if a claim of a later attempt stands: that attempt may be running elsewhere.
+    uint32_t claimAttempt = 0;
 };
 
 /// Ask the worker what became of the attempt, and fence the attempt if the worker has not seen it.
@@ -93,6 +109,7 @@
     Ticket ticket;
     uint32_t attempt = 0;
     WorkerId worker;
+    std::string key; ///< Of the request, because queries that free a slot go on after the reply.
 };
 
 /// Answer the caller and forget the ticket.
@@ -102,6 +119,9 @@
     WorkerId worker;
     uint32_t answeredAttempt = 0; ///< Whose answer to send; 0 for none.
     uint32_t attempts = 0;
+    /// The ticket of the attempt. It differs from `ticket` when a key is submitted again before its first ticket ends:
+    /// the later ticket waits for the first and is replied to before it.
+    Ticket answeredTicket;
 };
 
 using Action = std::variant<Dispatch, CommitClaim, CommitOutcome, QueryWorker, Reply>;
@@ -121,6 +141,7 @@
     uint32_t attempt = 0;
     Outcome outcome = Outcome::Unknown; ///< Of EndedBefore.
     std::string reason;
+    Incarnation workerIncarnation; ///< Of the standing claim; 0 if not known.
 };
 
 /// Result of CommitOutcome.
@@ -129,6 +150,7 @@
         Accepted,
         EndedBefore, ///< Another outcome stands.
         Failed,
+        ClaimedBefore, ///< Not kept: a claim of a later attempt stands.
     };
     Code code = Code::Failed;
     Outcome outcome = Outcome::Unknown; ///< Of EndedBefore.
@@ -177,7 +199,8 @@
     Actions claimCommitted(Ticket ticket, uint32_t attempt, const ClaimResult& result, TimePoint now);
     Actions answered(Ticket ticket, uint32_t attempt, TimePoint now);
     Actions failed(Ticket ticket, uint32_t attempt, const AttemptFailure& failure, TimePoint now);
-    Actions queried(Ticket ticket, uint32_t attempt, QueryState state, TimePoint now);
+    /// `incarnation` is that of the worker process that answered; 0 if not known.
+    Actions queried(Ticket ticket, uint32_t attempt, QueryState state, TimePoint now, Incarnation incarnation = {});
     Actions outcomeCommitted(Ticket ticket, const OutcomeResult& result, TimePoint now);
     /// The caller went away: nothing further is dispatched, but what ran is still counted.
     Actions cancelled(Ticket ticket, TimePoint now);
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -1,426 +1,397 @@
 #include "turmericpier/routing/router.h"
 
-#include <absl/container/btree_map.h>
-#include <absl/container/btree_set.h>
-#include <absl/container/flat_hash_map.h>
-#include <algorithm>
+#include "routing/router-impl.h"
+
 #include <boost/json.hpp>
-#include <map>
-#include <set>
 
 namespace turmericpier::routing {
 
 namespace {
 
-    constexpr Duration queryInterval = std::chrono::milliseconds(50); // Between two queries of one attempt.
-
-    enum class Stage { Queued, Claiming, Running, Querying, Backoff, Committing };
-
-    struct Entry {
-        Request request;
-        Stage stage = Stage::Queued;
-        bool cancelled = false;
-        uint32_t attempt = 0; ///< Number of the latest attempt.
-        uint32_t dispatched = 0;
-        WorkerId worker;
-        Epoch epoch;
-        bool holdsSlot = false;
-        bool foreign = false; ///< The attempt queried is another entry's claim.
-        TimePoint wake; ///< Next query, resend or retry.
-        CommitOutcome commit;
-    };
-
-    struct Slots {
-        Grant grant;
-        uint32_t inUse = 0;
-    };
-
-} // namespace
+    constexpr Duration firstCommitResend = std::chrono::milliseconds(20);
+    constexpr Duration lastCommitResend = std::chrono::milliseconds(500);
+    constexpr Duration lastOrphanQuery = std::chrono::seconds(5);
+    // A worker that is listed again within this time finds its slots still in use.
+    constexpr Duration goneWorkerMemory = std::chrono::minutes(10);
+    constexpr size_t maxFollowers = 16; // Resends of one key that wait for its first ticket.
+    constexpr Duration rateWindow = std::chrono::seconds(1);
 
-struct Router::Impl {
-    RouterOptions options;
-    std::map<ServiceId, ServiceInfo> services;
-    std::map<WorkerId, WorkerInfo> workers;
-    std::map<WorkerId, Slots> slots;
-    absl::flat_hash_map<Ticket, Entry> entries;
-    absl::btree_map<ServiceId, absl::btree_set<std::pair<TimePoint, Ticket>>> queues;
-    /// Attempts whose end is not known hold their slot after the request itself is gone.
-    absl::btree_map<std::pair<Ticket, uint32_t>, WorkerId> orphans;
-    bool draining = false;
-    Actions actions;
-
-    Actions take() { return std::exchange(actions, {}); }
-
-    void finish(Ticket ticket, Entry& entry, Outcome outcome, std::string reason, uint32_t answeredAttempt)
-    {
-        queues[entry.request.service].erase({ entry.request.deadline, ticket });
-        if (entry.holdsSlot && outcome == Outcome::Unknown) {
-            orphans[{ ticket, entry.attempt }] = entry.worker;
-            entry.holdsSlot = false;
-        }
-        entry.stage = Stage::Committing;
-        entry.commit = CommitOutcome { ticket, outcome, std::move(reason),
-            outcome == Outcome::NotRun ? WorkerId() : entry.worker, answeredAttempt, entry.dispatched };
-        actions.emplace_back(entry.commit);
-    }
+    bool differ(Incarnation a, Incarnation b) { return a.value != 0 && b.value != 0 && a != b; }
 
-    void release(Entry& entry)
+    /// True if the process that took the orphan cannot run it any more, or has been gone for long.
+    bool isEnded(const Orphan& orphan, TimePoint now)
     {
-        if (entry.holdsSlot)
-            --slots[entry.worker].inUse;
-        entry.holdsSlot = false;
+        const Worker& worker = *orphan.hold.worker;
+        return differ(worker.info.incarnation, orphan.hold.incarnation)
+            || (!worker.listed && worker.grant.expires <= now && now - orphan.since >= goneWorkerMemory);
     }
 
-    void enqueue(Ticket ticket, Entry& entry)
-    {
-        entry.stage = Stage::Queued;
-        queues[entry.request.service].insert({ entry.request.deadline, ticket });
-    }
+} // namespace
 
-    int distance(const WorkerInfo& worker) const
-    {
-        return worker.dataCentre == options.dataCentre ? 0 : worker.region == options.region ? 1 : 2;
-    }
+Call* Router::Impl::find(Ticket ticket)
+{
+    const auto found = calls.find(ticket);
+    return found == calls.end() ? nullptr : &found->second;
+}
 
-    const WorkerInfo* pick(const Entry& entry, TimePoint now)
-    {
-        const WorkerInfo* best = nullptr;
-        std::tuple<bool, int, uint32_t> bestRank;
-        for (const auto& [id, worker] : workers) {
-            const auto found = slots.find(id);
-            if (worker.leaving || found == slots.end() || found->second.grant.expires <= now
-                || found->second.inUse >= found->second.grant.slots)
-                continue;
-            if (std::find(worker.services.begin(), worker.services.end(), entry.request.service)
-                == worker.services.end())
-                continue;
-            const std::tuple rank(id == entry.worker, distance(worker), found->second.inUse);
-            if (best == nullptr || rank < bestRank) {
-                best = &worker;
-                bestRank = rank;
-            }
-        }
-        return best;
-    }
+/// The call of `ticket` if `attempt` is its current one and is with a worker.
+Call* Router::Impl::current(Ticket ticket, uint32_t attempt)
+{
+    Call* call = find(ticket);
+    if (call == nullptr || call->attempt != attempt)
+        return nullptr;
+    return call->stage == Stage::Running || call->stage == Stage::Querying ? call : nullptr;
+}
 
-    void dispatch(Ticket ticket, Entry& entry, TimePoint now)
-    {
-        entry.stage = Stage::Running;
-        ++entry.dispatched;
-        entry.epoch = slots[entry.worker].grant.epoch;
-        actions.emplace_back(
-            Dispatch { ticket, entry.attempt, entry.worker, entry.epoch, entry.request.deadline - now });
-    }
+Actions Router::Impl::take(TimePoint now)
+{
+    pump(now);
+    return std::exchange(actions, {});
+}
 
-    void pump(TimePoint now)
-    {
-        for (auto& [service, queue] : queues) {
-            while (!queue.empty()) {
-                const Ticket ticket = queue.begin()->second;
-                Entry& entry = entries.at(ticket);
-                const WorkerInfo* worker = pick(entry, now);
-                if (worker == nullptr)
-                    break;
-                queue.erase(queue.begin());
-                entry.worker = worker->worker;
-                ++entry.attempt;
-                ++slots[entry.worker].inUse;
-                entry.holdsSlot = true;
-                if (entry.request.nonRepeatable) {
-                    entry.stage = Stage::Claiming;
-                    actions.emplace_back(CommitClaim { ticket, entry.attempt, entry.worker });
-                } else {
-                    dispatch(ticket, entry, now);
-                }
-            }
-        }
-    }
+void Router::Impl::recordResult(Call& call, bool failed, TimePoint now)
+{
+    if (call.foreign || std::exchange(call.resultRecorded, true))
+        return;
+    table.record(call.hold, *call.service, failed, now);
+}
 
-    void query(Ticket ticket, Entry& entry, TimePoint now)
-    {
-        entry.stage = Stage::Querying;
-        entry.wake = now + queryInterval;
-        actions.emplace_back(QueryWorker { ticket, entry.attempt, entry.worker });
+/// A key that is open or may still be running is not started again: it could run on two workers at once.
+bool Router::Impl::join(Ticket ticket, const Request& request)
+{
+    const auto [found, isNew] = openKeys.try_emplace(request.key, ticket);
+    if (isNew)
+        return false;
+    ++counters.joined;
+    Call* call = find(found->second);
+    if (call != nullptr && call->followers.size() < maxFollowers) {
+        call->followers.push_back(ticket);
+        call->cancelled = false; // The new caller waits for it.
+    } else {
+        replyTo(ticket, Outcome::Unknown, call == nullptr ? "ENDED_BEFORE" : "TOO_MANY_RESENDS");
     }
+    return true;
+}
 
-    /// The attempt is proved not to have run: tries again or ends with NOT_RUN.
-    void notRun(Ticket ticket, Entry& entry, const std::string& reason, TimePoint now)
-    {
-        release(entry);
-        entry.foreign = false;
-        if (entry.cancelled || now >= entry.request.deadline || entry.dispatched >= options.maxAttempts) {
-            finish(ticket, entry, Outcome::NotRun, reason, 0);
-            return;
-        }
-        entry.stage = Stage::Backoff;
-        entry.wake = now
-            + std::min<Duration>(options.backoffMax, options.backoffBase * (1LL << std::min(entry.dispatched, 10U)));
+void Router::Impl::claimResult(Call& call, const ClaimResult& result, TimePoint now)
+{
+    switch (result.code) {
+    case ClaimResult::Code::Accepted:
+        call.claimAttempt = call.attempt;
+        if (call.cancelled || now >= call.request.deadline)
+            return endWithoutRun(call, call.cancelled ? "CANCELLED" : "DEADLINE_EXCEEDED", now);
+        if (call.hold.worker != nullptr && table.mayUse(call.hold, now))
+            return dispatch(call, now);
+        table.release(call.hold, now); // Never dispatched: another worker needs a new claim.
+        return enqueue(call, now);
+    case ClaimResult::Code::ClaimedBefore:
+        table.release(call.hold, now);
+        call.attempt = result.attempt;
+        call.target = result.worker;
+        call.targetIncarnation = result.workerIncarnation;
+        call.foreign = true;
+        return query(call, now);
+    case ClaimResult::Code::EndedBefore:
+        table.release(call.hold, now);
+        call.target = result.worker;
+        if (result.outcome != Outcome::Ran || result.attempt == 0 || call.cancelled || now >= call.request.deadline)
+            return reply(call, result.outcome, result.reason.empty() ? "ENDED_BEFORE" : result.reason, 0, now);
+        call.attempt = result.attempt;
+        call.targetIncarnation = result.workerIncarnation;
+        call.foreign = call.standing = true;
+        return query(call, now);
+    case ClaimResult::Code::Failed:
+        call.interval
+            = call.interval.count() == 0 ? firstCommitResend : std::min<Duration>(lastCommitResend, call.interval * 2);
+        return setTimer(call, now + call.interval);
+    case ClaimResult::Code::Refused:
+        return endWithoutRun(call, "CLAIM_REFUSED", now);
     }
+}
 
-    void ran(Ticket ticket, Entry& entry, uint32_t attempt)
-    {
-        release(entry);
-        finish(ticket, entry, Outcome::Ran, {}, attempt);
-    }
+void Router::Impl::attemptFailed(Call& call, const AttemptFailure& failure, TimePoint now)
+{
+    recordResult(call, true, now);
+    if (failure.outcome == Outcome::NotRun)
+        return retry(call, failure.reason.empty() ? "REFUSED" : failure.reason, now);
+    call.ranProved = call.ranProved || failure.outcome == Outcome::Ran;
+    if (call.stage == Stage::Running)
+        query(call, now);
+}
 
-    /// Frees the slot of an attempt whose request has already been answered.
-    void releaseOrphan(Ticket ticket, uint32_t attempt)
-    {
-        const auto found = orphans.find({ ticket, attempt });
-        if (found == orphans.end())
-            return;
-        --slots[found->second].inUse;
-        orphans.erase(found);
+void Router::Impl::queryResult(Call& call, QueryState state, Incarnation incarnation, TimePoint now)
+{
+    switch (state) {
+    case QueryState::Running:
+    case QueryState::Unreachable:
+        return; // The timer asks again.
+    case QueryState::Done:
+        recordResult(call, false, now);
+        if (call.standing)
+            return reply(call, Outcome::Ran, {}, call.attempt, now);
+        call.claimAttempt = call.claims ? call.attempt : 0;
+        return finish(call, Outcome::Ran, {}, call.attempt, now);
+    case QueryState::NotSeen:
+        recordResult(call, true, now);
+        if (call.standing)
+            return reply(call, Outcome::Ran, "ANSWER_LOST", 0, now);
+        if (call.ranProved)
+            return finish(call, Outcome::Ran, "ANSWER_LOST", 0, now);
+        if (!differ(call.targetIncarnation, incarnation))
+            return fenced(call, now);
+        // The process that may have run it is gone with its memory: it does not run any more, but may have.
+        call.mayHaveRun = true;
+        table.release(call.hold, now);
+        if (call.request.nonRepeatable)
+            return finish(call, Outcome::Unknown, "WORKER_RESTARTED", 0, now);
+        return fenced(call, now);
     }
+}
 
-    /// The request of `ticket` if `attempt` is its current one and still open.
-    Entry* current(Ticket ticket, uint32_t attempt)
-    {
-        const auto found = entries.find(ticket);
-        if (found == entries.end() || found->second.attempt != attempt)
-            return nullptr;
-        return found->second.stage == Stage::Running || found->second.stage == Stage::Querying ? &found->second
-                                                                                               : nullptr;
+void Router::Impl::wake(Call& call, TimePoint now)
+{
+    const bool late = now >= call.request.deadline;
+    switch (call.stage) {
+    case Stage::New:
+        return;
+    case Stage::Queued:
+        return endWithoutRun(call, "DEADLINE_EXCEEDED", now);
+    case Stage::Backoff:
+        return late ? endWithoutRun(call, "DEADLINE_EXCEEDED", now) : enqueue(call, now);
+    case Stage::Claiming:
+        if (late) // Never dispatched; the claim itself must still be decided before NOT_RUN is proved.
+            table.release(call.hold, now);
+        return sendClaim(call, now);
+    case Stage::Running:
+        if (!late)
+            return hedge(call, now);
+        recordResult(call, true, now);
+        return query(call, now);
+    case Stage::Querying:
+        if (now < call.queryLimit)
+            return query(call, now);
+        if (call.standing)
+            return reply(call, Outcome::Ran, "ANSWER_LOST", 0, now);
+        return finish(call, call.ranProved ? Outcome::Ran : Outcome::Unknown,
+            call.ranProved ? "ANSWER_LOST" : "DEADLINE_EXCEEDED", 0, now);
+    case Stage::Committing:
+        actions.emplace_back(call.commit);
+        return setTimer(call, now + commitSilence);
     }
+}
 
-    void deadlinePassed(Ticket ticket, Entry& entry, TimePoint now)
-    {
-        switch (entry.stage) {
-        case Stage::Queued:
-        case Stage::Backoff:
-            finish(ticket, entry, Outcome::NotRun, "DEADLINE_EXCEEDED", 0);
-            break;
-        case Stage::Running:
-            query(ticket, entry, now);
-            break;
-        case Stage::Querying:
-            finish(ticket, entry, Outcome::Unknown, "DEADLINE_EXCEEDED", 0);
-            break;
-        case Stage::Claiming:
-        case Stage::Committing:
-            break; // The ledger's answer decides.
-        }
-    }
+void Router::Impl::wakeOrphan(std::pair<Ticket, uint32_t> id, TimePoint now)
+{
+    const auto found = orphans.find(id);
+    if (found == orphans.end())
+        return;
+    Orphan& orphan = found->second;
+    if (isEnded(orphan, now))
+        return releaseOrphan(id.first, id.second, now);
+    ++counters.queried;
+    actions.emplace_back(QueryWorker { id.first, id.second, orphan.worker, orphan.key });
+    orphan.interval = std::min<Duration>(lastOrphanQuery, orphan.interval * 2);
+    setOrphanTimer(id, orphan, now + orphan.interval);
+}
 
-    void wake(Ticket ticket, Entry& entry, TimePoint now)
-    {
-        if (entry.stage == Stage::Backoff)
-            enqueue(ticket, entry);
-        else if (entry.stage == Stage::Querying)
-            query(ticket, entry, now);
-    }
-};
+void Router::Impl::rollRates(TimePoint now)
+{
+    if (now - rateSince < rateWindow)
+        return;
+    const double seconds = std::chrono::duration<double>(now - rateSince).count();
+    for (const auto& [id, service] : table.services())
+        service->arrivalsPerSecond = uint32_t(std::exchange(service->arrivals, 0) / seconds);
+    rateSince = now;
+}
 
 Router::Router(RouterOptions options)
-    : m_impl(std::make_unique<Impl>())
+    : m_impl(std::make_unique<Impl>(std::move(options)))
 {
-    m_impl->options = std::move(options);
 }
 
 Router::~Router() = default;
 
-void Router::setServices(std::vector<ServiceInfo> services)
-{
-    m_impl->services.clear();
-    for (ServiceInfo& service : services)
-        m_impl->services[service.service] = std::move(service);
-}
+void Router::setServices(std::vector<ServiceInfo> services) { m_impl->table.setServices(std::move(services)); }
 
 Actions Router::setWorkers(std::vector<WorkerInfo> workers, TimePoint now)
 {
-    m_impl->workers.clear();
-    for (WorkerInfo& worker : workers)
-        m_impl->workers[worker.worker] = std::move(worker);
-    m_impl->pump(now);
-    return m_impl->take();
+    m_impl->table.setWorkers(std::move(workers), now);
+    return m_impl->take(now);
 }
 
 Actions Router::setGrants(std::vector<Grant> grants, TimePoint now)
 {
-    for (auto& [worker, slots] : m_impl->slots)
-        slots.grant = Grant { worker };
-    for (Grant& grant : grants)
-        m_impl->slots[WorkerId(grant.worker)].grant = std::move(grant);
-    m_impl->pump(now);
-    return m_impl->take();
+    m_impl->table.setGrants(std::move(grants), now);
+    return m_impl->take(now);
 }
 
 Actions Router::submit(Ticket ticket, Request request, TimePoint now)
 {
-    Entry& entry = m_impl->entries[ticket];
-    entry.request = std::move(request);
-    const auto service = m_impl->services.find(entry.request.service);
-    if (service == m_impl->services.end())
-        m_impl->finish(ticket, entry, Outcome::NotRun, "UNKNOWN_SERVICE", 0);
-    else if (m_impl->draining)
-        m_impl->finish(ticket, entry, Outcome::NotRun, "DRAINING", 0);
-    else if (now >= entry.request.deadline)
-        m_impl->finish(ticket, entry, Outcome::NotRun, "DEADLINE_EXCEEDED", 0);
-    else if (m_impl->queues[entry.request.service].size() >= service->second.queueLimit)
-        m_impl->finish(ticket, entry, Outcome::NotRun, "QUEUE_FULL", 0);
-    else
-        m_impl->enqueue(ticket, entry);
-    m_impl->pump(now);
-    return m_impl->take();
+    ++m_impl->counters.submitted;
+    if (m_impl->join(ticket, request))
+        return m_impl->take(now);
+    Call& call = m_impl->calls[ticket];
+    Service* service = m_impl->table.findService(request.service);
+    call.service = service == nullptr ? &m_impl->unknownService : service;
+    call.ticket = ticket;
+    call.request = std::move(request);
+    call.claims = call.request.nonRepeatable || (m_impl->options.mustClaim && m_impl->options.mustClaim(call.request));
+    ++call.service->arrivals;
+    m_impl->admit(call, now);
+    return m_impl->take(now);
 }
 
 Actions Router::claimCommitted(Ticket ticket, uint32_t attempt, const ClaimResult& result, TimePoint now)
 {
-    const auto found = m_impl->entries.find(ticket);
-    if (found == m_impl->entries.end() || found->second.stage != Stage::Claiming || found->second.attempt != attempt)
-        return {};
-    Entry& entry = found->second;
-    switch (result.code) {
-    case ClaimResult::Code::Accepted:
-        if (entry.cancelled || now >= entry.request.deadline
-            || now >= m_impl->slots[entry.worker].grant.expires) // Proved: never dispatched.
-            m_impl->notRun(ticket, entry, "CANCELLED", now);
-        else
-            m_impl->dispatch(ticket, entry, now);
-        break;
-    case ClaimResult::Code::ClaimedBefore:
-        m_impl->release(entry);
-        entry.worker = result.worker;
-        entry.attempt = result.attempt;
-        entry.foreign = true;
-        m_impl->query(ticket, entry, now);
-        break;
-    case ClaimResult::Code::EndedBefore:
-        m_impl->release(entry);
-        entry.worker = result.worker;
-        m_impl->finish(ticket, entry, result.outcome, "ENDED_BEFORE", 0);
-        break;
-    case ClaimResult::Code::Failed:
-        m_impl->actions.emplace_back(CommitClaim { ticket, entry.attempt, entry.worker });
-        break;
-    case ClaimResult::Code::Refused:
-        m_impl->release(entry);
-        m_impl->finish(ticket, entry, Outcome::NotRun, "CLAIM_REFUSED", 0);
-        break;
-    }
-    m_impl->pump(now);
-    return m_impl->take();
+    Call* call = m_impl->find(ticket);
+    if (call != nullptr && call->stage == Stage::Claiming && call->attempt == attempt)
+        m_impl->claimResult(*call, result, now);
+    else
+        ++m_impl->counters.ignored;
+    return m_impl->take(now);
 }
 
 Actions Router::answered(Ticket ticket, uint32_t attempt, TimePoint now)
 {
-    if (Entry* entry = m_impl->current(ticket, attempt))
-        m_impl->ran(ticket, *entry, attempt);
-    else
-        m_impl->releaseOrphan(ticket, attempt);
-    m_impl->pump(now);
-    return m_impl->take();
+    Call* call = m_impl->current(ticket, attempt);
+    if (call == nullptr || call->foreign) {
+        m_impl->releaseOrphan(ticket, attempt, now);
+        return m_impl->take(now);
+    }
+    call->service->observe(now - call->dispatchedAt);
+    m_impl->recordResult(*call, false, now);
+    call->claimAttempt = call->claims ? attempt : 0;
+    m_impl->finish(*call, Outcome::Ran, {}, attempt, now);
+    return m_impl->take(now);
 }
 
 Actions Router::failed(Ticket ticket, uint32_t attempt, const AttemptFailure& failure, TimePoint now)
 {
-    if (Entry* entry = m_impl->current(ticket, attempt)) {
-        if (failure.outcome == Outcome::NotRun)
-            m_impl->notRun(ticket, *entry, failure.reason, now);
-        else if (failure.outcome == Outcome::Ran)
-            m_impl->ran(ticket, *entry, 0);
-        else
-            m_impl->query(ticket, *entry, now);
-    } else if (failure.outcome != Outcome::Unknown) {
-        m_impl->releaseOrphan(ticket, attempt);
-    }
-    m_impl->pump(now);
-    return m_impl->take();
+    Call* call = m_impl->current(ticket, attempt);
+    if (call != nullptr && !call->foreign)
+        m_impl->attemptFailed(*call, failure, now);
+    else if (failure.outcome != Outcome::Unknown)
+        m_impl->releaseOrphan(ticket, attempt, now);
+    return m_impl->take(now);
 }
 
-Actions Router::queried(Ticket ticket, uint32_t attempt, QueryState state, TimePoint now)
+Actions Router::queried(Ticket ticket, uint32_t attempt, QueryState state, TimePoint now, Incarnation incarnation)
 {
-    if (Entry* entry = m_impl->current(ticket, attempt)) {
-        if (state == QueryState::NotSeen)
-            m_impl->notRun(ticket, *entry, "FENCED", now);
-        else if (state == QueryState::Done)
-            m_impl->ran(ticket, *entry, attempt);
-    } else if (state == QueryState::NotSeen || state == QueryState::Done) {
-        m_impl->releaseOrphan(ticket, attempt);
-    }
-    m_impl->pump(now);
-    return m_impl->take();
+    if (Call* call = m_impl->current(ticket, attempt))
+        m_impl->queryResult(*call, state, incarnation, now);
+    else if (state == QueryState::NotSeen || state == QueryState::Done)
+        m_impl->releaseOrphan(ticket, attempt, now);
+    return m_impl->take(now);
 }
 
-Actions Router::outcomeCommitted(Ticket ticket, const OutcomeResult& result, TimePoint)
+Actions Router::outcomeCommitted(Ticket ticket, const OutcomeResult& result, TimePoint now)
 {
-    const auto found = m_impl->entries.find(ticket);
-    if (found == m_impl->entries.end() || found->second.stage != Stage::Committing)
-        return {};
-    const CommitOutcome& commit = found->second.commit;
-    if (result.code == OutcomeResult::Code::Failed)
-        return { commit };
-    const bool other = result.code == OutcomeResult::Code::EndedBefore && result.outcome != commit.outcome;
-    const Outcome outcome = other ? result.outcome : commit.outcome;
-    absl::Status status;
-    if (outcome != Outcome::Ran || commit.answeredAttempt == 0)
-        status = makeError({ outcome == Outcome::NotRun ? absl::StatusCode::kUnavailable : absl::StatusCode::kUnknown,
-                               outcome, other ? result.reason : commit.reason, "route", commit.worker.str() },
-            "request ended without an answer: " + std::string(toString(outcome)));
-    Reply reply { ticket, status, commit.worker, status.ok() ? commit.answeredAttempt : 0, commit.attempts };
-    m_impl->entries.erase(found);
-    return { reply };
+    Call* call = m_impl->find(ticket);
+    if (call == nullptr || call->stage != Stage::Committing)
+        return m_impl->take(now);
+    const CommitOutcome& own = call->commit;
+    switch (result.code) {
+    case OutcomeResult::Code::Accepted:
+        m_impl->reply(*call, own.outcome, own.reason, own.answeredAttempt, now);
+        break;
+    case OutcomeResult::Code::EndedBefore:
+        if (result.outcome == own.outcome)
+            m_impl->reply(*call, own.outcome, own.reason, own.answeredAttempt, now);
+        else
+            m_impl->reply(*call, result.outcome, result.reason.empty() ? "ENDED_BEFORE" : result.reason, 0, now);
+        break;
+    case OutcomeResult::Code::ClaimedBefore:
+        m_impl->reply(*call, Outcome::Unknown, "CLAIMED_ELSEWHERE", 0, now);
+        break;
+    case OutcomeResult::Code::Failed:
+        call->interval = call->interval.count() == 0 ? firstCommitResend
+                                                     : std::min<Duration>(lastCommitResend, call->interval * 2);
+        m_impl->setTimer(*call, now + call->interval);
+        break;
+    }
+    return m_impl->take(now);
 }
 
 Actions Router::cancelled(Ticket ticket, TimePoint now)
 {
-    const auto found = m_impl->entries.find(ticket);
-    if (found != m_impl->entries.end()) {
-        found->second.cancelled = true;
-        if (found->second.stage == Stage::Queued || found->second.stage == Stage::Backoff)
-            m_impl->finish(ticket, found->second, Outcome::NotRun, "CANCELLED", 0);
-    }
-    m_impl->pump(now);
-    return m_impl->take();
+    Call* call = m_impl->find(ticket);
+    if (call == nullptr || !call->followers.empty()) // Another caller waits for the same key.
+        return m_impl->take(now);
+    call->cancelled = true;
+    if (call->stage == Stage::Queued || call->stage == Stage::Backoff)
+        m_impl->endWithoutRun(*call, "CANCELLED", now);
+    else if (call->stage == Stage::Claiming)
+        m_impl->table.release(call->hold, now);
+    return m_impl->take(now);
 }
 
 Actions Router::tick(TimePoint now)
 {
-    for (auto& [ticket, entry] : m_impl->entries) {
-        const bool late = now >= entry.request.deadline;
-        if (late && (entry.stage != Stage::Querying || now >= entry.wake))
-            m_impl->deadlinePassed(ticket, entry, now);
-        else if (!late && now >= entry.wake)
-            m_impl->wake(ticket, entry, now);
+    auto& timers = m_impl->timers;
+    while (!timers.empty() && std::get<TimePoint>(*timers.begin()) <= now) {
+        const auto [when, ticket, attempt] = *timers.begin();
+        timers.erase(timers.begin());
+        Call* call = attempt == 0 ? m_impl->find(ticket) : nullptr;
+        if (call != nullptr) {
+            call->timer = TimePoint();
+            m_impl->wake(*call, now);
+        } else if (attempt != 0) {
+            m_impl->wakeOrphan({ ticket, attempt }, now);
+        }
     }
-    m_impl->pump(now);
-    return m_impl->take();
+    if (now >= m_impl->nextSweep) {
+        m_impl->nextSweep = now + WorkerTable::sweepInterval;
+        m_impl->table.sweep(now);
+        m_impl->rollRates(now);
+    }
+    return m_impl->take(now);
 }
 
 void Router::beginDrain() { m_impl->draining = true; }
 
-bool Router::isIdle() const { return m_impl->entries.empty(); }
+bool Router::isIdle() const { return m_impl->calls.empty(); }
 
 std::vector<ServiceDemand> Router::demand() const
 {
-    std::map<ServiceId, ServiceDemand> byService;
-    for (const auto& [ticket, entry] : m_impl->entries) {
-        ServiceDemand& demand = byService[entry.request.service];
-        demand.service = entry.request.service;
-        demand.waiting += entry.stage == Stage::Queued ? 1 : 0;
-        demand.running += entry.holdsSlot ? 1 : 0;
-    }
     std::vector<ServiceDemand> result;
-    result.reserve(byService.size());
-    for (auto& [service, demand] : byService)
-        result.push_back(std::move(demand));
+    result.reserve(m_impl->table.services().size());
+    for (const auto& [id, service] : m_impl->table.services())
+        if (service->listed)
+            result.push_back({ id, uint32_t(service->queue.size()) + service->backingOff, service->running,
+                service->arrivalsPerSecond });
     return result;
 }
 
 std::vector<GrantUse> Router::grantUse() const
 {
     std::vector<GrantUse> result;
-    for (const auto& [worker, slots] : m_impl->slots)
-        result.push_back({ worker, slots.grant.epoch, slots.inUse });
+    for (const auto& [id, worker] : m_impl->table.workers()) {
+        bool currentSeen = false;
+        for (const auto& [epoch, inUse] : worker->byEpoch) {
+            result.push_back({ id, epoch, inUse });
+            currentSeen = currentSeen || epoch == worker->grant.epoch;
+        }
+        if (!currentSeen && worker->grant.slots > 0)
+            result.push_back({ id, worker->grant.epoch, 0 });
+    }
     return result;
 }
 
 std::string Router::dump() const
 {
-    boost::json::object object;
-    object["requests"] = m_impl->entries.size();
-    object["workers"] = m_impl->workers.size();
-    object["draining"] = m_impl->draining;
+    const RouterCounters& counters = m_impl->counters;
+    boost::json::object services;
+    for (const auto& [id, service] : m_impl->table.services()) {
+        services[id.str()] = { { "waiting", service->queue.size() }, { "backingOff", service->backingOff },
+            { "running", service->running }, { "workers", service->memberCount() },
+            { "ejected", service->ejected.size() }, { "serviceTimeUs", service->serviceTime.count() / 1'000 },
+            { "retryTokens", service->retries.tokens() }, { "paidLinkTokens", service->paidLink.tokens() } };
+    }
+    const boost::json::object object { { "draining", m_impl->draining }, { "requests", m_impl->calls.size() },
+        { "orphans", m_impl->orphans.size() }, { "submitted", counters.submitted }, { "refused", counters.refused },
+        { "dispatched", counters.dispatched }, { "retried", counters.retried }, { "queried", counters.queried },
+        { "unknown", counters.unknown }, { "ignored", counters.ignored }, { "joined", counters.joined },
+        { "services", services } };
     return boost::json::serialize(object);
 }
 
