Add the fault matrix of the request path

Faults in pairs decide whether a request runs twice or is reported NOT_RUN falsely, and unit tests of single rules do not reach them.

Small fakes of worker, ledger and callers surround two routers on simulated time; each fault is injected at each step alone, twice and in pairs. The matrix found that a claim refused on resending was taken as never committed although an earlier sending was; such a claim is now sent again.

--- a/src/routing/router-flow.cc
+++ b/src/routing/router-flow.cc
@@ -130,6 +130,7 @@
     if (!call.claims)
         return dispatch(call, now);
     setStage(call, Stage::Claiming);
+    call.claimInDoubt = false;
     sendClaim(call, now);
 }
 
--- a/src/routing/router-impl.h
+++ b/src/routing/router-impl.h
@@ -35,6 +35,7 @@
     bool standing = false; ///< The ledger has an outcome; only its answer is fetched.
     bool resultRecorded = false; ///< Of the current attempt, for ejection.
     bool hedged = false; ///< A retry token is set aside for the current attempt.
+    bool claimInDoubt = false; ///< An earlier sending of the current claim has no result.
     uint32_t attempt = 0; ///< Number of the current attempt.
     uint32_t claimAttempt = 0;
     uint32_t dispatches = 0;
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -100,12 +100,15 @@
         call.targetIncarnation = result.workerIncarnation;
         call.foreign = call.standing = true;
         return query(call, now);
+    case ClaimResult::Code::Refused:
+        if (!call.claimInDoubt)
+            return endWithoutRun(call, "CLAIM_REFUSED", now);
+        [[fallthrough]]; // Only this sending is proved not to be committed; an earlier one may be.
     case ClaimResult::Code::Failed:
+        call.claimInDoubt = true;
         call.interval
             = call.interval.count() == 0 ? firstCommitResend : std::min<Duration>(lastCommitResend, call.interval * 2);
         return setTimer(call, now + call.interval);
-    case ClaimResult::Code::Refused:
-        return endWithoutRun(call, "CLAIM_REFUSED", now);
     }
 }
 
@@ -161,6 +164,7 @@
     case Stage::Claiming:
         if (late) // Never dispatched; the claim itself must still be decided before NOT_RUN is proved.
             table.release(call.hold, now);
+        call.claimInDoubt = true;
         return sendClaim(call, now);
     case Stage::Running:
         if (!late)
--- /dev/null
+++ b/test/routing-fakes.h
@@ -0,0 +1,816 @@
+#pragma once
+
+#include "turmericpier/routing/router.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+/// Fakes of the worker, the ledger and the callers around one or two routers, on simulated time.
+namespace turmericpier::routing::fakes {
+
+enum class Step { Submit, Claim, Dispatch, Answer, Query, Outcome, Reply, GrantChange, WorkerList };
+constexpr std::array stepNames { "submit", "claim", "dispatch", "answer", "query", "outcome", "reply", "grant change",
+    "worker list change" };
+
+/// The first six act on the message of the step, the others on the parts around it at that moment.
+enum class Fault {
+    LoseRequest,
+    LoseReply,
+    Late,
+    LateAfterFailure, ///< Reported as failed, and delivered all the same later.
+    Twice,
+    Refuse,
+    WorkerRestarts,
+    WorkerVanishes, ///< Unreachable, but goes on with what it runs.
+    WorkerRefusesAll,
+    WorkerFailsAll,
+    EntryCrashes, ///< The caller sends the same key again through the second entry.
+    EntryPauses,
+    CallerCancels,
+    CallerResends,
+    GrantShrinks,
+    GrantMoves, ///< To a new epoch; the worker refuses the old one.
+    GrantExpires,
+    WorkerLeaves,
+    WorkerUnlisted,
+    LedgerDown,
+};
+constexpr std::array faultNames { "request lost", "reply lost", "late", "late after failure", "twice", "refused",
+    "worker restarts", "worker vanishes", "worker refuses all", "worker fails all", "entry crashes", "entry pauses",
+    "caller cancels", "caller resends", "grant shrinks", "grant moves", "grant expires", "worker leaves",
+    "worker unlisted", "ledger down" };
+
+struct Injection {
+    Step step = Step::Submit;
+    Fault fault = Fault::Late;
+    int occurrence = 1; ///< Fires when the target request comes to the step for this time.
+};
+
+/// False for combinations that mean nothing.
+bool applies(Step step, Fault fault);
+
+struct Variant {
+    std::string name;
+    bool nonRepeatable = false;
+    bool claimRepeatable = false;
+    bool hedge = false;
+    bool firstAnswerLost = false;
+};
+
+struct Message {
+    size_t entry = 0;
+    Ticket ticket;
+    uint32_t attempt = 0;
+    WorkerId worker;
+    std::string key;
+    Epoch epoch;
+    Incarnation incarnation;
+};
+
+struct FakeWorker {
+    struct Run {
+        bool done = false;
+        std::vector<Message> waiters;
+    };
+    uint32_t slots = 2;
+    Incarnation incarnation { 1 };
+    bool reachable = true;
+    bool refusesAll = false;
+    bool failsAll = false;
+    bool listed = true;
+    bool leaving = false;
+    uint32_t running = 0;
+    std::map<std::pair<std::string, uint32_t>, Run> runs;
+    std::set<std::pair<std::string, uint32_t>> fenced;
+    std::map<size_t, Epoch> epochFence;
+};
+
+/// Claims and outcomes as in schema/log.proto.
+struct FakeLedger {
+    struct Claim {
+        size_t entry = 0;
+        WorkerId worker;
+        Incarnation incarnation;
+        uint32_t attempt = 0;
+    };
+    struct Record {
+        size_t entry = 0;
+        CommitOutcome outcome;
+    };
+    std::map<std::string, Claim> claims;
+    std::map<std::string, Record> outcomes;
+    bool down = false;
+
+    ClaimResult apply(size_t entry, const std::string& key, const CommitClaim& claim);
+    OutcomeResult apply(size_t entry, const std::string& key, const CommitOutcome& outcome);
+};
+
+/// One run: three requests, two entries, three workers, a grant change and a worker list change.
+class World {
+public:
+    World(const Variant& variant, std::vector<Injection> plan);
+    /// Runs to the end and returns the violations found.
+    std::vector<std::string> run();
+
+    const std::vector<bool>& fired() const { return m_fired; }
+    /// Outcome in the ledger of the request that the faults aim at.
+    Outcome targetOutcome() const;
+
+private:
+    struct Entry {
+        std::unique_ptr<Router> router;
+        bool crashed = false;
+        TimePoint pausedUntil;
+        std::map<Ticket, std::string> keys;
+        std::map<Ticket, int> replies;
+        std::map<std::pair<Ticket, uint32_t>, std::string> answers;
+        std::map<WorkerId, Grant> grants; ///< As delivered to the entry.
+        std::set<WorkerId> taking; ///< Workers listed and not leaving, as delivered.
+        std::map<WorkerId, std::set<std::pair<Ticket, uint32_t>>> open; ///< In flight as far as the entry was told.
+    };
+    using Event = std::function<void()>;
+    using Input = std::function<Actions(Router&, TimePoint)>;
+
+    void after(int64_t milliseconds, Event event);
+    void advanceTo(int64_t milliseconds);
+    void input(size_t entry, Input input);
+    void carryOut(size_t entry, const Action& action);
+    void onDispatch(size_t entry, const Dispatch& dispatch);
+    void onQuery(size_t entry, const QueryWorker& query);
+    void onReply(size_t entry, const Reply& reply);
+    template <typename Commit, typename Result> void onCommit(size_t entry, const Commit& commit, Step step);
+    void sendResult(size_t entry, const CommitClaim& claim, const ClaimResult& result);
+    void sendResult(size_t entry, const CommitOutcome& outcome, const OutcomeResult& result);
+
+    void execute(const Message& message);
+    void finishRun(const WorkerId& id, Incarnation incarnation, const std::string& key, uint32_t attempt);
+    void answer(const Message& message);
+    void deliverAnswer(const Message& message);
+    void fail(const Message& message, Outcome outcome, const std::string& reason, int64_t delay);
+    void runQuery(const Message& message, std::optional<Fault> fault);
+    void closed(const Message& message);
+    void disconnect(FakeWorker& worker);
+    void restart(const WorkerId& id);
+
+    std::optional<Fault> fire(Step step, const std::string& key);
+    void applyState(Fault fault);
+    void submit(size_t entry, const std::string& key);
+    void pushGrants(size_t entry);
+    void pushWorkers();
+    void changeGrant(const std::function<void(Grant&)>& change);
+    void check();
+    void checkKey(const std::string& key);
+    bool isIdle() const;
+    bool isSlotLeaked() const;
+    void violation(const std::string& text) { m_violations.push_back(text); }
+
+    Variant m_variant;
+    std::vector<Injection> m_plan;
+    std::vector<bool> m_fired;
+    std::map<Step, int> m_seen;
+    TimePoint m_now { std::chrono::seconds(1) };
+    std::multimap<TimePoint, Event> m_events;
+    std::array<Entry, 2> m_entries;
+    std::map<WorkerId, FakeWorker> m_workers;
+    std::array<std::map<WorkerId, Grant>, 2> m_grants;
+    FakeLedger m_ledger;
+    WorkerId m_targetWorker { "w0" };
+    uint64_t m_nextTicket = 0;
+    bool m_answerLost = false;
+    bool m_crash = false;
+    std::map<std::string, std::set<WorkerId>> m_executing;
+    std::map<std::string, int> m_executions;
+    std::vector<std::string> m_violations;
+};
+
+inline bool applies(Step step, Fault fault)
+{
+    if (fault >= Fault::WorkerRestarts)
+        return true;
+    const auto oneOf = [&](std::initializer_list<Fault> faults) {
+        return std::find(faults.begin(), faults.end(), fault) != faults.end();
+    };
+    switch (step) {
+    case Step::Submit:
+    case Step::GrantChange:
+    case Step::WorkerList:
+        return oneOf({ Fault::LoseRequest, Fault::Late, Fault::Twice });
+    case Step::Claim:
+        return true;
+    case Step::Dispatch:
+        return fault != Fault::LoseReply; // The reply is the step Answer.
+    case Step::Answer:
+        return oneOf({ Fault::LoseRequest, Fault::Late, Fault::LateAfterFailure, Fault::Twice });
+    case Step::Query:
+    case Step::Outcome:
+        return fault != Fault::Refuse;
+    case Step::Reply:
+        return fault == Fault::LoseRequest;
+    }
+    return false;
+}
+
+inline ClaimResult FakeLedger::apply(size_t entry, const std::string& key, const CommitClaim& claim)
+{
+    if (const auto ended = outcomes.find(key); ended != outcomes.end()) {
+        const CommitOutcome& outcome = ended->second.outcome;
+        return { ClaimResult::Code::EndedBefore, outcome.worker, outcome.answeredAttempt, outcome.outcome,
+            outcome.reason, {} };
+    }
+    const auto [found, isNew] = claims.try_emplace(key);
+    Claim& standing = found->second;
+    const bool same = standing.entry == entry && standing.worker == claim.worker && standing.attempt == claim.attempt;
+    if (!isNew && !same && claim.attempt <= standing.attempt)
+        return { ClaimResult::Code::ClaimedBefore, standing.worker, standing.attempt, {}, {}, standing.incarnation };
+    standing = { entry, claim.worker, claim.workerIncarnation, claim.attempt };
+    return { ClaimResult::Code::Accepted };
+}
+
+inline OutcomeResult FakeLedger::apply(size_t entry, const std::string& key, const CommitOutcome& outcome)
+{
+    if (const auto ended = outcomes.find(key); ended != outcomes.end()) {
+        const Record& record = ended->second;
+        if (record.entry == entry && record.outcome.ticket == outcome.ticket)
+            return { OutcomeResult::Code::Accepted };
+        return { OutcomeResult::Code::EndedBefore, record.outcome.outcome, record.outcome.reason,
+            record.outcome.worker };
+    }
+    if (const auto claim = claims.find(key); claim != claims.end() && claim->second.attempt > outcome.claimAttempt)
+        return { OutcomeResult::Code::ClaimedBefore };
+    outcomes[key] = { entry, outcome };
+    return { OutcomeResult::Code::Accepted };
+}
+
+namespace detail {
+    inline const ServiceId service("till");
+    inline const std::string target("p/r/target");
+    inline const std::array keys { target, std::string("p/r/b"), std::string("p/r/c") };
+    constexpr int64_t latency = 1;
+    constexpr int64_t lossNoticed = 10;
+    constexpr int64_t lateBy = 60;
+    constexpr int64_t runTime = 5;
+    constexpr int64_t patience = 300; // Deadline of a submit.
+    constexpr int64_t tickStep = 10;
+    constexpr int64_t grace = 100;
+}
+
+inline World::World(const Variant& variant, std::vector<Injection> plan)
+    : m_variant(variant)
+    , m_plan(std::move(plan))
+    , m_fired(m_plan.size())
+{
+    for (size_t i = 0; i < m_entries.size(); ++i) {
+        RouterOptions options { .self = InstanceId("e" + std::to_string(i)),
+            .dataCentre = DataCentreId("d"),
+            .region = RegionId("r"),
+            .seed = i + 1,
+            .resolveGrace = std::chrono::milliseconds(detail::grace) };
+        if (variant.hedge)
+            options.mayHedge = [](const Request&) { return true; };
+        if (variant.claimRepeatable)
+            options.mustClaim = [](const Request&) { return true; };
+        m_entries[i].router = std::make_unique<Router>(options);
+        m_entries[i].router->setServices({ { detail::service } });
+        for (const char* id : { "w0", "w1", "w2" })
+            m_grants[i][WorkerId(id)] = { WorkerId(id), Epoch { 1 }, 1, 8, m_now + std::chrono::seconds(600) };
+    }
+    for (const char* id : { "w0", "w1", "w2" })
+        m_workers[WorkerId(id)].listed = std::string(id) != "w2"; // w2 joins by the worker list change.
+}
+
+inline void World::after(int64_t milliseconds, Event event)
+{
+    m_events.emplace(m_now + std::chrono::milliseconds(milliseconds), std::move(event));
+}
+
+inline void World::advanceTo(int64_t milliseconds)
+{
+    const TimePoint end { std::chrono::seconds(1) + std::chrono::milliseconds(milliseconds) };
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+        const auto first = m_events.begin();
+        m_now = std::max(m_now, first->first);
+        const Event event = std::move(first->second);
+        m_events.erase(first);
+        event();
+    }
+    m_now = end;
+    for (size_t i = 0; i < m_entries.size(); ++i)
+        if (m_entries[i].pausedUntil <= m_now)
+            input(i, [](Router& router, TimePoint now) { return router.tick(now); });
+}
+
+/// Gives the entry an input; a paused entry takes it after the pause, a crashed one never.
+inline void World::input(size_t entry, Input input)
+{
+    Entry& to = m_entries[entry];
+    if (to.crashed)
+        return;
+    if (m_now < to.pausedUntil) {
+        m_events.emplace(to.pausedUntil, [this, entry, input] { this->input(entry, input); });
+        return;
+    }
+    for (const Action& action : input(*to.router, m_now))
+        carryOut(entry, action);
+}
+
+inline std::optional<Fault> World::fire(Step step, const std::string& key)
+{
+    if (key != detail::target)
+        return {};
+    const int occurrence = ++m_seen[step];
+    std::optional<Fault> message;
+    for (size_t i = 0; i < m_plan.size(); ++i) {
+        if (m_plan[i].step != step || m_plan[i].occurrence != occurrence || m_fired[i])
+            continue;
+        m_fired[i] = true;
+        if (m_plan[i].fault < Fault::WorkerRestarts)
+            message = m_plan[i].fault;
+        else
+            after(0, [this, fault = m_plan[i].fault] { applyState(fault); });
+    }
+    return message;
+}
+
+inline void World::carryOut(size_t entry, const Action& action)
+{
+    if (const auto* dispatch = std::get_if<Dispatch>(&action))
+        onDispatch(entry, *dispatch);
+    else if (const auto* claim = std::get_if<CommitClaim>(&action))
+        onCommit<CommitClaim, ClaimResult>(entry, *claim, Step::Claim);
+    else if (const auto* outcome = std::get_if<CommitOutcome>(&action))
+        onCommit<CommitOutcome, OutcomeResult>(entry, *outcome, Step::Outcome);
+    else if (const auto* query = std::get_if<QueryWorker>(&action))
+        onQuery(entry, *query);
+    else
+        onReply(entry, std::get<Reply>(action));
+}
+
+inline void World::onDispatch(size_t entry, const Dispatch& dispatch)
+{
+    Entry& from = m_entries[entry];
+    const Grant& grant = from.grants[dispatch.worker];
+    auto& open = from.open[dispatch.worker];
+    const std::string key = from.keys[dispatch.ticket];
+    open.insert({ dispatch.ticket, dispatch.attempt });
+    if (open.size() > grant.slots)
+        violation("more in flight on " + dispatch.worker.str() + " than the grant's slots");
+    if (!from.taking.contains(dispatch.worker))
+        violation("dispatch to a worker that is leaving or gone");
+    if (grant.expires <= m_now || grant.epoch != dispatch.grantEpoch)
+        violation("dispatch without a grant in force");
+    const auto claim = m_ledger.claims.find(key);
+    if (m_variant.nonRepeatable && (claim == m_ledger.claims.end() || claim->second.worker != dispatch.worker))
+        violation("dispatch without a claim");
+    if (key == detail::target)
+        m_targetWorker = dispatch.worker;
+    const Message message { entry, dispatch.ticket, dispatch.attempt, dispatch.worker, key, dispatch.grantEpoch,
+        dispatch.workerIncarnation };
+    const auto fault = fire(Step::Dispatch, key);
+    if (fault == Fault::LoseRequest || fault == Fault::LateAfterFailure)
+        fail(message, Outcome::Unknown, "LOST", detail::lossNoticed);
+    if (fault == Fault::Refuse)
+        return fail(message, Outcome::NotRun, "REFUSED", detail::latency);
+    if (fault == Fault::LoseRequest)
+        return;
+    const bool late = fault == Fault::Late || fault == Fault::LateAfterFailure;
+    after(late ? detail::lateBy : detail::latency, [this, message] { execute(message); });
+    if (fault == Fault::Twice)
+        after(detail::lateBy, [this, message] { execute(message); });
+}
+
+inline void World::fail(const Message& message, Outcome outcome, const std::string& reason, int64_t delay)
+{
+    after(delay, [this, message, outcome, reason] {
+        input(message.entry, [this, message, outcome, reason](Router& router, TimePoint now) {
+            if (outcome != Outcome::Unknown)
+                closed(message);
+            return router.failed(
+                message.ticket, message.attempt, { outcome, reason, outcome == Outcome::Unknown }, now);
+        });
+    });
+}
+
+/// The entry has been told that the attempt does not run any more.
+inline void World::closed(const Message& message)
+{
+    m_entries[message.entry].open[message.worker].erase({ message.ticket, message.attempt });
+}
+
+inline void World::execute(const Message& message)
+{
+    FakeWorker& worker = m_workers[message.worker];
+    if (!worker.reachable)
+        return fail(message, Outcome::Unknown, "UNREACHABLE", detail::lossNoticed);
+    const std::pair id(message.key, message.attempt);
+    const auto seen = worker.runs.find(id);
+    const bool known = seen != worker.runs.end();
+    if (known && !seen->second.done) {
+        seen->second.waiters.push_back(message);
+        return;
+    }
+    if (known)
+        return answer(message);
+    if (worker.refusesAll || message.incarnation != worker.incarnation || worker.fenced.contains(id)
+        || message.epoch < worker.epochFence[message.entry] || worker.running >= worker.slots)
+        return fail(message, Outcome::NotRun, "REFUSED", detail::latency);
+    auto& executing = m_executing[message.key];
+    executing.insert(message.worker);
+    if (executing.size() > 1)
+        violation(message.key + " runs on two workers at once");
+    if (++m_executions[message.key] > 1 && m_variant.nonRepeatable)
+        violation("non-repeatable " + message.key + " executed twice");
+    ++worker.running;
+    worker.runs[id].waiters.push_back(message);
+    after(worker.failsAll ? 0 : detail::runTime, [this, message, incarnation = worker.incarnation] {
+        finishRun(message.worker, incarnation, message.key, message.attempt);
+    });
+}
+
+inline void World::finishRun(const WorkerId& id, Incarnation incarnation, const std::string& key, uint32_t attempt)
+{
+    FakeWorker& worker = m_workers[id];
+    if (worker.incarnation != incarnation)
+        return;
+    --worker.running;
+    m_executing[key].erase(id);
+    FakeWorker::Run& run = worker.runs[{ key, attempt }];
+    run.done = true;
+    for (const Message& message : std::exchange(run.waiters, {})) {
+        if (worker.failsAll)
+            fail(message, Outcome::Unknown, "INTERNAL", detail::latency);
+        else if (worker.reachable)
+            answer(message);
+        else
+            fail(message, Outcome::Unknown, "UNREACHABLE", detail::lossNoticed);
+    }
+}
+
+inline void World::answer(const Message& message)
+{
+    auto fault = fire(Step::Answer, message.key);
+    if (m_variant.firstAnswerLost && message.key == detail::target && !std::exchange(m_answerLost, true))
+        fault = Fault::LoseRequest;
+    if (fault == Fault::LoseRequest || fault == Fault::LateAfterFailure)
+        fail(message, Outcome::Unknown, "LOST", detail::lossNoticed);
+    if (fault == Fault::LoseRequest)
+        return;
+    const bool late = fault == Fault::Late || fault == Fault::LateAfterFailure;
+    after(late ? detail::lateBy : detail::latency, [this, message] { deliverAnswer(message); });
+    if (fault == Fault::Twice)
+        after(detail::lateBy, [this, message] { deliverAnswer(message); });
+}
+
+inline void World::deliverAnswer(const Message& message)
+{
+    input(message.entry, [this, message](Router& router, TimePoint now) {
+        closed(message);
+        m_entries[message.entry].answers[{ message.ticket, message.attempt }] = "answer to " + message.key;
+        return router.answered(message.ticket, message.attempt, now);
+    });
+}
+
+inline void World::onQuery(size_t entry, const QueryWorker& query)
+{
+    const Message message { entry, query.ticket, query.attempt, query.worker, query.key };
+    const auto fault = fire(Step::Query, query.key);
+    if (fault == Fault::LoseRequest || fault == Fault::LoseReply || fault == Fault::LateAfterFailure)
+        after(detail::lossNoticed, [this, message] {
+            input(message.entry, [message](Router& router, TimePoint now) {
+                return router.queried(message.ticket, message.attempt, QueryState::Unreachable, now);
+            });
+        });
+    if (fault == Fault::LoseRequest)
+        return;
+    const bool late = fault == Fault::Late || fault == Fault::LateAfterFailure;
+    after(late ? detail::lateBy : detail::latency, [this, message, fault] { runQuery(message, fault); });
+}
+
+inline void World::runQuery(const Message& message, std::optional<Fault> fault)
+{
+    FakeWorker& worker = m_workers[message.worker];
+    const std::pair id(message.key, message.attempt);
+    QueryState state = QueryState::Unreachable;
+    if (worker.reachable) {
+        const auto found = worker.runs.find(id);
+        if (found == worker.runs.end())
+            worker.fenced.insert(id);
+        state = found == worker.runs.end() ? QueryState::NotSeen
+            : found->second.done           ? QueryState::Done
+                                           : QueryState::Running;
+    }
+    if (fault == Fault::LoseReply)
+        return;
+    const auto deliver = [this, message, state, incarnation = worker.incarnation] {
+        input(message.entry, [this, message, state, incarnation](Router& router, TimePoint now) {
+            if (state == QueryState::Done)
+                m_entries[message.entry].answers[{ message.ticket, message.attempt }] = "answer to " + message.key;
+            if (state == QueryState::Done || state == QueryState::NotSeen)
+                closed(message);
+            return router.queried(message.ticket, message.attempt, state, now, incarnation);
+        });
+    };
+    after(detail::latency, deliver);
+    if (fault == Fault::Twice)
+        after(detail::lateBy, deliver);
+}
+
+inline void World::sendResult(size_t entry, const CommitClaim& claim, const ClaimResult& result)
+{
+    input(entry, [claim, result](Router& router, TimePoint now) {
+        return router.claimCommitted(claim.ticket, claim.attempt, result, now);
+    });
+}
+
+inline void World::sendResult(size_t entry, const CommitOutcome& outcome, const OutcomeResult& result)
+{
+    input(entry, [outcome, result](Router& router, TimePoint now) {
+        return router.outcomeCommitted(outcome.ticket, result, now);
+    });
+}
+
+template <typename Commit, typename Result> void World::onCommit(size_t entry, const Commit& commit, Step step)
+{
+    const std::string key = m_entries[entry].keys[commit.ticket];
+    const auto fault = fire(step, key);
+    if constexpr (std::is_same_v<Commit, CommitClaim>) {
+        if (key == detail::target)
+            m_targetWorker = commit.worker;
+        if (fault == Fault::Refuse) {
+            after(detail::latency, [=, this] { sendResult(entry, commit, { ClaimResult::Code::Refused }); });
+            return;
+        }
+    }
+    const bool failsFirst
+        = fault == Fault::LoseRequest || fault == Fault::LoseReply || fault == Fault::LateAfterFailure;
+    if (failsFirst)
+        after(detail::lossNoticed, [=, this] { sendResult(entry, commit, { Result::Code::Failed }); });
+    if (fault == Fault::LoseRequest)
+        return;
+    const bool late = fault == Fault::Late || fault == Fault::LateAfterFailure;
+    after(late ? detail::lateBy : detail::latency, [=, this] {
+        if (m_ledger.down) {
+            after(detail::lossNoticed, [=, this] { sendResult(entry, commit, { Result::Code::Failed }); });
+            return;
+        }
+        const Result result = m_ledger.apply(entry, key, commit);
+        if (fault == Fault::LoseReply)
+            return;
+        after(detail::latency, [=, this] { sendResult(entry, commit, result); });
+        if (fault == Fault::Twice)
+            after(detail::lateBy, [=, this] { sendResult(entry, commit, result); });
+    });
+}
+
+inline void World::submit(size_t entry, const std::string& key)
+{
+    const auto fault = fire(Step::Submit, key);
+    const auto send = [this, entry, key] {
+        if (m_entries[entry].crashed)
+            return submit(1, key);
+        const Ticket ticket { ++m_nextTicket };
+        m_entries[entry].keys[ticket] = key;
+        const TimePoint deadline = m_now + std::chrono::milliseconds(detail::patience);
+        input(entry, [this, ticket, key, deadline](Router& router, TimePoint now) {
+            return router.submit(ticket, { key, detail::service, m_variant.nonRepeatable, deadline }, now);
+        });
+    };
+    const bool late = fault == Fault::Late || fault == Fault::LoseRequest; // A lost call is sent again.
+    after(late ? detail::lateBy : 0, send);
+    if (fault == Fault::Twice)
+        after(0, send);
+}
+
+inline void World::onReply(size_t entry, const Reply& reply)
+{
+    Entry& from = m_entries[entry];
+    const std::string key = from.keys[reply.ticket];
+    if (++from.replies[reply.ticket] > 1)
+        violation("second reply to one caller");
+    if (reply.status.ok() && from.answers[{ reply.answeredTicket, reply.answeredAttempt }] != "answer to " + key)
+        violation("reply without the caller's own answer");
+    const auto record = m_ledger.outcomes.find(key);
+    const bool ended = record != m_ledger.outcomes.end();
+    const Outcome told = reply.status.ok() ? Outcome::Ran : detailsOf(reply.status).outcome;
+    if (told != Outcome::Unknown && (!ended || record->second.outcome.outcome != told))
+        violation("reply differs from the ledger for " + key);
+    if (told == Outcome::Unknown && !ended && !m_ledger.claims.contains(key))
+        violation("reply before any outcome of " + key);
+    if (fire(Step::Reply, key) == Fault::LoseRequest)
+        after(detail::lossNoticed, [this, key] { submit(1, key); });
+}
+
+inline void World::pushGrants(size_t entry)
+{
+    std::vector<Grant> grants;
+    for (const auto& [id, grant] : m_grants[entry])
+        grants.push_back(grant);
+    input(entry, [this, entry, grants](Router& router, TimePoint now) {
+        for (const Grant& grant : grants)
+            m_entries[entry].grants[grant.worker] = grant;
+        return router.setGrants(grants, now);
+    });
+}
+
+inline void World::pushWorkers()
+{
+    std::vector<WorkerInfo> infos;
+    for (const auto& [id, worker] : m_workers)
+        if (worker.listed)
+            infos.push_back(
+                { id, DataCentreId("d"), RegionId("r"), worker.leaving, { detail::service }, worker.incarnation });
+    for (size_t entry = 0; entry < m_entries.size(); ++entry) {
+        input(entry, [this, entry, infos](Router& router, TimePoint now) {
+            m_entries[entry].taking.clear();
+            for (const WorkerInfo& info : infos)
+                if (!info.leaving)
+                    m_entries[entry].taking.insert(info.worker);
+            return router.setWorkers(infos, now);
+        });
+    }
+}
+
+inline void World::changeGrant(const std::function<void(Grant&)>& change)
+{
+    change(m_grants[0][m_targetWorker]);
+    pushGrants(0);
+}
+
+/// Breaks the connections of all requests that the worker runs.
+inline void World::disconnect(FakeWorker& worker)
+{
+    for (auto& [id, run] : worker.runs)
+        for (const Message& message : std::exchange(run.waiters, {}))
+            fail(message, Outcome::Unknown, "CONNECTION_LOST", detail::lossNoticed);
+}
+
+inline void World::restart(const WorkerId& id)
+{
+    FakeWorker& worker = m_workers[id];
+    disconnect(worker);
+    const Incarnation next = worker.incarnation.next();
+    worker = FakeWorker { .incarnation = next, .listed = worker.listed, .leaving = worker.leaving };
+    for (auto& [key, workers] : m_executing)
+        workers.erase(id);
+    constexpr int64_t announced = 30;
+    after(announced, [this] { pushWorkers(); });
+}
+
+inline void World::applyState(Fault fault)
+{
+    constexpr int64_t lasting = 100;
+    FakeWorker& worker = m_workers[m_targetWorker];
+    switch (fault) {
+    case Fault::WorkerRestarts:
+        return restart(m_targetWorker);
+    case Fault::WorkerVanishes:
+        worker.reachable = false;
+        worker.listed = false;
+        disconnect(worker);
+        return after(lasting / 2, [this] { pushWorkers(); });
+    case Fault::WorkerRefusesAll:
+        worker.refusesAll = true;
+        return;
+    case Fault::WorkerFailsAll:
+        worker.failsAll = true;
+        return;
+    case Fault::EntryCrashes:
+        m_crash = true;
+        m_entries[0].crashed = true;
+        for (const auto& [ticket, key] : m_entries[0].keys)
+            if (m_entries[0].replies[ticket] == 0)
+                after(detail::lossNoticed, [this, key = key] { submit(1, key); });
+        return;
+    case Fault::EntryPauses:
+        m_entries[0].pausedUntil = m_now + std::chrono::milliseconds(lasting * 4);
+        return;
+    case Fault::CallerCancels:
+        for (const auto& [ticket, key] : m_entries[0].keys)
+            if (key == detail::target)
+                input(0, [ticket = ticket](Router& router, TimePoint now) { return router.cancelled(ticket, now); });
+        return;
+    case Fault::CallerResends:
+        return submit(0, detail::target);
+    case Fault::GrantShrinks:
+        changeGrant([](Grant& grant) { grant.slots = 0; });
+        return after(lasting, [this] { changeGrant([](Grant& grant) { grant.slots = 1; }); });
+    case Fault::GrantMoves:
+        changeGrant([](Grant& grant) { grant.epoch = grant.epoch.next(); });
+        worker.epochFence[0] = m_grants[0][m_targetWorker].epoch;
+        return;
+    case Fault::GrantExpires:
+        changeGrant([this](Grant& grant) { grant.expires = m_now; });
+        return after(lasting,
+            [this] { changeGrant([this](Grant& grant) { grant.expires = m_now + std::chrono::seconds(600); }); });
+    case Fault::WorkerLeaves:
+        worker.leaving = true;
+        return pushWorkers();
+    case Fault::WorkerUnlisted:
+        worker.listed = false;
+        pushWorkers();
+        return after(lasting, [this, &worker] {
+            worker.listed = true;
+            pushWorkers();
+        });
+    case Fault::LedgerDown:
+        m_ledger.down = true;
+        return after(lasting, [this] { m_ledger.down = false; });
+    default:
+        return;
+    }
+}
+
+inline bool World::isIdle() const
+{
+    return m_events.empty() && std::all_of(m_entries.begin(), m_entries.end(), [](const Entry& entry) {
+        return entry.crashed || entry.router->isIdle();
+    });
+}
+
+inline bool World::isSlotLeaked() const
+{
+    for (const Entry& entry : m_entries)
+        if (!entry.crashed)
+            for (const GrantUse& use : entry.router->grantUse())
+                if (use.inUse > 0 && m_workers.at(use.worker).reachable)
+                    return true;
+    return false;
+}
+
+inline std::vector<std::string> World::run()
+{
+    constexpr int64_t end = 3'000;
+    constexpr int64_t slotEnd = 30'000;
+    pushWorkers();
+    for (size_t entry = 0; entry < m_entries.size(); ++entry)
+        pushGrants(entry);
+    submit(0, detail::keys[1]);
+    submit(0, detail::keys[2]);
+    after(4, [this] { submit(0, detail::target); });
+    const auto change = [this](Step step, const Event& push) {
+        const auto fault = fire(step, detail::target);
+        const bool late = fault == Fault::LoseRequest || fault == Fault::Late; // The next round repeats a lost change.
+        after(late ? detail::lateBy : 0, push);
+        if (fault == Fault::Twice)
+            after(detail::latency, push);
+    };
+    const auto grantChange = [this] { changeGrant([](Grant& grant) { grant.epoch = grant.epoch.next(); }); };
+    for (const int64_t at : { 10, 60 }) {
+        after(at, [=] { change(Step::GrantChange, grantChange); });
+        after(at + 2, [=, this] {
+            change(Step::WorkerList, [this] {
+                FakeWorker& joining = m_workers[WorkerId("w2")];
+                joining.listed = joining.reachable;
+                pushWorkers();
+            });
+        });
+    }
+    int64_t at = 0;
+    while (at < end && !(isIdle() && at > 0))
+        advanceTo(at += detail::tickStep);
+    if (!isIdle())
+        violation("a request has no end");
+    while (at < slotEnd && isSlotLeaked())
+        advanceTo(at += detail::tickStep * 10);
+    if (isSlotLeaked())
+        violation("a slot stays in use");
+    check();
+    return m_violations;
+}
+
+inline void World::check()
+{
+    for (const Entry& entry : m_entries)
+        for (const auto& [ticket, key] : entry.keys)
+            if (!entry.crashed && (!entry.replies.contains(ticket) || entry.replies.at(ticket) != 1))
+                violation("a caller has no reply");
+    for (const std::string& key : detail::keys)
+        checkKey(key);
+}
+
+inline void World::checkKey(const std::string& key)
+{
+    // The ledger leader resolves claims without an outcome once the entry's lease has ended.
+    if (!m_ledger.outcomes.contains(key) && m_crash && m_ledger.claims.contains(key))
+        m_ledger.outcomes[key] = { 0, CommitOutcome { .outcome = Outcome::Unknown } };
+    const auto record = m_ledger.outcomes.find(key);
+    if (record == m_ledger.outcomes.end())
+        return violation("no outcome of " + key);
+    if (record->second.outcome.outcome == Outcome::Ran && m_executions[key] == 0)
+        violation("RAN, but not executed: " + key);
+    if (record->second.outcome.outcome == Outcome::NotRun && m_executions[key] > 0)
+        violation("NOT_RUN, but executed: " + key);
+}
+
+inline Outcome World::targetOutcome() const
+{
+    const auto record = m_ledger.outcomes.find(detail::target);
+    return record == m_ledger.outcomes.end() ? Outcome::Unknown : record->second.outcome.outcome;
+}
+
+} // namespace turmericpier::routing::fakes
