--- a/src/app/load.cc
+++ b/src/app/load.cc
@@ -28,6 +28,7 @@
         grpc::ChannelArguments arguments;
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
         std::vector<std::unique_ptr<rpc::Caller::Stub>> stubs;
+        stubs.reserve(entries.size());
         for (const auto& entry : entries)
             stubs.push_back(
                 rpc::Caller::NewStub(grpc::CreateCustomChannel(entry, grpc::InsecureChannelCredentials(), arguments)));
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -2,6 +2,7 @@
 
 #include "operator.pb.h"
 #include "peer/refusal.h"
+#include "turmericpier/admin/server.h"
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/log.h"
@@ -13,6 +14,7 @@
 #include "turmericpier/rpc/entry.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/json.hpp>
 
 namespace turmericpier::app {
@@ -63,6 +65,28 @@
             m_ledgers[ledger::groupOf(region)] = std::move(*replica);
         }
         m_entry = std::make_unique<rpc::Entry>(m_settings, m_incarnation, send, m_clock, m_metrics);
+        m_admin = std::make_unique<admin::Server>(
+            admin::ServerOptions { m_settings.adminAddress.host, m_settings.adminAddress.port }, adminHooks(),
+            m_metrics);
+        return absl::OkStatus();
+    }
+
+    admin::ServerHooks adminHooks()
+    {
+        admin::ServerHooks hooks;
+        hooks.dump = [this] { return dump(); };
+        hooks.metrics = [this] { return m_metrics.toPrometheusText(); };
+        hooks.health = [] { return absl::OkStatus(); };
+        hooks.readiness = [this] { return readiness(); };
+        return hooks;
+    }
+
+    absl::Status readiness() const
+    {
+        if (m_isStopping)
+            return absl::UnavailableError("stopping");
+        if (hasRole(settings::Role::Entry) && !m_entry->isReady())
+            return absl::UnavailableError("no control leader has answered yet");
         return absl::OkStatus();
     }
 
@@ -151,6 +175,8 @@
 
     absl::Status start()
     {
+        if (auto status = m_admin->start(); !status.ok())
+            return status;
         m_transport.setHandler([this](peer::Envelope envelope) { receive(std::move(envelope)); });
         if (hasRole(settings::Role::Entry)) {
             if (auto status = m_entry->start(); !status.ok())
@@ -168,6 +194,7 @@
 
     void shutDown()
     {
+        m_isStopping = true;
         if (hasRole(settings::Role::Entry)) {
             m_entry->drain(drainLimit);
             m_entry->stop();
@@ -177,6 +204,7 @@
         for (auto& [group, replica] : m_ledgers)
             replica->stop();
         m_transport.stop();
+        m_admin->stop();
         logState("process", "stopped");
     }
 
@@ -187,6 +215,8 @@
     peer::Transport m_transport;
     std::unique_ptr<control::Service> m_control;
     std::map<GroupId, std::unique_ptr<ledger::Replica>> m_ledgers;
+    std::unique_ptr<admin::Server> m_admin;
+    std::atomic<bool> m_isStopping { false };
     std::unique_ptr<rpc::Entry> m_entry; ///< Also used for calls to ledgers by instances without the role entry.
 };
 
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -55,11 +55,11 @@
 } // namespace
 
 Leader::Leader(LeaderOptions options, LeaderHooks hooks, const ControlState& state, TimePoint now)
-    : m_options(options)
+    : m_options(std::move(options))
     , m_startedAt(now)
     , m_hooks(std::move(hooks))
-    , m_engine(options.engine)
-    , m_grants(options.grants, state, now)
+    , m_engine(m_options.engine)
+    , m_grants(m_options.grants, state, now)
     , m_grantsApplied(state.grantsVersion())
 {
     rebuildEngine(state, now);
@@ -112,7 +112,7 @@
     flush(state);
 }
 
-void Leader::run(const ControlState& state, decision::Actions actions)
+void Leader::run(const ControlState& state, const decision::Actions& actions)
 {
     for (const auto& action : actions)
         carryOut(state, action);
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -71,7 +71,7 @@
     };
 
     void rebuildEngine(const ControlState& state, TimePoint now);
-    void run(const ControlState& state, decision::Actions actions);
+    void run(const ControlState& state, const decision::Actions& actions);
     void carryOut(const ControlState& state, const decision::Action& action);
     void flush(const ControlState& state);
     void appliedOperate(const ControlState& state, const rpc::OperateRequest& request, TimePoint now);
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -153,21 +153,23 @@
         options.engine.taskLease = m_settings.leases.task;
         options.engine.clockSkewBound = m_settings.leases.clockSkewBound;
         LeaderHooks hooks;
-        hooks.propose = [this](log::ControlCommand command, std::function<void(absl::Status)> failed) {
-            propose(std::move(command), std::move(failed));
-        };
-        hooks.push = [this](const InstanceId& entry, std::map<WorkerId, std::vector<rpc::WorkerCommand>> commands) {
-            push(entry, std::move(commands));
+        hooks.propose = [this](const log::ControlCommand& command, std::function<void(absl::Status)> failed) {
+            propose(command, std::move(failed));
         };
+        hooks.push
+            = [this](const InstanceId& entry, const std::map<WorkerId, std::vector<rpc::WorkerCommand>>& commands) {
+                  push(entry, commands);
+              };
         hooks.recordJob = [this](const JobRecord& job) { recordJob(job); };
         m_term = term;
         m_leader = std::make_unique<Leader>(options, std::move(hooks), m_state, m_clock.now());
     }
 
-    void propose(log::ControlCommand command, std::function<void(absl::Status)> failed)
+    void propose(const log::ControlCommand& command, std::function<void(absl::Status)> failed)
     {
         m_group->propose(command.SerializeAsString(),
-            [this, generation = m_generation, failed = std::move(failed)](absl::StatusOr<consensus::Applied> result) {
+            [this, generation = m_generation, failed = std::move(failed)](
+                const absl::StatusOr<consensus::Applied>& result) {
                 if (result.ok())
                     return;
                 m_loop.post([this, generation, failed, status = result.status()] {
@@ -177,7 +179,7 @@
             });
     }
 
-    void push(const InstanceId& entry, std::map<WorkerId, std::vector<rpc::WorkerCommand>> commands)
+    void push(const InstanceId& entry, const std::map<WorkerId, std::vector<rpc::WorkerCommand>>& commands)
     {
         peer::wire::EntryHeartbeatReplyT reply;
         reply.term = m_term.value;
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -150,7 +150,7 @@
                     return envelope;
                 },
                 now, now + operatorDeadline,
-                [this, shared](absl::StatusOr<peer::wire::EnvelopeT> reply) {
+                [this, shared](const absl::StatusOr<peer::wire::EnvelopeT>& reply) {
                     (*shared)(parseReply<Reply>(reply, m_settings.instance.str()));
                 });
         });
@@ -182,7 +182,7 @@
                     return envelope;
                 },
                 now, now + operatorDeadline,
-                [this, shared](absl::StatusOr<peer::wire::EnvelopeT> reply) { (*shared)(parsePage(reply)); });
+                [this, shared](const absl::StatusOr<peer::wire::EnvelopeT>& reply) { (*shared)(parsePage(reply)); });
         });
         if (!queued)
             (*shared)(overloaded());
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -51,7 +51,7 @@
 
 absl::Status RequestDriver::check(const CallRequest& request) const
 {
-    const auto invalid = [&](std::string message) {
+    const auto invalid = [&](const std::string& message) {
         return makeError({ absl::StatusCode::kInvalidArgument, turmericpier::Outcome::NotRun, "INVALID_REQUEST",
                              "admit", m_settings.instance.str() },
             message);
@@ -143,7 +143,7 @@
 
 void RequestDriver::tick() { run(m_router.tick(m_clock.now())); }
 
-void RequestDriver::run(routing::Actions actions)
+void RequestDriver::run(const routing::Actions& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { carryOut(typed); }, action);
--- a/src/rpc/request-driver.h
+++ b/src/rpc/request-driver.h
@@ -58,7 +58,7 @@
     };
 
     absl::Status check(const CallRequest& request) const;
-    void run(routing::Actions actions);
+    void run(const routing::Actions& actions);
     void carryOut(const routing::Dispatch& action);
     void carryOut(const routing::CommitClaim& action);
     void carryOut(const routing::CommitOutcome& action);
--- a/test/consensus-network.h
+++ b/test/consensus-network.h
@@ -51,7 +51,9 @@
         StoredState stored { replica.hardState, replica.snapshot, replica.log.base(), replica.log.baseTerm(),
             replica.log.slice(replica.log.base().next(), SIZE_MAX), m_voters };
         stored.hardState.recovering |= !replica.used;
-        CoreOptions options { .self = id, .preferredLeaders = preferred, .seed = random(), .incarnation = random() | 1 };
+        CoreOptions options {
+            .self = id, .preferredLeaders = preferred, .seed = random(), .incarnation = random() | 1
+        };
         options.appendBytes = appendBytes;
         options.snapshotChunkBytes = 64;
         options.inflightBytes = 4 * appendBytes;
@@ -132,7 +134,8 @@
         work(id);
         return index;
     }
-    /// Proposes `count` entries to the leader and waits until they are applied there; starts over if the leader is lost.
+    /// Proposes `count` entries to the leader and waits until they are applied there; starts over if the leader is
+    /// lost.
     void commitEntries(int count)
     {
         for (bool done = false; !done;) {
@@ -222,8 +225,7 @@
             if (chance(faults.drop) || (dropIf && dropIf(from, out.to, out.message)))
                 continue;
             for (int copies = chance(faults.duplicate) ? 2 : 1; copies > 0; --copies) {
-                const Duration delay(
-                    std::uniform_int_distribution<int64_t>(0, faults.maxDelay.count())(random));
+                const Duration delay(std::uniform_int_distribution<int64_t>(0, faults.maxDelay.count())(random));
                 m_queue.emplace(now + delay, std::tuple { out.to, from, out.message });
             }
         }
@@ -299,8 +301,8 @@
         if (replica.appliedIndex.value < previous.value + snapshotEvery)
             return;
         auto& core = *replica.core;
-        replica.snapshot = std::make_shared<Snapshot>(
-            Snapshot { replica.appliedIndex, *core.log().termAt(replica.appliedIndex),
+        replica.snapshot
+            = std::make_shared<Snapshot>(Snapshot { replica.appliedIndex, *core.log().termAt(replica.appliedIndex),
                 core.log().votersAt(replica.appliedIndex).voters, absl::StrJoin(replica.applied, ",") });
         core.snapshotTaken(replica.snapshot);
         replica.log.compactTo(core.log().base());
--- a/test/standin/requests.cc
+++ b/test/standin/requests.cc
@@ -20,9 +20,8 @@
     }
 } // namespace
 
-RequestTable::RequestTable(const WorkerOptions& options, const Clock& clock)
+RequestTable::RequestTable(const WorkerOptions& options)
     : m_options(options)
-    , m_clock(clock)
 {
     if (!options.executionLog.empty())
         m_log.open(options.executionLog, std::ios::app);
--- a/test/standin/worker.h
+++ b/test/standin/worker.h
@@ -47,7 +47,7 @@
 /// Requests: slots, fences and answers kept by (key, attempt). Thread-safe.
 class RequestTable {
 public:
-    RequestTable(const WorkerOptions& options, const Clock& clock);
+    explicit RequestTable(const WorkerOptions& options);
 
     grpc::Status execute(const rpc::ExecuteRequest& request, rpc::ExecuteReply& reply);
     rpc::QueryReply query(const rpc::QueryRequest& request);
@@ -73,7 +73,6 @@
     void writeLog(const char* event, const rpc::ExecuteRequest& request);
 
     const WorkerOptions& m_options;
-    const Clock& m_clock;
     mutable std::mutex m_mutex;
     std::map<AttemptKey, Attempt> m_attempts;
     std::map<std::string, uint64_t> m_fences; ///< By entry.
