Test the decision policies and rework worker health and grants

Cause: counting three failures quarantined ordinary workers where tasks fail now and then; grants left spare slots unused and, with two entries and two workers, gave each entry slots on one worker alone. Change: worker health compares the likelihood of the outcomes on a worker with the failure rate of the others. Grants keep a floor for 10 minutes after the last demand, hand out half of the spare slots in the same data centre, and start each turn of growth with another entry.

--- a/include/turmericpier/decision/fair-share.h
+++ b/include/turmericpier/decision/fair-share.h
@@ -70,6 +70,8 @@
         Resources quota;
         Resources usage;
         bool waiting = false;
+
+        friend bool operator==(const State&, const State&) = default;
     };
     struct Rank {
         bool borrows = false;
--- a/include/turmericpier/decision/grant-policy.h
+++ b/include/turmericpier/decision/grant-policy.h
@@ -78,11 +78,17 @@
     uint32_t floorSlots = 4; ///< Of a live entry with any demand, before demand is met.
     /// The floor grows to this part of an entry's proportional share of all slots.
     double floorShare = 0.25;
+    /// Part of the slots left over that is granted to entries of the same data centre as well: a burst then needs no
+    /// new grant. The rest stays free for entries that grow.
+    double spareShare = 0.5;
+    /// Grants grow to what is needed at once, but to their part of the spare slots only from below this part of it.
+    double growShare = 0.75;
     /// Grants are shrunk above this multiple of the target, or at once when another entry lacks the slots.
     double shrinkFactor = 1.5;
     uint32_t shrinkSlack = 2;
     /// Demand counts at its recent peak, which halves in this time.
     Duration demandHalfLife = std::chrono::seconds(10);
+    Duration floorTime = std::chrono::minutes(10); ///< The floor is kept that long after the last demand.
 };
 
 /// Keeps only the recent peaks of demand between calls; losing them costs some changes of grants and nothing else.
@@ -98,7 +104,8 @@
 private:
     struct Peak {
         double value = 0;
-        TimePoint at;
+        TimePoint at; ///< Of the value.
+        TimePoint lastDemand;
     };
     struct DemandKey {
         InstanceId entry;
--- a/include/turmericpier/decision/worker-health.h
+++ b/include/turmericpier/decision/worker-health.h
@@ -21,6 +21,9 @@
     uint32_t suspectJobs = 3; ///< Distinct jobs that fail on a worker and succeed elsewhere, to suspect the worker.
     uint32_t suspectWorkers = 3; ///< Distinct workers, good for other jobs, on which a job fails, to suspect the job.
     Duration window = std::chrono::minutes(10); ///< Older failures are not counted.
+    /// How much better the outcomes on a worker have to be explained by "fails 9 of 10 tasks" than by the failure rate
+    /// of the other workers. 5,000 takes three failures in a row where 5% of the tasks fail, and eight where 30% do.
+    double likelihoodRatio = 5'000;
     /// Above a third, so that a fault of one rack row or one of three data centres is covered, and below a half, so
     /// that the larger part of the cell keeps taking work whatever fails.
     double maxQuarantinedShare = 0.4;
@@ -84,13 +87,19 @@
     };
     struct WorkerState {
         std::vector<Failure> failures; ///< One for each distinct job, the latest last.
-        std::vector<Success> successes; ///< One for each of up to 4 distinct jobs, the latest last.
+        std::vector<Success> successes; ///< One for each of up to 8 distinct jobs, the latest last.
+        uint32_t failuresSinceSuccess = 0;
         bool quarantined = false;
         bool probing = false;
         TimePoint nextProbe;
         Duration probeDelay { 0 };
         uint32_t probeSuccesses = 0;
     };
+    struct Evidence {
+        double failed = 0; ///< Distinct jobs.
+        uint32_t succeeded = 0; ///< Distinct jobs that succeeded after the first of the failures.
+        double logRatio = 0; ///< Of the likelihoods of a bad and a good worker; not negative.
+    };
     struct JobState {
         std::vector<WorkerId> failedOn; ///< Distinct, up to 8.
         std::vector<WorkerId> succeededOn; ///< Distinct, up to 2: enough to know of another worker than a given one.
@@ -100,6 +109,8 @@
     JobState& touch(const JobId& job);
     bool succeededElsewhere(const JobId& job, const WorkerId& worker) const;
     bool runsOthersWell(const WorkerId& worker, const JobId& job) const;
+    void countOutcomes(uint32_t failures);
+    Evidence evidence(const WorkerState& state, TimePoint now, double unprovedWeight) const;
     void prove(const JobId& job, const WorkerId& worker, TimePoint now, std::vector<HealthChange>& changes);
     void endProbe(WorkerState& state, bool failed, TimePoint now);
     void judge(const WorkerId& worker, TimePoint now, std::vector<HealthChange>& changes);
@@ -111,6 +122,8 @@
     absl::btree_map<uint64_t, JobId> m_jobsByUse;
     absl::btree_set<WorkerId> m_quarantined;
     uint64_t m_uses = 0;
+    double m_failures = 0; ///< Of tasks on workers that also succeed, to know the ordinary failure rate.
+    double m_outcomes = 0;
 };
 
 } // namespace turmericpier::decision
--- a/src/decision/fair-share.cc
+++ b/src/decision/fair-share.cc
@@ -164,6 +164,8 @@
     unrank(team, state);
     change(state);
     rank(team, state);
+    if (state == State {})
+        m_teams.erase(team);
 }
 
 const FairShare::State& FairShare::stateOf(const TeamId& team) const
--- a/src/decision/grant-policy.cc
+++ b/src/decision/grant-policy.cc
@@ -12,9 +12,6 @@
 
     using std::chrono::duration;
 
-    // Below it a peak counts as no demand.
-    constexpr double leastDemand = 0.5;
-
     enum Tier : size_t { // Index of the distance between an entry and a pool.
         SameDataCentre,
         SameRegion,
@@ -46,17 +43,27 @@
         int64_t left = 0; ///< Slots not yet part of a target.
     };
 
+    enum class Goal {
+        Floor,
+        Want,
+    };
+
     struct Claim {
         size_t entry = 0;
         ServiceId service;
+        int64_t demand = 0;
+        int64_t want = 0; ///< With headroom.
         int64_t floor = 0;
-        int64_t want = 0;
         int64_t given = 0;
+
+        int64_t upTo(Goal goal) const { return goal == Goal::Floor ? floor : want; }
     };
 
     struct EntryPool {
-        int64_t target = 0;
+        int64_t need = 0; ///< Floors and demand.
+        int64_t target = 0; ///< With the part of the spare slots.
         int64_t have = 0;
+        bool shrunk = false; ///< In this call, so that it does not grow again at once.
         std::vector<size_t> grants; ///< Indexes of grants that may change, in order of worker and epoch.
     };
 
@@ -93,9 +100,10 @@
             indexGrants();
         }
 
-        void addClaim(size_t entry, const ServiceId& service, int64_t want)
+        void addClaim(size_t entry, const ServiceId& service, double demand)
         {
-            m_claims.push_back({ entry, service, 0, want, 0 });
+            m_claims.push_back({ entry, service, std::llround(std::ceil(demand)),
+                std::llround(std::ceil(demand * m_options.headroom)) });
         }
         const std::vector<const GrantEntry*>& entries() const { return m_entries; }
         std::vector<GrantChange> run();
@@ -106,8 +114,10 @@
         void indexGrants();
         Tier tierOf(size_t entry, const Pool& pool) const;
         void setFloors();
-        void allot(int64_t Claim::*goal);
-        void allotTier(int64_t Claim::*goal, Tier tier);
+        void allot(Goal goal);
+        void allotTier(Goal goal, Tier tier);
+        void shareSpare();
+        int64_t lackingIn(size_t pool) const;
         void shrinkPool(size_t pool);
         void shrink(EntryPool& entryPool, int64_t count);
         void growPool(size_t pool);
@@ -187,8 +197,12 @@
                 workerState.free -= std::max({ grant.slots, grant.heldSlots, grant.inUse });
                 workerState.freeConnections -= std::max(grant.connections, grant.heldConnections);
             }
-            if (worker == m_workerIndex.end() || entry == m_entryIndex.end()
-                || m_workers[worker->second].worker->leaving) {
+            const bool leaving = worker != m_workerIndex.end() && m_workers[worker->second].worker->leaving;
+            if (worker == m_workerIndex.end() || entry == m_entryIndex.end() || leaving) {
+                // Until the lease of a lost entry has ended, its slots are not there to be shared out.
+                if (worker != m_workerIndex.end() && !leaving)
+                    m_pools[m_workers[worker->second].pool].slots
+                        -= std::max({ grant.slots, grant.heldSlots, grant.inUse });
                 state.slots = 0;
             } else if (grant.slots > 0) {
                 const std::pair key { entry->second, worker->second };
@@ -226,29 +240,30 @@
             pool.left = pool.slots;
             slots += pool.slots;
         }
+        // An entry without present demand, which keeps its floor for a while, counts as much as a single request.
         std::vector<int64_t> wantOfEntry(m_entries.size());
         int64_t want = 0;
         for (const Claim& claim : m_claims) {
-            wantOfEntry[claim.entry] += claim.want;
-            want += claim.want;
+            wantOfEntry[claim.entry] += std::max<int64_t>(1, claim.want);
+            want += std::max<int64_t>(1, claim.want);
         }
         for (Claim& claim : m_claims) {
-            const auto part = static_cast<double>(claim.want) / static_cast<double>(wantOfEntry[claim.entry]);
-            const auto share = m_options.floorShare * static_cast<double>(slots)
-                * static_cast<double>(wantOfEntry[claim.entry]) / static_cast<double>(want);
-            claim.floor = std::max<int64_t>(1, std::llround(std::ceil(m_options.floorSlots * part)));
-            claim.floor = std::max(claim.floor, std::min<int64_t>(claim.want, std::llround(share * part)));
+            const auto weight = static_cast<double>(std::max<int64_t>(1, claim.want));
+            const double part = weight / static_cast<double>(wantOfEntry[claim.entry]);
+            const double share = m_options.floorShare * static_cast<double>(slots) * weight / static_cast<double>(want);
+            claim.floor = std::llround(std::ceil(m_options.floorSlots * part));
+            claim.floor = std::max(claim.floor, std::min<int64_t>(claim.want, std::llround(share)));
             claim.want = std::max(claim.want, claim.floor);
         }
     }
 
-    void Planner::allot(int64_t Claim::*goal)
+    void Planner::allot(Goal goal)
     {
         for (size_t tier = 0; tier < tierCount; ++tier)
             allotTier(goal, static_cast<Tier>(tier));
     }
 
-    void Planner::allotTier(int64_t Claim::*goal, Tier tier)
+    void Planner::allotTier(Goal goal, Tier tier)
     {
         // A round gives each claim a part of each pool by the pool's size. What one pool could not give is asked of the
         // others in the next round; three rounds leave nothing that matters.
@@ -257,7 +272,11 @@
             std::vector<std::vector<std::pair<size_t, int64_t>>> asked(m_pools.size());
             for (size_t i = 0; i < m_claims.size(); ++i) {
                 const Claim& claim = m_claims[i];
-                const int64_t missing = claim.*goal - claim.given;
+                // The paid link carries what has no other place, and no headroom.
+                const int64_t wanted = tier == PaidLink
+                    ? std::min(claim.upTo(goal), std::max(claim.floor, claim.demand))
+                    : claim.upTo(goal);
+                const int64_t missing = wanted - claim.given;
                 if (missing <= 0)
                     continue;
                 std::vector<int64_t> left(m_pools.size());
@@ -282,34 +301,62 @@
                     Claim& claim = m_claims[asked[p][i].first];
                     claim.given += parts[i];
                     m_pools[p].left -= parts[i];
-                    m_entryPools[p][claim.entry].target += parts[i];
+                    m_entryPools[p][claim.entry].need += parts[i];
                 }
             }
         }
     }
 
-    void Planner::shrinkPool(size_t pool)
+    void Planner::shareSpare()
+    {
+        for (size_t p = 0; p < m_pools.size(); ++p) {
+            const Pool& pool = m_pools[p];
+            std::vector<int64_t> weights(m_entries.size());
+            for (const Claim& claim : m_claims) {
+                // Multiplied by the slots, so that no part is limited by the weight itself.
+                if (tierOf(claim.entry, pool) == SameDataCentre
+                    && std::binary_search(pool.services.begin(), pool.services.end(), claim.service))
+                    weights[claim.entry] += std::max<int64_t>(1, claim.want) * pool.slots;
+            }
+            const auto spare = std::llround(std::floor(m_options.spareShare * static_cast<double>(pool.left)));
+            const auto parts = split(spare, weights);
+            for (size_t entry = 0; entry < m_entries.size(); ++entry)
+                m_entryPools[p][entry].target = m_entryPools[p][entry].need + parts[entry];
+        }
+    }
+
+    int64_t Planner::lackingIn(size_t pool) const
     {
         // Slots that are free now, or will be when withdrawals under way are confirmed, need not be taken from anybody.
         int64_t lacking = 0;
-        for (const EntryPool& entryPool : m_entryPools[pool])
-            lacking += std::max<int64_t>(0, entryPool.target - entryPool.have);
-        for (const EntryPool& entryPool : m_entryPools[pool])
-            lacking += entryPool.have;
-        lacking -= m_pools[pool].slots;
+        for (size_t worker : m_pools[pool].workers)
+            lacking -= std::max<int64_t>(0, m_workers[worker].free);
+        for (const EntryPool& entryPool : m_entryPools[pool]) {
+            lacking += std::max<int64_t>(0, entryPool.need - entryPool.have);
+            for (size_t index : entryPool.grants) {
+                const StandingGrant& grant = *m_grants[index].standing;
+                lacking -= std::max(grant.heldSlots, grant.slots) - grant.slots;
+            }
+        }
+        return lacking;
+    }
+
+    void Planner::shrinkPool(size_t pool)
+    {
+        int64_t lacking = lackingIn(pool);
         for (size_t entry = 0; entry < m_entries.size(); ++entry) {
             EntryPool& entryPool = m_entryPools[pool][entry];
-            const int64_t excess = entryPool.have - entryPool.target;
-            if (excess <= 0)
-                continue;
             const bool paid = tierOf(entry, m_pools[pool]) == PaidLink;
             const auto bound = paid
                 ? entryPool.target
                 : std::llround(m_options.shrinkFactor * static_cast<double>(entryPool.target)) + m_options.shrinkSlack;
-            const int64_t count = entryPool.have > bound ? excess : std::min(excess, lacking);
+            // What others lack is taken only as far as needed: from slots above the entry's own need.
+            const int64_t count = entryPool.have > bound ? entryPool.have - entryPool.target
+                                                         : std::min(entryPool.have - entryPool.need, lacking);
             if (count <= 0)
                 continue;
             shrink(entryPool, count);
+            entryPool.shrunk = true;
             lacking -= count;
         }
     }
@@ -365,33 +412,45 @@
     void Planner::growPool(size_t pool)
     {
         std::vector<EntryPool>& entries = m_entryPools[pool];
+        std::vector<int64_t> goals;
+        goals.reserve(entries.size());
+        for (const EntryPool& entryPool : entries) {
+            const bool small
+                = static_cast<double>(entryPool.have) < m_options.growShare * static_cast<double>(entryPool.target);
+            goals.push_back(small && !entryPool.shrunk ? entryPool.target : entryPool.need);
+        }
         // Slots of a shrink that is not confirmed yet are given back first: they cost the worker nothing.
-        for (EntryPool& entryPool : entries) {
+        for (size_t entry = 0; entry < entries.size(); ++entry) {
+            EntryPool& entryPool = entries[entry];
             for (size_t index : entryPool.grants) {
                 GrantState& grant = m_grants[index];
                 const uint32_t held = grant.standing->heldSlots;
-                if (grant.slots >= held || entryPool.have >= entryPool.target)
+                if (grant.slots >= held || entryPool.have >= goals[entry])
                     continue;
-                const auto back = std::min<int64_t>(held - grant.slots, entryPool.target - entryPool.have);
+                const auto back = std::min<int64_t>(held - grant.slots, goals[entry] - entryPool.have);
                 resize(grant, grant.slots + static_cast<uint32_t>(back));
                 entryPool.have += back;
             }
         }
-        // One slot at a time on the worker with the most free slots, entries in turn: this spreads every entry over
-        // many workers.
+        // One slot at a time on the worker with the most free slots, entries in turn. Each turn starts with another
+        // entry, or else the same entries and workers would meet in each turn. This spreads an entry over many workers.
         std::set<std::pair<int64_t, size_t>> byFree;
         for (size_t worker : m_pools[pool].workers) {
             if (m_workers[worker].free > 0)
                 byFree.emplace(-m_workers[worker].free, worker);
         }
-        for (bool grown = true; grown && !byFree.empty();) {
-            grown = false;
-            for (size_t entry = 0; entry < entries.size() && !byFree.empty(); ++entry) {
-                if (entries[entry].have >= entries[entry].target)
-                    continue;
+        std::vector<size_t> growing;
+        for (size_t entry = 0; entry < entries.size(); ++entry)
+            growing.push_back(entry);
+        while (!byFree.empty()) {
+            std::erase_if(growing, [&](size_t entry) { return entries[entry].have >= goals[entry]; });
+            if (growing.empty())
+                break;
+            for (size_t entry : growing) {
+                if (byFree.empty())
+                    break;
                 const size_t worker = byFree.begin()->second;
                 byFree.erase(byFree.begin());
-                grown = true;
                 if (m_workers[worker].freeConnections < m_workers[worker].connectionsPerSlot)
                     continue;
                 GrantState& grant = grantFor(entry, worker);
@@ -400,6 +459,7 @@
                 if (m_workers[worker].free > 0)
                     byFree.emplace(-m_workers[worker].free, worker);
             }
+            std::rotate(growing.begin(), growing.begin() + 1, growing.end());
         }
     }
 
@@ -441,8 +501,9 @@
     std::vector<GrantChange> Planner::run()
     {
         setFloors();
-        allot(&Claim::floor);
-        allot(&Claim::want);
+        allot(Goal::Floor);
+        allot(Goal::Want);
+        shareSpare();
         for (size_t pool = 0; pool < m_pools.size(); ++pool) {
             shrinkPool(pool);
             growPool(pool);
@@ -459,25 +520,34 @@
 
 double GrantPolicy::recentDemand(const InstanceId& entry, const GrantDemand& demand, TimePoint now)
 {
-    Peak& peak = m_peaks[{ entry, demand.service }];
-    const double halfLives = duration<double>(now - peak.at) / duration<double>(m_options.demandHalfLife);
     const auto current = static_cast<double>(uint64_t { demand.waiting } + demand.running);
-    peak = { std::max(current, peak.value * std::exp2(-std::max(0.0, halfLives))), now };
+    auto it = m_peaks.find({ entry, demand.service });
+    if (it == m_peaks.end()) {
+        if (current <= 0)
+            return 0;
+        it = m_peaks.try_emplace({ entry, demand.service }).first;
+    }
+    Peak& peak = it->second;
+    const double halfLives = duration<double>(now - peak.at) / duration<double>(m_options.demandHalfLife);
+    const double decayed = peak.value * std::exp2(-std::max(0.0, halfLives));
+    // Below half a request the decayed peak is no demand any more.
+    peak = { std::max(current, decayed < 0.5 ? 0.0 : decayed), now, current > 0 ? now : peak.lastDemand };
     return peak.value;
 }
 
 std::vector<GrantChange> GrantPolicy::plan(const GrantInput& input, TimePoint now)
 {
     Planner planner(m_options, input);
+    for (const GrantEntry* entry : planner.entries()) {
+        for (const GrantDemand& demand : entry->demand)
+            recentDemand(entry->entry, demand, now);
+    }
+    std::erase_if(m_peaks, [&](const auto& item) { return now - item.second.lastDemand > m_options.floorTime; });
     for (size_t i = 0; i < planner.entries().size(); ++i) {
-        const GrantEntry& entry = *planner.entries()[i];
-        for (const GrantDemand& demand : entry.demand) {
-            const double recent = recentDemand(entry.entry, demand, now);
-            if (recent >= leastDemand)
-                planner.addClaim(i, demand.service, std::llround(std::ceil(recent * m_options.headroom)));
-        }
+        const InstanceId& entry = planner.entries()[i]->entry;
+        for (auto it = m_peaks.lower_bound({ entry, {} }); it != m_peaks.end() && it->first.entry == entry; ++it)
+            planner.addClaim(i, it->first.service, recentDemand(entry, { it->first.service }, now));
     }
-    std::erase_if(m_peaks, [&](const auto& item) { return now - item.second.at > m_options.demandHalfLife; });
     return planner.run();
 }
 
--- a/src/decision/worker-health.cc
+++ b/src/decision/worker-health.cc
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace turmericpier::decision {
 
@@ -9,9 +11,19 @@
 
     constexpr size_t maxFailedOn = 8;
     constexpr size_t maxSucceededOn = 2;
-    constexpr size_t maxSuccessesPerWorker = 4;
-    // Failures that outweigh one success after the first of them.
-    constexpr uint32_t failuresPerSuccess = 2;
+    constexpr size_t maxSuccessesPerWorker = 8;
+    // Failures on good workers that outweigh one success of the job.
+    constexpr size_t failuresPerSuccess = 2;
+    constexpr double badFailureRate = 0.9;
+    // Counted before the first outcome is known: one failure in twenty.
+    constexpr double priorFailures = 1;
+    constexpr double priorOutcomes = 20;
+    // Bounds of the ordinary failure rate: below the first a single failure would weigh too much; above the second the
+    // workers cannot be told apart.
+    constexpr double leastFailureRate = 0.01;
+    constexpr double mostFailureRate = 0.6;
+    // Outcomes after which old ones count half, so that the rate follows the cell.
+    constexpr double outcomesRemembered = 2'000;
 
     template <typename T> void addDistinct(std::vector<T>& list, const T& item, size_t max)
     {
@@ -56,6 +68,7 @@
     if (auto it = m_workers.find(worker); it != m_workers.end()) {
         WorkerState& state = it->second;
         renew(state.successes, job, now, maxSuccessesPerWorker);
+        countOutcomes(std::exchange(state.failuresSinceSuccess, 0));
         std::erase_if(state.failures, [&](const Failure& failure) { return failure.job == job; });
         if (state.quarantined && state.probing) {
             endProbe(state, false, now);
@@ -80,6 +93,8 @@
         return changes;
     WorkerState& state = it->second;
     renew(state.failures, job, now, m_options.maxFailuresPerWorker).proved = succeededElsewhere(job, worker);
+    if (!isSuspect(job))
+        ++state.failuresSinceSuccess;
     if (!state.quarantined)
         judge(worker, now, changes);
     else if (state.probing)
@@ -114,17 +129,9 @@
     auto it = m_workers.find(worker);
     if (it == m_workers.end())
         return 0;
-    double points = 0;
-    TimePoint first = now;
-    for (const Failure& failure : it->second.failures) {
-        if (now - failure.at > m_options.window || (!failure.proved && isSuspect(failure.job)))
-            continue;
-        points += failure.proved ? 1 : 0.5;
-        first = std::min(first, failure.at);
-    }
-    for (const Success& success : it->second.successes)
-        points -= success.at >= first ? failuresPerSuccess : 0;
-    return std::clamp(points / m_options.suspectJobs, 0.0, 1.0);
+    constexpr double unprovedWeight = 0.5;
+    const Evidence found = evidence(it->second, now, unprovedWeight);
+    return std::clamp(found.logRatio / std::log(m_options.likelihoodRatio), 0.0, 1.0);
 }
 
 bool WorkerHealth::isSuspect(const JobId& job) const
@@ -215,17 +222,9 @@
     WorkerState& state = m_workers.at(worker);
     if (state.quarantined)
         return;
-    uint32_t failed = 0;
-    TimePoint first = now;
-    for (const Failure& failure : state.failures) {
-        if (!failure.proved || now - failure.at > m_options.window)
-            continue;
-        ++failed;
-        first = std::min(first, failure.at);
-    }
-    const auto succeeded = static_cast<uint32_t>(std::count_if(
-        state.successes.begin(), state.successes.end(), [&](const Success& success) { return success.at >= first; }));
-    if (failed < m_options.suspectJobs || failed <= failuresPerSuccess * succeeded || !mayQuarantineOneMore())
+    const Evidence found = evidence(state, now, 0);
+    if (found.failed < m_options.suspectJobs || found.logRatio < std::log(m_options.likelihoodRatio)
+        || !mayQuarantineOneMore())
         return;
     state.quarantined = true;
     state.probing = false;
@@ -234,8 +233,46 @@
     state.nextProbe = now + state.probeDelay;
     m_quarantined.insert(worker);
     changes.push_back({ worker, true,
-        absl::StrFormat("%d jobs failed here and succeeded elsewhere within %d s; %d jobs succeeded here since", failed,
-            std::chrono::duration_cast<std::chrono::seconds>(m_options.window).count(), succeeded) });
+        absl::StrFormat("%d jobs failed here and succeeded elsewhere within %d s; %d jobs succeeded here since",
+            static_cast<int>(found.failed), std::chrono::duration_cast<std::chrono::seconds>(m_options.window).count(),
+            found.succeeded) });
+}
+
+void WorkerHealth::countOutcomes(uint32_t failures)
+{
+    m_failures += failures;
+    m_outcomes += failures + 1.0;
+    if (m_outcomes > outcomesRemembered) {
+        m_failures /= 2;
+        m_outcomes /= 2;
+    }
+}
+
+WorkerHealth::Evidence WorkerHealth::evidence(const WorkerState& state, TimePoint now, double unprovedWeight) const
+{
+    const double ordinary
+        = std::clamp((m_failures + priorFailures) / (m_outcomes + priorOutcomes), leastFailureRate, mostFailureRate);
+    const double failureWeight = std::log(badFailureRate / ordinary);
+    const double successWeight = std::log((1 - badFailureRate) / (1 - ordinary));
+    const bool forgotSuccesses = state.successes.size() == maxSuccessesPerWorker;
+    // A worker may have turned bad at any time: the start that speaks most against it counts.
+    Evidence worst;
+    double failed = 0;
+    for (auto it = state.failures.rbegin(); it != state.failures.rend(); ++it) {
+        const double weight = it->proved ? 1 : unprovedWeight;
+        if (weight <= 0 || (!it->proved && isSuspect(it->job)))
+            continue;
+        // Before the oldest success remembered the number of successes is not known.
+        if (now - it->at > m_options.window || (forgotSuccesses && it->at < state.successes.front().at))
+            break;
+        failed += weight;
+        const auto succeeded = static_cast<uint32_t>(std::count_if(state.successes.begin(), state.successes.end(),
+            [&](const Success& success) { return success.at >= it->at; }));
+        const double logRatio = failed * failureWeight + succeeded * successWeight;
+        if (logRatio > worst.logRatio)
+            worst = { failed, succeeded, logRatio };
+    }
+    return worst;
 }
 
 bool WorkerHealth::mayQuarantineOneMore() const
--- /dev/null
+++ b/test/decision-size-estimator-test.cc
@@ -0,0 +1,150 @@
+#include "turmericpier/decision/size-estimator.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace turmericpier;
+using namespace turmericpier::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+Resources amounts(int64_t cpu, int64_t memory, int64_t accelerators = 0)
+{
+    return { MilliCpu { cpu }, MemoryMib { memory }, Accelerators { accelerators } };
+}
+
+UsageSample sampleOf(int task, const Resources& peak, const Resources& limit = {})
+{
+    return { TaskId("t" + std::to_string(task)), peak, limit, 5min, false };
+}
+
+} // namespace
+
+// Guards against sizes that never leave the declared ones, or leave them without a margin.
+TEST_CASE("a declared size ten times too large is unlearned", "[decision]")
+{
+    SizeEstimator sizes({});
+    const Resources declared = amounts(10'000, 40'000, 2);
+    CHECK(sizes.estimate("f", declared, 0s).size == declared);
+    std::mt19937_64 random(3);
+    double margin = 10;
+    for (int task = 0; task < 40; ++task) {
+        for (int report = 0; report < 3; ++report) // One sample per task, however often it reports.
+            sizes.recordUsage("f", sampleOf(task, amounts(900 + random() % 200, 3'600 + random() % 800)));
+        const SizeEstimate found = sizes.estimate("f", declared, 0s);
+        CHECK(found.margin <= margin);
+        margin = found.margin;
+        if (task < 2)
+            CHECK(fits(declared, found.size));
+        CHECK(found.size.cpu >= MilliCpu { 1'000 }); // The bound of a tenth.
+        CHECK(found.size.memory >= MemoryMib { 4'000 });
+    }
+    const SizeEstimate found = sizes.estimate("f", declared, 0s);
+    CHECK(found.sizeSamples == 32);
+    CHECK(found.size.cpu < MilliCpu { 1'400 });
+    CHECK(found.size.memory < MemoryMib { 5'600 });
+    CHECK(found.size.accelerators == declared.accelerators);
+}
+
+// Guards against a task that is held at its limit and thereby looks as small as declared.
+TEST_CASE("a declared size ten times too small is found through limits", "[decision]")
+{
+    SizeEstimator sizes({});
+    const Resources declared = amounts(100, 400), real = amounts(950, 3'800);
+    int task = 0;
+    for (int wave = 0; wave < 8; ++wave) {
+        const Resources limit = sizes.estimate("f", declared, 0s).size;
+        for (int i = 0; i < 8; ++i) {
+            const Resources peak { std::min(real.cpu, limit.cpu), std::min(real.memory, limit.memory), {} };
+            sizes.recordUsage("f", sampleOf(++task, peak, limit));
+        }
+    }
+    const Resources found = sizes.estimate("f", declared, 0s).size;
+    CHECK(fits(real, found));
+    CHECK(fits(found, amounts(1'000, 4'000))); // Ten times the declared size.
+}
+
+// Guards against reports of tasks which have not grown into their size yet.
+TEST_CASE("young tasks are not counted until they finish", "[decision]")
+{
+    SizeEstimator sizes({});
+    UsageSample sample = sampleOf(1, amounts(1, 1));
+    sample.running = 3s;
+    sizes.recordUsage("f", sample);
+    CHECK(sizes.estimate("f", amounts(100, 100), 0s).sizeSamples == 0);
+    sample.finished = true;
+    sizes.recordUsage("f", sample);
+    CHECK(sizes.estimate("f", amounts(100, 100), 0s).sizeSamples == 1);
+}
+
+// Guards against backfill by declared run times and against an estimate of zero for an overdue task.
+TEST_CASE("run times are learned and never trusted as declared", "[decision]")
+{
+    SizeEstimator sizes({});
+    CHECK(sizes.estimate("f", {}, 1min).runTime == 10min);
+    CHECK(sizes.remainingRunTime("f", 1min, 5min) == 5min);
+    CHECK(sizes.remainingRunTime("f", 0s, 0s) > 0s);
+    for (int i = 1; i <= 20; ++i)
+        sizes.recordRunTime("f", i * 1min);
+    const SizeEstimate found = sizes.estimate("f", {}, 5min);
+    CHECK(found.runTime > 18min);
+    CHECK(found.runTime < 25min);
+    CHECK(sizes.remainingRunTime("f", 5min, 10min) == 5min); // Median of 11 to 20 minutes.
+    CHECK(sizes.remainingRunTime("f", 5min, 30min) == 30min);
+}
+
+// Guards against memory that grows with every family ever seen.
+TEST_CASE("old families are forgotten", "[decision]")
+{
+    SizeEstimator sizes({ .maxFamilies = 10 });
+    for (int i = 0; i < 1'000; ++i) {
+        sizes.recordRunTime("kept", 1min);
+        sizes.recordRunTime("f" + std::to_string(i), 1min);
+    }
+    CHECK(sizes.families() == 10);
+    CHECK(sizes.estimate("kept", {}, 0s).runTimeSamples == 32);
+    CHECK(sizes.estimate("f5", {}, 0s).runTimeSamples == 0);
+}
+
+// Guards against running out of memory, and against moving tasks that keep to their limits or need not move.
+TEST_CASE("tasks are moved before memory runs out", "[decision]")
+{
+    const Resources capacity = amounts(16'000, 32'000);
+    std::vector<TaskLoad> tasks;
+    for (int i = 0; i < 4; ++i)
+        tasks.push_back({ TaskId("t" + std::to_string(i)), amounts(1'000, 7'000), amounts(2'000, 8'000), {}, 5 });
+    CHECK(planRelief(capacity, tasks).empty());
+    tasks[2].memoryGrowthPerSecond = MemoryMib { 200 };
+    tasks[2].usage.memory = tasks[2].limit.memory + MemoryMib { 1 };
+    auto relief = planRelief(capacity, tasks);
+    REQUIRE(relief.size() == 1);
+    CHECK(relief[0].kind == Relief::Kind::Move);
+    CHECK(relief[0].task == TaskId("t2"));
+    CHECK(relief[0].reason.find("33001 MiB of 32000 MiB") != std::string::npos);
+    tasks[2].movable = false;
+    tasks[3].canResume = true;
+    relief = planRelief(capacity, tasks);
+    REQUIRE(relief.size() == 1);
+    CHECK(relief[0].task == TaskId("t3"));
+}
+
+// Guards against throttling tasks within their limits while others exceed theirs, and against stopping progress.
+TEST_CASE("processors are throttled back to the limits first", "[decision]")
+{
+    const Resources capacity = amounts(16'000, 32'000);
+    std::vector<TaskLoad> tasks {
+        { TaskId("above"), amounts(10'000, 100), amounts(6'000, 1'000), {}, 900 },
+        { TaskId("low"), amounts(6'000, 100), amounts(6'000, 1'000), {}, 1 },
+    };
+    auto relief = planRelief(capacity, tasks);
+    REQUIRE(relief.size() == 1);
+    CHECK(relief[0].task == TaskId("above"));
+    CHECK(relief[0].cpu == MilliCpu { 9'520 }); // As far as needed.
+    tasks.push_back({ TaskId("other"), amounts(6'000, 100), amounts(6'000, 1'000), {}, 2 });
+    relief = planRelief(capacity, tasks);
+    REQUIRE(relief.size() == 2);
+    CHECK(relief[0].cpu == MilliCpu { 6'000 });
+    CHECK(relief[1].task == TaskId("low"));
+    CHECK(relief[1].cpu >= MilliCpu { 1'500 });
+}
