--- a/include/turmericpier/decision/grant-policy.h
+++ b/include/turmericpier/decision/grant-policy.h
@@ -81,8 +81,9 @@
     /// Part of the slots left over that is granted to entries of the same data centre as well: a burst then needs no
     /// new grant. The rest stays free for entries that grow.
     double spareShare = 0.5;
-    /// Grants grow to what is needed at once, but to their part of the spare slots only from below this part of it.
-    double growShare = 0.75;
+    /// Grants grow as soon as there are fewer slots than the floor, or than demand times this. Below `headroom`, so
+    /// that small changes of demand change nothing.
+    double growMargin = 1.125;
     /// Grants are shrunk above this multiple of the target, or at once when another entry lacks the slots.
     double shrinkFactor = 1.5;
     uint32_t shrinkSlack = 2;
--- a/src/decision/grant-policy.cc
+++ b/src/decision/grant-policy.cc
@@ -45,6 +45,7 @@
 
     enum class Goal {
         Floor,
+        Least,
         Want,
     };
 
@@ -54,13 +55,15 @@
         int64_t demand = 0;
         int64_t want = 0; ///< With headroom.
         int64_t floor = 0;
+        int64_t least = 0; ///< Grants grow when there are fewer slots than that.
         int64_t given = 0;
 
-        int64_t upTo(Goal goal) const { return goal == Goal::Floor ? floor : want; }
+        int64_t upTo(Goal goal) const { return goal == Goal::Floor ? floor : goal == Goal::Least ? least : want; }
     };
 
     struct EntryPool {
-        int64_t need = 0; ///< Floors and demand.
+        int64_t least = 0;
+        int64_t need = 0; ///< Floors and demand with headroom.
         int64_t target = 0; ///< With the part of the spare slots.
         int64_t have = 0;
         bool shrunk = false; ///< In this call, so that it does not grow again at once.
@@ -254,6 +257,8 @@
             claim.floor = std::llround(std::ceil(m_options.floorSlots * part));
             claim.floor = std::max(claim.floor, std::min<int64_t>(claim.want, std::llround(share)));
             claim.want = std::max(claim.want, claim.floor);
+            const auto least = std::llround(std::ceil(m_options.growMargin * static_cast<double>(claim.demand)));
+            claim.least = std::clamp<int64_t>(least, claim.floor, claim.want);
         }
     }
 
@@ -301,7 +306,10 @@
                     Claim& claim = m_claims[asked[p][i].first];
                     claim.given += parts[i];
                     m_pools[p].left -= parts[i];
-                    m_entryPools[p][claim.entry].need += parts[i];
+                    EntryPool& entryPool = m_entryPools[p][claim.entry];
+                    entryPool.need += parts[i];
+                    if (goal != Goal::Want)
+                        entryPool.least += parts[i];
                 }
             }
         }
@@ -332,7 +340,8 @@
         for (size_t worker : m_pools[pool].workers)
             lacking -= std::max<int64_t>(0, m_workers[worker].free);
         for (const EntryPool& entryPool : m_entryPools[pool]) {
-            lacking += std::max<int64_t>(0, entryPool.need - entryPool.have);
+            if (entryPool.have < entryPool.least)
+                lacking += entryPool.need - entryPool.have;
             for (size_t index : entryPool.grants) {
                 const StandingGrant& grant = *m_grants[index].standing;
                 lacking -= std::max(grant.heldSlots, grant.slots) - grant.slots;
@@ -415,9 +424,10 @@
         std::vector<int64_t> goals;
         goals.reserve(entries.size());
         for (const EntryPool& entryPool : entries) {
-            const bool small
-                = static_cast<double>(entryPool.have) < m_options.growShare * static_cast<double>(entryPool.target);
-            goals.push_back(small && !entryPool.shrunk ? entryPool.target : entryPool.need);
+            if (entryPool.have < entryPool.least)
+                goals.push_back(entryPool.shrunk ? entryPool.need : entryPool.target);
+            else
+                goals.push_back(entryPool.have);
         }
         // Slots of a shrink that is not confirmed yet are given back first: they cost the worker nothing.
         for (size_t entry = 0; entry < entries.size(); ++entry) {
@@ -502,6 +512,7 @@
     {
         setFloors();
         allot(Goal::Floor);
+        allot(Goal::Least);
         allot(Goal::Want);
         shareSpare();
         for (size_t pool = 0; pool < m_pools.size(); ++pool) {
