Size slot grants by demand

Cause: grants were split evenly, so that an idle entry held slots which a busy one lacked. Change: the control leader plans grants with the grant policy; an entry whose requests wait sends its heartbeat, with the demand, within 20 ms.

--- a/src/control/grants.cc
+++ b/src/control/grants.cc
@@ -11,17 +11,11 @@
     {
         return worker.services_size() > 0 && !worker.leaving() && !state.drained().count(WorkerId(worker.worker()));
     }
-
-    /// Even share of `total` for the entry at `position` of `count`; remainders start at `offset`.
-    uint32_t shareOf(uint32_t total, size_t position, size_t count, size_t offset)
-    {
-        const auto rank = (position + count - offset % count) % count;
-        return static_cast<uint32_t>(total / count + (rank < total % count ? 1 : 0));
-    }
 } // namespace
 
 GrantManager::GrantManager(GrantOptions options, const ControlState& state, TimePoint now)
     : m_options(options)
+    , m_policy({})
     , m_nextEpoch(state.nextGrantEpoch())
 {
     for (const auto& [key, grant] : state.grants())
@@ -66,80 +60,82 @@
     return now > renewed->second + std::chrono::milliseconds(grant.lease_ms()) + m_options.clockSkewBound;
 }
 
-std::vector<log::Grant> GrantManager::plan(
-    const ControlState& state, const std::map<InstanceId, EntryInfo>& entries, TimePoint now)
+std::vector<log::Grant> GrantManager::expired(const ControlState& state, TimePoint now)
 {
     std::vector<log::Grant> changes;
     for (const auto& [key, grant] : state.grants()) {
         m_renewed.try_emplace(key, now);
-        if (hasExpired(grant, now)) {
-            changes.push_back(grant);
-            changes.back().set_slots(0);
-            changes.back().set_connections(0);
-            changes.back().set_held_slots(0);
-            changes.back().set_held_connections(0);
-        }
-    }
-    if (!changes.empty())
-        return changes;
-    std::vector<const EntryInfo*> live;
-    for (const auto& [id, entry] : entries) {
-        if (!entry.isDraining && now - entry.lastHeard <= m_options.entryLost)
-            live.push_back(&entry);
+        if (!hasExpired(grant, now))
+            continue;
+        changes.push_back(grant);
+        changes.back().set_slots(0);
+        changes.back().set_connections(0);
+        changes.back().set_held_slots(0);
+        changes.back().set_held_connections(0);
     }
-    for (const auto& [id, worker] : state.workers())
-        planWorker(state, worker, live, changes);
     return changes;
 }
 
-void GrantManager::planWorker(const ControlState& state, const rpc::WorkerReport& worker,
-    const std::vector<const EntryInfo*>& entries, std::vector<log::Grant>& changes)
+decision::GrantInput GrantManager::inputFrom(
+    const ControlState& state, const std::map<InstanceId, EntryInfo>& entries, TimePoint now) const
 {
-    const WorkerId id(worker.worker());
-    const bool isOpen = takesRequests(state, worker);
-    const size_t offset = std::hash<std::string> {}(worker.worker());
-    std::map<InstanceId, uint32_t> wanted;
-    for (size_t i = 0; isOpen && i < entries.size(); ++i)
-        wanted[entries[i]->id] = shareOf(worker.slots(), i, entries.size(), offset);
-
-    uint32_t heldByAll = 0;
-    for (auto it = state.grants().lower_bound({ id, InstanceId() });
-         it != state.grants().end() && it->first.first == id; ++it) {
-        const auto& grant = it->second;
-        heldByAll += grant.held_slots();
-        const auto share = wanted.find(it->first.second);
-        const uint32_t target = share == wanted.end() ? 0 : share->second;
-        if (target < grant.slots()) {
-            changes.push_back(grant);
-            changes.back().set_slots(target);
-            changes.back().set_connections(worker.connections() * target / worker.slots());
-            changes.back().set_epoch(m_nextEpoch.value);
-            m_nextEpoch = m_nextEpoch.next();
+    decision::GrantInput input;
+    for (const auto& [id, worker] : state.workers()) {
+        decision::GrantWorker item { id, DataCentreId(worker.data_centre()), RegionId(worker.region()), {},
+            worker.slots(), worker.connections(), !takesRequests(state, worker) };
+        for (const auto& service : worker.services())
+            item.services.emplace_back(service);
+        input.workers.push_back(std::move(item));
+    }
+    for (const auto& [id, entry] : entries) {
+        const bool isLive = !entry.isDraining && now - entry.lastHeard <= m_options.entryLost;
+        input.entries.push_back({ id, entry.dataCentre, entry.region, isLive, entry.demand });
+    }
+    for (const auto& [key, grant] : state.grants()) {
+        const auto entry = entries.find(key.second);
+        uint32_t inUse = 0;
+        if (entry != entries.end()) {
+            const auto used = entry->second.slotsInUse.find(key.first);
+            inUse = used == entry->second.slotsInUse.end() ? 0 : used->second;
         }
+        input.grants.push_back({ key.first, key.second, Epoch { grant.epoch() }, grant.slots(), grant.connections(),
+            grant.held_slots(), grant.held_connections(), inUse });
     }
-    uint32_t free = worker.slots() > heldByAll ? worker.slots() - heldByAll : 0;
-    for (const auto* entry : entries) {
-        const uint32_t target = wanted[entry->id];
-        const auto standing = state.grants().find({ id, entry->id });
-        const uint32_t held = standing == state.grants().end() ? 0 : standing->second.held_slots();
-        const uint32_t added = std::min(free, target > held ? target - held : 0);
-        if (added == 0)
-            continue;
-        free -= added;
-        log::Grant grant;
-        grant.set_worker(worker.worker());
-        grant.set_entry(entry->id.str());
-        grant.set_epoch(m_nextEpoch.value);
-        m_nextEpoch = m_nextEpoch.next();
-        grant.set_slots(held + added);
-        grant.set_connections(worker.connections() * grant.slots() / worker.slots());
-        grant.set_held_slots(grant.slots());
-        grant.set_held_connections(grant.connections());
-        const bool isLocal = entry->region.str() == worker.region();
-        const auto lease = isLocal ? m_options.inRegionLease : m_options.crossRegionLease;
+    return input;
+}
+
+log::Grant GrantManager::changed(const ControlState& state, const EntryInfo* entry, const decision::GrantChange& change)
+{
+    log::Grant grant;
+    const auto standing = state.grants().find({ change.worker, change.entry });
+    if (standing != state.grants().end())
+        grant = standing->second;
+    grant.set_worker(change.worker.str());
+    grant.set_entry(change.entry.str());
+    grant.set_epoch(m_nextEpoch.value);
+    m_nextEpoch = m_nextEpoch.next();
+    grant.set_slots(change.slots);
+    grant.set_connections(change.connections);
+    grant.set_held_slots(std::max(grant.held_slots(), change.slots));
+    grant.set_held_connections(std::max(grant.held_connections(), change.connections));
+    const bool isLocal = entry && entry->region.str() == state.workers().at(change.worker).region();
+    const auto lease = isLocal ? m_options.inRegionLease : m_options.crossRegionLease;
+    if (entry)
         grant.set_lease_ms(static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(lease).count()));
-        changes.push_back(grant);
+    return grant;
+}
+
+std::vector<log::Grant> GrantManager::plan(
+    const ControlState& state, const std::map<InstanceId, EntryInfo>& entries, TimePoint now)
+{
+    auto changes = expired(state, now);
+    if (!changes.empty())
+        return changes;
+    for (const auto& change : m_policy.plan(inputFrom(state, entries, now), now)) {
+        const auto entry = entries.find(change.entry);
+        changes.push_back(changed(state, entry == entries.end() ? nullptr : &entry->second, change));
     }
+    return changes;
 }
 
 } // namespace turmericpier::control
--- a/src/control/grants.h
+++ b/src/control/grants.h
@@ -2,6 +2,7 @@
 
 #include "control/state.h"
 #include "turmericpier/base/clock.h"
+#include "turmericpier/decision/grant-policy.h"
 
 #include <vector>
 
@@ -28,7 +29,8 @@
     bool isDraining = false;
     uint64_t configVersion = 0;
     TimePoint lastHeard;
-    std::map<ServiceId, uint32_t> demand; ///< Requests waiting and running.
+    std::vector<decision::GrantDemand> demand;
+    std::map<WorkerId, uint32_t> slotsInUse;
     std::set<WorkerId> streams;
 };
 
@@ -49,10 +51,13 @@
 
 private:
     bool hasExpired(const log::Grant& grant, TimePoint now) const;
-    void planWorker(const ControlState& state, const rpc::WorkerReport& worker,
-        const std::vector<const EntryInfo*>& entries, std::vector<log::Grant>& changes);
+    std::vector<log::Grant> expired(const ControlState& state, TimePoint now);
+    decision::GrantInput inputFrom(
+        const ControlState& state, const std::map<InstanceId, EntryInfo>& entries, TimePoint now) const;
+    log::Grant changed(const ControlState& state, const EntryInfo* entry, const decision::GrantChange& change);
 
     GrantOptions m_options;
+    decision::GrantPolicy m_policy;
     std::map<GrantKey, TimePoint> m_renewed;
     Epoch m_nextEpoch;
 };
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -10,6 +10,9 @@
 namespace turmericpier::control {
 
 namespace {
+    // Planning costs time in proportion to workers and entries, so that it does not run at each tick.
+    constexpr Duration grantPlanInterval = std::chrono::milliseconds(50);
+
     bool factsDiffer(const rpc::WorkerReport& a, const rpc::WorkerReport& b)
     {
         return a.incarnation() != b.incarnation() || a.address() != b.address() || a.leaving() != b.leaving()
@@ -325,7 +328,10 @@
     entry.lastHeard = now;
     entry.demand.clear();
     for (const auto& demand : heartbeat.demand)
-        entry.demand[ServiceId(demand->service)] = demand->waiting + demand->running;
+        entry.demand.push_back({ ServiceId(demand->service), demand->waiting, demand->running });
+    entry.slotsInUse.clear();
+    for (const auto& held : heartbeat.held)
+        entry.slotsInUse[WorkerId(held->worker)] = held->in_use;
     entry.streams.clear();
     for (const auto& worker : heartbeat.streams)
         entry.streams.insert(WorkerId(worker));
@@ -570,8 +576,10 @@
     run(state, m_engine.tick(now));
     // A new leader hears from the entries first; otherwise it would take the grants of all of them for abandoned.
     const bool hasHeardEntries = now - m_startedAt > m_options.grants.entryLost || state.grants().empty();
-    if (!m_grantsProposed && hasHeardEntries)
+    if (!m_grantsProposed && hasHeardEntries && now - m_grantsPlanned >= grantPlanInterval) {
+        m_grantsPlanned = now;
         proposeGrants(m_grants.plan(state, m_entries, now));
+    }
     flush(state);
 }
 
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -106,6 +106,7 @@
     log::JobEnds m_newJobEnds;
     std::set<WorkerId> m_factsProposed;
     bool m_grantsProposed = false;
+    TimePoint m_grantsPlanned;
     Index m_grantsApplied;
     bool m_needsRebuild = false;
 };
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -11,6 +11,7 @@
 #include "turmericpier/ledger/client.h"
 #include "turmericpier/ledger/replica.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <future>
 #include <grpcpp/server.h>
@@ -22,6 +23,8 @@
     constexpr Duration tickInterval = std::chrono::milliseconds(5);
     constexpr Duration operatorDeadline = std::chrono::seconds(10);
     constexpr Duration heartbeatTimeout = std::chrono::milliseconds(600);
+    // One round trip over the paid link of 8 ms one way fit; a burst waits for at most a few of these.
+    constexpr Duration urgentHeartbeat = std::chrono::milliseconds(20);
     // Above all correlations of PeerCalls, so that replies to the ledger client are told apart.
     constexpr uint64_t firstLedgerCorrelation = uint64_t { 1 } << 62U;
     constexpr Duration recordDeadline = std::chrono::minutes(10);
@@ -231,18 +234,31 @@
         for (auto& [region, reads] : m_ledgerReads)
             reads->tick(now);
         m_driver.tick();
+        heartbeatIfDue(now);
         m_isIdle = m_driver.isIdle();
     }
 
-    void sendHeartbeat()
+    /// Requests that wait for a slot make the next heartbeat, which carries the demand, due early.
+    void heartbeatIfDue(TimePoint now)
     {
-        m_loop.postAfter(m_settings.entry.heartbeat, [this] { sendHeartbeat(); });
-        const auto sentAt = m_clock.now();
+        const auto demand = m_driver.router().demand();
+        const bool hasWaiting
+            = std::any_of(demand.begin(), demand.end(), [](const auto& service) { return service.waiting > 0; });
+        const Duration interval = hasWaiting ? urgentHeartbeat : Duration(m_settings.entry.heartbeat);
+        if (!m_heartbeatInFlight && now - m_heartbeatSent >= interval)
+            sendHeartbeat(now);
+    }
+
+    void sendHeartbeat(TimePoint sentAt)
+    {
+        m_heartbeatInFlight = true;
+        m_heartbeatSent = sentAt;
         const auto to = m_control.leader();
         peer::wire::EnvelopeT envelope;
         envelope.body.Set(makeHeartbeat());
         m_calls.call(to, std::move(envelope), sentAt + heartbeatTimeout,
             [this, to, sentAt](const absl::StatusOr<peer::wire::EnvelopeT>& reply) {
+                m_heartbeatInFlight = false;
                 if (!reply.ok()) {
                     m_metrics.counter("heartbeats_failed_total").increment();
                     m_control.suspectLeader(to);
@@ -367,7 +383,6 @@
                                  "listen", m_settings.rpcAddress },
                 "cannot listen on " + m_settings.rpcAddress);
         m_loop.postAfter(tickInterval, [this] { tick(); });
-        m_loop.postAfter(Duration::zero(), [this] { sendHeartbeat(); });
         m_loop.start();
         return absl::OkStatus();
     }
@@ -430,6 +445,8 @@
     CallerService m_callerService;
     OperatorService m_operatorService;
     std::unique_ptr<grpc::Server> m_server;
+    bool m_heartbeatInFlight = false;
+    TimePoint m_heartbeatSent;
     uint64_t m_controlTerm = 0;
     uint64_t m_stateVersion = 0;
     uint64_t m_grantsVersion = 0;
