--- a/test/routing-fault-matrix-test.cc
+++ b/test/routing-fault-matrix-test.cc
@@ -1,4 +1,4 @@
-#include "routing-fakes.h"
+#include "routing-fake-world.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
