Test the consensus core on a simulated network and fix what it found

Cause: the core had no tests of its guarantees. Change: a simulated network that drops, delays, duplicates and reorders messages, cuts, pauses and kills replicas at each step of their work and takes their disks, with checks of one leader per term, leader completeness, matching logs and prefixes.

--- a/src/consensus/core-follower.cc
+++ b/src/consensus/core-follower.cc
@@ -82,6 +82,13 @@
     // The leader may still count on entries that this replica lost with its disk.
     if (!m_hard.recovering)
         commitTo(message.commit);
+    // A leader without new entries learns in this way that the peer lost its disk.
+    if (m_hard.recovering && !m_recoverTo) {
+        Message lost { .type = MessageType::AppendReply, .term = m_hard.term, .reject = true };
+        lost.rejectHint = m_log.last();
+        lost.context = m_options.incarnation;
+        sendAfterSync(from, std::move(lost));
+    }
     sendAfterSync(from, { .type = MessageType::HeartbeatReply, .term = m_hard.term, .context = message.context });
 }
 
--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -40,7 +40,8 @@
     if (m_pendingVoter && m_now >= m_pendingVoter->deadline) {
         m_changeResults.push_back({ m_pendingVoter->id,
             refuse(absl::StatusCode::kDeadlineExceeded, "NOT_CAUGHT_UP",
-                absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")) });
+                absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")),
+            {} });
         m_progress.erase(m_pendingVoter->voter);
         m_pendingVoter.reset();
     }
@@ -290,9 +291,11 @@
 void Core::resumeProgress(const InstanceId& to, Progress& progress)
 {
     if (progress.sending) {
-        if (m_now - progress.chunkSentAt >= m_options.electionTimeoutMin)
-            sendChunk(to, progress);
-        return;
+        if (m_now - progress.chunkSentAt < m_options.electionTimeoutMin)
+            return;
+        if (progress.sendOffset == 0) // the peer was away; the latest snapshot saves it a second transfer
+            progress.sending = m_snapshot;
+        return sendChunk(to, progress);
     }
     progress.probeSent = false; // a probe or its reply was lost, or is repeated without harm
     const bool stalled = !progress.inflight.empty()
@@ -368,7 +371,7 @@
     if (status.ok() && isVoter(voter))
         status = refuse(absl::StatusCode::kAlreadyExists, "VOTER_EXISTS", absl::StrCat(voter.str(), " is a voter"));
     if (!status.ok()) {
-        m_changeResults.push_back({ id, status });
+        m_changeResults.push_back({ id, status, {} });
         return;
     }
     m_progress[voter] = { .next = m_log.last().next(), .lastProgress = m_now, .lastHeard = m_now };
@@ -397,7 +400,7 @@
     if (status.ok() && voters().size() == 1)
         status = refuse(absl::StatusCode::kFailedPrecondition, "LAST_VOTER", "the last voter can not be removed");
     if (!status.ok()) {
-        m_changeResults.push_back({ id, status });
+        m_changeResults.push_back({ id, status, {} });
         return;
     }
     auto next = voters();
@@ -408,7 +411,7 @@
 void Core::proposeVoters(uint64_t id, const std::vector<InstanceId>& voters)
 {
     appendEntry(EntryKind::Membership, encodeVoters(voters));
-    m_changeResults.push_back({ id, m_log.last() });
+    m_changeResults.push_back({ id, m_log.last(), m_hard.term });
 }
 
 void Core::transferLeadership(const InstanceId& to, TimePoint now)
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -76,7 +76,14 @@
 
 bool Core::isVoter(const InstanceId& id) const { return std::ranges::find(voters(), id) != voters().end(); }
 
-bool Core::mayCampaign() const { return isVoter(m_options.self) && (!m_hard.recovering || m_log.last().value == 0); }
+bool Core::mayCampaign() const
+{
+    if (m_hard.recovering && m_log.last().value != 0)
+        return false;
+    // Until its removal is committed, a replica may be the only one whose log is recent enough to lead.
+    const auto committed = m_log.votersAt(m_hard.commit).voters;
+    return isVoter(m_options.self) || std::ranges::find(committed, m_options.self) != committed.end();
+}
 
 bool Core::inLease() const { return m_role == Role::Leader || m_now - m_leaderContact < m_options.electionTimeoutMin; }
 
@@ -121,7 +128,7 @@
     m_pendingReads.clear();
     if (m_pendingVoter)
         m_changeResults.push_back({ m_pendingVoter->id,
-            refuse(absl::StatusCode::kUnavailable, "LEADERSHIP_LOST", "leadership was lost before the change") });
+            refuse(absl::StatusCode::kUnavailable, "LEADERSHIP_LOST", "leadership was lost before the change"), {} });
     m_pendingVoter.reset();
     m_progress.clear();
     m_rounds.clear();
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -68,6 +68,7 @@
 struct ChangeResult {
     uint64_t id = 0;
     absl::StatusOr<Index> index = Index {}; ///< Index of the membership entry.
+    Term term; ///< Term of the membership entry.
 };
 
 /// Work for the caller. Order: send `messages`; write and sync `snapshot`, `entries` and `hardState`; call
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -60,6 +60,7 @@
         , wal(std::move(groupWal))
         , core(coreOptions(options), std::move(stored), clock.now())
         , loop("consensus", clock)
+        , diskLoop("snapshot", clock)
         , proposals(metrics.counter("consensus_proposals_total"))
         , batches(metrics.counter("consensus_syncs_total"))
         , appliedEntries(metrics.counter("consensus_entries_applied_total"))
@@ -82,6 +83,8 @@
     {
         while (failed.ok() && core.hasReady())
             handle(core.takeReady());
+        if (failed.ok())
+            finishSnapshot();
         if (failed.ok() && !core.fault().empty())
             fail(makeError(
                 { absl::StatusCode::kInternal, Outcome::Unknown, "LOG_DIVERGED", "append", "" }, core.fault()));
@@ -118,7 +121,10 @@
             return absl::OkStatus();
         batches.increment();
         if (ready.snapshot) {
-            if (auto status = wal->saveSnapshot(*ready.snapshot, hardState, ready.resetLog); !status.ok())
+            auto status = wal->writeSnapshot(*ready.snapshot);
+            if (status.ok())
+                status = wal->adoptSnapshot(ready.snapshot->index, ready.snapshot->term, hardState, ready.resetLog);
+            if (!status.ok())
                 return status;
         }
         if (auto status = wal->append(hardState, ready.entries); !status.ok())
@@ -146,6 +152,15 @@
             proposal.done(error(Outcome::NotRun, "REPLACED", "another entry was committed in its place"));
     }
 
+    /// Answers `done` once the entry of `term` at `index` is applied.
+    void await(Index index, Term term, Done done)
+    {
+        auto& proposal = waiting[index];
+        if (proposal.done) // leadership was lost and won again within one batch
+            proposal.done(error(Outcome::Unknown, "LEADERSHIP_LOST", "another entry took the index"));
+        proposal = { term, std::move(done) };
+    }
+
     void onChange(const ChangeResult& change)
     {
         const auto found = changes.find(change.id);
@@ -154,7 +169,7 @@
         auto done = std::move(found->second);
         changes.erase(found);
         if (change.index.ok())
-            waiting[*change.index] = { core.term(), std::move(done) };
+            await(*change.index, change.term, std::move(done));
         else
             done(change.index.status());
     }
@@ -172,22 +187,48 @@
             done(error(Outcome::NotRun, "NOT_LEADER", "this replica does not lead"));
     }
 
+    /// Starts to write a snapshot if one is due. The file is written on a thread of its own, because tens of MiB would
+    /// hold up the log for as long as the disk takes.
     void takeSnapshot()
     {
         const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
-        if (applied.value - previous.value < options.snapshotEvery)
+        if (writing || applied.value - previous.value < options.snapshotEvery)
             return;
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->index = applied;
         snapshot->term = *core.log().termAt(applied);
         snapshot->voters = core.log().votersAt(applied).voters;
         snapshot->data = hooks.snapshot();
-        auto status = wal->saveSnapshot(*snapshot, hardState, false);
+        writing = snapshot;
+        diskLoop.post([this, snapshot] {
+            auto result = wal->writeSnapshot(*snapshot);
+            std::lock_guard lock(mutex);
+            written = std::move(result);
+        });
+    }
+
+    /// Puts a snapshot that was written in force and shortens the log.
+    void finishSnapshot()
+    {
+        if (!writing)
+            return;
+        std::unique_lock lock(mutex);
+        const auto result = std::exchange(written, std::nullopt);
+        lock.unlock();
+        if (!result)
+            return;
+        const auto snapshot = std::exchange(writing, nullptr);
+        const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
+        if (result->ok() && snapshot->index <= previous) // the leader sent a later one meanwhile
+            return wal->discardSnapshot(snapshot->index);
+        auto status = *result;
+        if (status.ok())
+            status = wal->adoptSnapshot(snapshot->index, snapshot->term, hardState, false);
         if (status.ok())
             status = wal->compact(previous, hardState);
         if (!status.ok())
             return fail(status);
-        core.snapshotTaken(std::move(snapshot));
+        core.snapshotTaken(snapshot);
         snapshots.increment();
     }
 
@@ -282,6 +323,7 @@
     std::unique_ptr<Wal> wal;
     Core core;
     EventLoop loop;
+    EventLoop diskLoop; ///< Writes snapshots.
     Counter& proposals;
     Counter& batches;
     Counter& appliedEntries;
@@ -296,8 +338,10 @@
     std::map<Index, Proposal> waiting; ///< Proposals and voter changes in the log.
     std::map<uint64_t, Done> changes; ///< Voter changes that are not in the log yet.
     std::map<uint64_t, std::function<void(absl::Status)>> reads;
+    std::shared_ptr<const Snapshot> writing; ///< The snapshot that is being written.
     mutable std::mutex mutex;
-    Status status;
+    std::optional<absl::Status> written; ///< Result of writing it; guarded by `mutex`.
+    Status status; ///< Guarded by `mutex`.
 };
 
 Group::Group(std::unique_ptr<Impl> impl)
@@ -329,11 +373,16 @@
     return std::unique_ptr<Group>(new Group(std::move(impl)));
 }
 
-void Group::start() { m_impl->loop.start(); }
+void Group::start()
+{
+    m_impl->diskLoop.start();
+    m_impl->loop.start();
+}
 
 void Group::stop()
 {
     m_impl->loop.stop();
+    m_impl->diskLoop.stop();
     m_impl->abandon("REPLICA_STOPPED", "the replica was stopped");
 }
 
@@ -345,7 +394,7 @@
         const auto index = impl.core.propose(std::move(data));
         if (!index.ok())
             return callback(index.status());
-        impl.waiting[*index] = { impl.core.term(), std::move(callback) };
+        impl.await(*index, impl.core.term(), std::move(callback));
     });
 }
 
--- a/src/consensus/wal.cc
+++ b/src/consensus/wal.cc
@@ -30,6 +30,13 @@
             absl::StrCat(path.string(), ": offset ", offset, ": ", absl::string_view(what.data(), what.size())));
     }
 
+    absl::Status diskError(const char* step, const fs::path& path)
+    {
+        const std::string reason = std::strerror(errno);
+        return makeError({ absl::StatusCode::kInternal, Outcome::Unknown, "DISK_FAILED", step, path.string() },
+            absl::StrCat(path.string(), ": ", step, " failed: ", reason));
+    }
+
     absl::StatusOr<std::string> readFile(const fs::path& path)
     {
         std::ifstream in(path, std::ios::binary);
@@ -96,12 +103,17 @@
 
 fs::path Wal::segmentPath(uint64_t number) const { return m_options.folder / absl::StrFormat("log-%020d", number); }
 
+fs::path Wal::snapshotPath(Index index) const
+{
+    return m_options.folder / absl::StrFormat("snapshot-%020d", index.value);
+}
+
 absl::Status Wal::load()
 {
     std::error_code error;
     fs::create_directories(m_options.folder, error);
     if (error)
-        return fail("create folder", m_options.folder);
+        return diskError("create folder", m_options.folder);
     for (const auto& path : listFiles(m_options.folder, snapshotPrefix)) {
         if (path.string().ends_with(temporarySuffix)) // left by a crash before the rename
             fs::remove(path, error);
@@ -131,6 +143,11 @@
     if (files.empty())
         return absl::OkStatus();
     m_snapshotFile = files.back();
+    std::error_code ignored;
+    for (const auto& path : files) {
+        if (path != m_snapshotFile) // a crash came before its removal
+            fs::remove(path, ignored);
+    }
     const auto bytes = readFile(m_snapshotFile);
     if (!bytes.ok())
         return bytes.status();
@@ -213,10 +230,10 @@
             { "bytes", std::to_string(bytes.size() - offset) } });
     const int file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
     if (file < 0)
-        return fail("open", path);
+        return diskError("open", path);
     const absl::Cleanup close = [file] { ::close(file); };
     if (::ftruncate(file, static_cast<off_t>(offset)) != 0)
-        return fail("truncate", path);
+        return diskError("truncate", path);
     return syncFile(file, path);
 }
 
@@ -249,7 +266,7 @@
     const auto path = segmentPath(number);
     m_file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_APPEND | O_CLOEXEC, 0644);
     if (m_file < 0)
-        return fail("create", path);
+        return diskError("create", path);
     m_fileBytes = 0;
     m_segments.push_back({ number, m_last });
     log::WalRecord record;
@@ -265,6 +282,11 @@
 {
     if (!m_failed.ok())
         return m_failed;
+    return remember(appendRecord(hardState, entries));
+}
+
+absl::Status Wal::appendRecord(const HardState& hardState, const std::vector<LogEntry>& entries)
+{
     if (m_fileBytes > m_options.segmentBytes) {
         if (auto status = startSegment(hardState); !status.ok())
             return status;
@@ -295,49 +317,63 @@
     return syncFile(m_file, path);
 }
 
-absl::Status Wal::saveSnapshot(const Snapshot& snapshot, const HardState& hardState, bool resetLog)
+absl::Status Wal::writeSnapshot(const Snapshot& snapshot) const
 {
-    if (!m_failed.ok())
-        return m_failed;
     log::WalSnapshot proto;
     proto.set_index(snapshot.index.value);
     proto.set_term(snapshot.term.value);
     for (const auto& voter : snapshot.voters)
         proto.add_voters(voter.str());
     proto.set_data(snapshot.data);
-    const auto path = m_options.folder / absl::StrFormat("snapshot-%020d", snapshot.index.value);
+    const auto path = snapshotPath(snapshot.index);
     auto temporary = path;
     temporary += temporarySuffix;
     const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
     if (file < 0)
-        return fail("create", temporary);
+        return diskError("create", temporary);
     const absl::Cleanup close = [file] { ::close(file); };
-    if (auto status = writeAll(file, detail::frameRecord(snapshot.index.value, proto.SerializeAsString()), temporary);
-        !status.ok())
-        return status;
-    if (auto status = syncFile(file, temporary); !status.ok())
+    auto status = writeAll(file, detail::frameRecord(snapshot.index.value, proto.SerializeAsString()), temporary);
+    if (status.ok())
+        status = syncFile(file, temporary);
+    if (!status.ok())
         return status;
     if (::rename(temporary.c_str(), path.c_str()) != 0)
-        return fail("rename", temporary);
-    if (auto status = syncFolder(); !status.ok())
-        return status;
+        return diskError("rename", temporary);
+    return syncFolder();
+}
+
+absl::Status Wal::adoptSnapshot(Index index, Term term, const HardState& hardState, bool resetLog)
+{
+    if (!m_failed.ok())
+        return m_failed;
     std::error_code ignored;
+    const auto path = snapshotPath(index);
     if (!m_snapshotFile.empty() && m_snapshotFile != path)
         fs::remove(m_snapshotFile, ignored);
     m_snapshotFile = path;
     if (!resetLog)
         return absl::OkStatus();
-    m_last = snapshot.index;
-    m_lastTerm = snapshot.term;
-    return compact(snapshot.index, hardState);
+    m_last = index;
+    m_lastTerm = term;
+    return compact(index, hardState);
+}
+
+void Wal::discardSnapshot(Index index)
+{
+    std::error_code ignored;
+    fs::remove(snapshotPath(index), ignored);
 }
 
 absl::Status Wal::compact(Index index, const HardState& hardState)
 {
     if (!m_failed.ok())
         return m_failed;
-    if (auto status = startSegment(hardState); !status.ok())
-        return status;
+    auto status = startSegment(hardState);
+    return remember(status.ok() ? removeSegments(index) : status);
+}
+
+absl::Status Wal::removeSegments(Index index)
+{
     while (m_segments.size() > 1 && m_segments[1].start <= index) {
         std::error_code ignored;
         fs::remove(segmentPath(m_segments.front().number), ignored);
@@ -349,7 +385,7 @@
     return absl::OkStatus();
 }
 
-absl::Status Wal::writeAll(int file, std::string_view bytes, const fs::path& path)
+absl::Status Wal::writeAll(int file, std::string_view bytes, const fs::path& path) const
 {
     m_bytesWritten.increment(bytes.size());
     while (!bytes.empty()) {
@@ -357,38 +393,38 @@
         if (written < 0 && errno == EINTR)
             continue;
         if (written <= 0)
-            return fail("write", path);
+            return diskError("write", path);
         bytes.remove_prefix(static_cast<size_t>(written));
     }
     return absl::OkStatus();
 }
 
-absl::Status Wal::syncFile(int file, const fs::path& path)
+absl::Status Wal::syncFile(int file, const fs::path& path) const
 {
     const SteadyClock clock;
     const auto start = clock.now();
     if (m_options.sync(file) != 0)
-        return fail("sync", path);
+        return diskError("sync", path);
     m_syncLatency.record(clock.now() - start);
     return absl::OkStatus();
 }
 
-absl::Status Wal::syncFolder()
+absl::Status Wal::syncFolder() const
 {
     const int folder = ::open(m_options.folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (folder < 0)
-        return fail("open", m_options.folder);
+        return diskError("open", m_options.folder);
     const absl::Cleanup close = [folder] { ::close(folder); };
     if (::fsync(folder) != 0)
-        return fail("sync", m_options.folder);
+        return diskError("sync", m_options.folder);
     return absl::OkStatus();
 }
 
-absl::Status Wal::fail(const char* step, const fs::path& path)
+absl::Status Wal::remember(absl::Status status)
 {
-    m_failed = makeError({ absl::StatusCode::kInternal, Outcome::Unknown, "DISK_FAILED", step, path.string() },
-        absl::StrCat(path.string(), ": ", step, " failed: ", std::strerror(errno)));
-    return m_failed;
+    if (!status.ok())
+        m_failed = status;
+    return status;
 }
 
 } // namespace turmericpier::consensus
--- a/src/consensus/wal.h
+++ b/src/consensus/wal.h
@@ -38,9 +38,13 @@
 
     /// Writes and syncs one record.
     absl::Status append(const HardState& hardState, const std::vector<LogEntry>& entries);
-    /// Writes, syncs and renames a snapshot, then removes the one before it. With `resetLog` the log restarts after
-    /// the snapshot.
-    absl::Status saveSnapshot(const Snapshot& snapshot, const HardState& hardState, bool resetLog);
+    /// Writes, syncs and renames a snapshot file. May run on another thread beside the other methods.
+    absl::Status writeSnapshot(const Snapshot& snapshot) const;
+    /// Makes a snapshot that was written the one in force and removes the one before it. With `resetLog` the log
+    /// restarts after the snapshot.
+    absl::Status adoptSnapshot(Index index, Term term, const HardState& hardState, bool resetLog);
+    /// Removes a snapshot that was written but is older than the one in force.
+    void discardSnapshot(Index index);
     /// Starts a new segment and removes those that hold only entries up to `index`.
     absl::Status compact(Index index, const HardState& hardState);
 
@@ -58,18 +62,21 @@
     absl::Status cutTail(const std::filesystem::path& path, const std::string& bytes, size_t offset);
     absl::Status reconcileWithSnapshot();
     absl::Status startSegment(const HardState& hardState);
+    absl::Status removeSegments(Index index);
+    absl::Status appendRecord(const HardState& hardState, const std::vector<LogEntry>& entries);
     absl::Status writeRecord(const log::WalRecord& record);
-    absl::Status writeAll(int file, std::string_view bytes, const std::filesystem::path& path);
-    absl::Status syncFile(int file, const std::filesystem::path& path);
-    absl::Status syncFolder();
-    absl::Status fail(const char* step, const std::filesystem::path& path);
+    absl::Status writeAll(int file, std::string_view bytes, const std::filesystem::path& path) const;
+    absl::Status syncFile(int file, const std::filesystem::path& path) const;
+    absl::Status syncFolder() const;
+    absl::Status remember(absl::Status status);
     std::filesystem::path segmentPath(uint64_t number) const;
+    std::filesystem::path snapshotPath(Index index) const;
 
     const WalOptions m_options;
     Counter& m_tornTails;
     Counter& m_bytesWritten;
     Latency& m_syncLatency;
-    absl::Status m_failed;
+    absl::Status m_failed; ///< The first failure of the disk.
     StoredState m_stored;
     std::filesystem::path m_snapshotFile;
     std::vector<Segment> m_segments;
--- /dev/null
+++ b/test/consensus-network.h
@@ -0,0 +1,377 @@
+#pragma once
+
+#include "consensus/core.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <catch2/catch.hpp>
+#include <set>
+
+/// Several cores on a simulated network with simulated disks, and the checks of the algorithm's guarantees.
+namespace turmericpier::consensus {
+
+using namespace std::chrono_literals;
+
+struct Faults {
+    double drop = 0;
+    double duplicate = 0;
+    Duration maxDelay = 2ms; ///< Messages overtake each other within this.
+    double crash = 0; ///< Per piece of work of a replica.
+};
+
+/// Steps of a piece of work after which a replica can be killed.
+enum class Stage { Taken, Sent, Synced, Acknowledged };
+
+struct Replica {
+    std::unique_ptr<Core> core; ///< Null while down.
+    bool paused = false;
+    std::vector<std::string> applied; ///< The state machine: data entries in order.
+    Index appliedIndex;
+    // The disk.
+    bool used = false;
+    HardState hardState;
+    std::shared_ptr<const Snapshot> snapshot;
+    MemoryLog log;
+};
+
+class Network {
+public:
+    Network(uint64_t seed, std::vector<InstanceId> voters)
+        : random(seed)
+        , m_voters(std::move(voters))
+    {
+        for (const auto& id : m_voters)
+            start(id);
+    }
+
+    void start(const InstanceId& id)
+    {
+        auto& replica = replicas[id];
+        StoredState stored { replica.hardState, replica.snapshot, replica.log.base(), replica.log.baseTerm(),
+            replica.log.slice(replica.log.base().next(), SIZE_MAX), m_voters };
+        stored.hardState.recovering |= !replica.used;
+        CoreOptions options {
+            .self = id, .preferredLeaders = preferred, .seed = random(), .incarnation = random() | 1
+        };
+        options.appendBytes = appendBytes;
+        options.snapshotChunkBytes = 64;
+        options.inflightBytes = 4 * appendBytes;
+        replica.paused = false;
+        replica.applied.clear();
+        replica.appliedIndex = {};
+        if (replica.snapshot)
+            restore(replica, *replica.snapshot);
+        replica.core = std::make_unique<Core>(options, std::move(stored), now);
+    }
+    void crash(const InstanceId& id) { replicas[id].core.reset(); }
+    /// Replaces a replica by one with an empty disk.
+    void wipe(const InstanceId& id)
+    {
+        replicas[id] = Replica {};
+        start(id);
+    }
+    void cut(const InstanceId& id) { cutOff.insert(id); }
+
+    /// Advances the time by `duration` in steps of 5 ms.
+    void run(Duration duration)
+    {
+        for (const auto end = now + duration; now < end;)
+            step();
+    }
+    bool runUntil(const std::function<bool()>& condition, Duration limit = 60s)
+    {
+        for (const auto end = now + limit; now < end; step()) {
+            if (condition())
+                return true;
+        }
+        return condition();
+    }
+    void step()
+    {
+        now = now + 5ms;
+        while (!m_queue.empty() && m_queue.begin()->first <= now) {
+            auto [to, from, message] = std::move(m_queue.begin()->second);
+            m_queue.erase(m_queue.begin());
+            deliver(from, to, std::move(message));
+        }
+        for (auto& [id, replica] : replicas) {
+            if (replica.core && !replica.paused) {
+                replica.core->tick(now);
+                work(id);
+            }
+        }
+        if (++m_steps % 20 == 0)
+            checkLogsMatch();
+    }
+
+    /// The leader of the highest term among the replicas that are not cut off.
+    InstanceId leader() const
+    {
+        InstanceId found;
+        Term term;
+        for (const auto& [id, replica] : replicas) {
+            if (replica.core && replica.core->role() == Role::Leader && replica.core->term() > term
+                && !cutOff.contains(id) && !replica.paused) {
+                found = id;
+                term = replica.core->term();
+            }
+        }
+        return found;
+    }
+    InstanceId waitForLeader()
+    {
+        REQUIRE(runUntil([this] {
+            const auto id = leader();
+            return !id.empty() && core(id).log().termAt(core(id).commit()) == core(id).term();
+        }));
+        return leader();
+    }
+    Core& core(const InstanceId& id) { return *replicas.at(id).core; }
+    absl::StatusOr<Index> propose(const InstanceId& id)
+    {
+        auto index = core(id).propose(absl::StrCat("p", ++m_proposals));
+        work(id);
+        return index;
+    }
+    /// Proposes `count` entries to the leader and waits until they are applied there; starts over if the leader is
+    /// lost.
+    void commitEntries(int count)
+    {
+        for (bool done = false; !done;) {
+            const auto id = waitForLeader();
+            const auto term = core(id).term();
+            const auto leads = [&] { return leader() == id && core(id).term() == term; };
+            Index last;
+            for (int proposed = 0; proposed < count && leads();) {
+                const auto index = propose(id);
+                proposed += index.ok() ? 1 : 0;
+                last = index.ok() ? *index : last;
+                if (!index.ok()) // leadership is moving
+                    run(10ms);
+            }
+            REQUIRE(runUntil([&] { return !leads() || replicas[id].appliedIndex >= last; }));
+            done = leads();
+        }
+    }
+    void read(const InstanceId& id)
+    {
+        m_readFloor[++m_reads] = lastCommitted();
+        core(id).read(m_reads, now);
+        work(id);
+    }
+    /// Requests a change of the voters; the answer is found in `changes` under the number returned.
+    uint64_t change(const InstanceId& id, const InstanceId& voter, bool add)
+    {
+        const auto number = ++m_changes;
+        if (add)
+            core(id).addVoter(number, voter, now);
+        else
+            core(id).removeVoter(number, voter);
+        work(id);
+        return number;
+    }
+    Index lastCommitted() const { return m_committed.empty() ? Index {} : m_committed.rbegin()->first; }
+    /// True if every voter of the leader is up and has applied everything that was committed.
+    bool converged()
+    {
+        const auto id = leader();
+        if (id.empty())
+            return false;
+        for (const auto& voter : core(id).voters()) {
+            const auto& replica = replicas[voter];
+            if (!replica.core || replica.appliedIndex != core(id).log().last() || replica.core->recovering())
+                return false;
+        }
+        return true;
+    }
+
+    std::mt19937_64 random;
+    TimePoint now { 1s };
+    Faults faults;
+    std::vector<InstanceId> preferred;
+    size_t appendBytes = 400;
+    uint64_t snapshotEvery = 40;
+    std::map<InstanceId, Replica> replicas;
+    std::set<InstanceId> cutOff;
+    std::map<uint64_t, absl::StatusOr<Index>> changes;
+    size_t readsConfirmed = 0;
+    size_t snapshotsInstalled = 0;
+    std::map<MessageType, size_t> sent;
+    /// Decides whether a replica is killed at a stage; replaces the random choice.
+    std::function<bool(const InstanceId&, Stage, const Ready&)> killAt;
+    std::function<bool(const InstanceId& from, const InstanceId& to, const Message&)> dropIf;
+
+private:
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random) < probability; }
+
+    void deliver(const InstanceId& from, const InstanceId& to, Message message)
+    {
+        auto& replica = replicas[to];
+        if (!replica.core || cutOff.contains(from) || cutOff.contains(to))
+            return;
+        if (replica.paused) { // waits in the socket buffer
+            m_queue.emplace(now + 5ms, std::tuple { to, from, std::move(message) });
+            return;
+        }
+        replica.core->step(from, std::move(message), now);
+        work(to);
+    }
+
+    void send(const InstanceId& from, std::vector<Outgoing> messages)
+    {
+        for (auto& out : messages) {
+            ++sent[out.message.type];
+            if (chance(faults.drop) || (dropIf && dropIf(from, out.to, out.message)))
+                continue;
+            for (int copies = chance(faults.duplicate) ? 2 : 1; copies > 0; --copies) {
+                const Duration delay(std::uniform_int_distribution<int64_t>(0, faults.maxDelay.count())(random));
+                m_queue.emplace(now + delay, std::tuple { out.to, from, out.message });
+            }
+        }
+    }
+
+    bool killed(const InstanceId& id, Stage stage, const Ready& ready)
+    {
+        if (!(killAt ? killAt(id, stage, ready) : chance(faults.crash)))
+            return false;
+        crash(id);
+        return true;
+    }
+
+    void work(const InstanceId& id)
+    {
+        auto& replica = replicas[id];
+        while (replica.core && replica.core->hasReady()) {
+            auto ready = replica.core->takeReady();
+            checkRole(id);
+            if (killed(id, Stage::Taken, ready))
+                return;
+            send(id, std::move(ready.messages));
+            if (killed(id, Stage::Sent, ready))
+                return;
+            persist(replica, ready);
+            if (killed(id, Stage::Synced, ready))
+                return;
+            if (!ready.entries.empty())
+                replica.core->persisted(ready.entries.back().index, ready.entries.back().term);
+            send(id, std::move(ready.afterSync));
+            if (killed(id, Stage::Acknowledged, ready))
+                return;
+            finish(replica, ready);
+        }
+    }
+
+    static void persist(Replica& replica, const Ready& ready)
+    {
+        if (!ready.mustSync)
+            return;
+        replica.used = true;
+        replica.hardState = ready.hardState;
+        if (ready.snapshot)
+            replica.snapshot = ready.snapshot;
+        if (ready.resetLog)
+            replica.log.reset(ready.snapshot->index, ready.snapshot->term, {});
+        for (const auto& entry : ready.entries) {
+            replica.log.truncateAfter(Index { entry.index.value - 1 });
+            REQUIRE(entry.index == replica.log.last().next());
+            replica.log.append(entry);
+        }
+    }
+
+    void finish(Replica& replica, const Ready& ready)
+    {
+        REQUIRE(replica.core->fault().empty());
+        if (ready.snapshot) {
+            restore(replica, *ready.snapshot);
+            ++snapshotsInstalled;
+        }
+        for (const auto& change : ready.changes)
+            changes.emplace(change.id, change.index);
+        for (const auto& entry : ready.committed)
+            apply(replica, entry);
+        for (const auto& read : ready.reads) {
+            if (!read.confirmed)
+                continue;
+            REQUIRE(read.index >= m_readFloor[read.id]); // a read misses no earlier commit
+            REQUIRE(replica.appliedIndex >= read.index);
+            ++readsConfirmed;
+        }
+        const auto previous = replica.snapshot ? replica.snapshot->index : Index {};
+        if (replica.appliedIndex.value < previous.value + snapshotEvery)
+            return;
+        auto& core = *replica.core;
+        replica.snapshot
+            = std::make_shared<Snapshot>(Snapshot { replica.appliedIndex, *core.log().termAt(replica.appliedIndex),
+                core.log().votersAt(replica.appliedIndex).voters, absl::StrJoin(replica.applied, ",") });
+        core.snapshotTaken(replica.snapshot);
+        replica.log.compactTo(core.log().base());
+    }
+
+    static void restore(Replica& replica, const Snapshot& snapshot)
+    {
+        replica.applied = absl::StrSplit(snapshot.data, ',', absl::SkipEmpty());
+        replica.appliedIndex = snapshot.index;
+    }
+
+    void apply(Replica& replica, const LogEntry& entry)
+    {
+        REQUIRE(entry.index == replica.appliedIndex.next());
+        const auto [found, isNew] = m_committed.emplace(entry.index, entry);
+        REQUIRE(found->second.term == entry.term); // committed entries never change
+        REQUIRE(found->second.data == entry.data);
+        if (entry.kind == EntryKind::Data)
+            replica.applied.push_back(entry.data);
+        replica.appliedIndex = entry.index;
+        if (isNew && entry.kind == EntryKind::Data)
+            m_truth.push_back(entry.data);
+        REQUIRE(replica.applied.size() <= m_truth.size()); // applied sequences are prefixes of one another
+        REQUIRE(std::equal(replica.applied.begin(), replica.applied.end(), m_truth.begin()));
+    }
+
+    void checkRole(const InstanceId& id)
+    {
+        const auto& core = *replicas[id].core;
+        if (core.role() != Role::Leader)
+            return;
+        const auto [found, isNew] = m_leaders.emplace(core.term(), id);
+        REQUIRE(found->second == id); // one leader per term
+        if (!isNew)
+            return;
+        for (const auto& [index, entry] : m_committed) // a new leader holds every committed entry
+            REQUIRE((index <= core.log().base() || core.log().termAt(index) == entry.term));
+    }
+
+    void checkLogsMatch()
+    {
+        for (const auto& [id, one] : replicas) {
+            for (const auto& [other, two] : replicas) {
+                if (!(id < other) || !one.core || !two.core)
+                    continue;
+                const auto& left = one.core->log();
+                const auto& right = two.core->log();
+                bool same = false;
+                const auto base = std::max(left.base(), right.base());
+                for (auto index = std::min(left.last(), right.last()); index > base; index.value--) {
+                    const bool equal = left.at(index).term == right.at(index).term;
+                    REQUIRE((!same || equal)); // equal entries have equal predecessors
+                    same = same || equal;
+                    REQUIRE((!equal || left.at(index).data == right.at(index).data));
+                }
+            }
+        }
+    }
+
+    const std::vector<InstanceId> m_voters;
+    std::multimap<TimePoint, std::tuple<InstanceId, InstanceId, Message>> m_queue;
+    std::map<Index, LogEntry> m_committed;
+    std::vector<std::string> m_truth;
+    std::map<Term, InstanceId> m_leaders;
+    std::map<uint64_t, Index> m_readFloor;
+    uint64_t m_proposals = 0;
+    uint64_t m_reads = 0;
+    uint64_t m_changes = 0;
+    uint64_t m_steps = 0;
+};
+
+} // namespace turmericpier::consensus
