--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -4,10 +4,12 @@
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
-#include <condition_variable>
+#include <csignal>
 #include <fstream>
+#include <future>
 #include <set>
 #include <shared_mutex>
+#include <sys/resource.h>
 #include <thread>
 #include <unistd.h>
 
@@ -54,7 +56,9 @@
             if (found != m_running.end() && !m_cut.contains(id) && !m_cut.contains(to))
                 found->second->receive(id, std::move(message));
         };
-        hooks.apply = [&replica](Index, std::string_view data) {
+        hooks.apply = [this, &replica](Index, std::string_view data) {
+            if (onApply)
+                onApply();
             replica.data += std::string(data) + ";";
             return "did " + std::string(data);
         };
@@ -144,6 +148,9 @@
         return found;
     }
 
+    Counter& counter(std::string_view name) { return m_metrics.counter(name); }
+    std::function<void()> onApply;
+
     Group& group(const InstanceId& id) { return *m_replicas.at(id).group; }
     boost::json::value field(const InstanceId& id, std::string_view name)
     {
@@ -212,3 +219,149 @@
     REQUIRE(groups.until([&] { return groups.caughtUp(first, second); }));
     CHECK(groups.stoppedData(first) == "one;two;");
 }
+
+// Guards against one sync for each proposal, which limits the rate to that of the disk.
+TEST_CASE("proposals that arrive during a sync share the next one", "[consensus]")
+{
+    constexpr int count = 1'000;
+    Groups groups;
+    std::promise<void> release;
+    groups.open(a, { a });
+    groups.leader();
+    std::atomic<bool> held = false;
+    groups.onApply = [&, future = release.get_future().share()] {
+        held = true;
+        future.wait();
+    };
+    std::atomic<int> answered = 0;
+    const auto propose = [&] { groups.group(a).propose("x", [&](const auto& result) { answered += result.ok(); }); };
+    propose();
+    REQUIRE(groups.until([&] { return held.load(); }));
+    const auto before = groups.counter("consensus_syncs_total").value();
+    for (int i = 1; i < count; ++i)
+        propose();
+    release.set_value();
+    REQUIRE(groups.until([&] { return answered == count; }));
+    CHECK(groups.counter("consensus_syncs_total").value() - before == 1);
+}
+
+// Guards against a wrong statement of what became of a proposal.
+TEST_CASE("a failed proposal says what is known about it", "[consensus]")
+{
+    Groups groups;
+    for (const auto& id : { a, b, c })
+        groups.open(id, { a, b, c });
+    const auto old = groups.leader();
+    const auto follower = old == a ? b : a;
+    const auto refused = groups.propose(follower, "refused");
+    CHECK(detailsOf(refused.status()).outcome == Outcome::NotRun);
+    CHECK(detailsOf(refused.status()).reason == "NOT_LEADER");
+    CHECK(detailsOf(groups.read(follower)).reason == "NOT_LEADER");
+    const auto tooLarge = groups.propose(old, std::string(4'000'000, 'x'));
+    CHECK(detailsOf(tooLarge.status()).reason == "ENTRY_TOO_LARGE");
+    groups.cut(old);
+    const auto lost = groups.propose(old, "lost");
+    CHECK(detailsOf(lost.status()).outcome == Outcome::Unknown);
+    const auto next = groups.leader({ old });
+    REQUIRE(groups.propose(next, "kept").ok());
+    groups.heal();
+    REQUIRE(groups.until([&] { return groups.caughtUp(old, next); }));
+    groups.group(next).transferLeadership(old);
+    REQUIRE(groups.until([&] { return groups.field(old, "role") == "leader"; }));
+    groups.group(old).stop();
+    CHECK(detailsOf(groups.propose(old, "stopped").status()).outcome == Outcome::NotRun);
+    CHECK(groups.stoppedData(old) == "kept;");
+}
+
+// Guards against a log that grows for ever and a replica that can not follow once entries are gone. The state exceeds
+// a frame of 4 MiB.
+TEST_CASE("a replica far behind catches up by a snapshot in chunks", "[consensus]")
+{
+    constexpr int count = 1'000;
+    Groups groups;
+    for (const auto& id : { a, b, c })
+        groups.open(id, { a, b, c }, 100);
+    const auto leader = groups.leader();
+    const auto behind = leader == c ? b : c;
+    groups.stop(behind);
+    const std::string large(6'000, 'x');
+    for (int i = 0; i < count; i += 50) { // snapshots are written in between
+        std::atomic<int> answered = 0;
+        for (int j = 0; j < 50; ++j)
+            groups.group(leader).propose(large, [&](const auto& result) { answered += result.ok(); });
+        REQUIRE(groups.until([&] { return answered == 50; }));
+    }
+    REQUIRE(groups.until([&] { return groups.number(leader, "snapshot") > 500; }));
+    groups.open(behind, { a, b, c }, 100);
+    REQUIRE(groups.until([&] { return groups.caughtUp(behind, leader); }));
+    CHECK(groups.number(behind, "snapshot") > 500);
+    groups.stop(behind);
+    groups.open(behind, { a, b, c }, 100); // from its own snapshot
+    REQUIRE(groups.until([&] { return groups.caughtUp(behind, leader); }));
+    CHECK(groups.stoppedData(behind).size() == count * (large.size() + 1));
+    CHECK(std::distance(std::filesystem::directory_iterator(groups.folder() / leader.str()), {}) < 8);
+}
+
+// Guards against a repair that needs a stop of the group.
+TEST_CASE("a lost instance is replaced by remove and add, or by one with an empty disk", "[consensus]")
+{
+    Groups groups;
+    for (const auto& id : { a, b, c })
+        groups.open(id, { a, b, c });
+    auto leader = groups.leader();
+    REQUIRE(groups.propose(leader, "one").ok());
+    const auto lost = leader == c ? b : c;
+    groups.stop(lost);
+    std::filesystem::remove_all(groups.folder() / lost.str());
+    groups.open(lost, { a, b, c });
+    REQUIRE(groups.until([&] { return groups.caughtUp(lost, leader) && !groups.field(lost, "recovering").as_bool(); }));
+    groups.stop(lost);
+    REQUIRE(groups.wait([&](Group::Done done) { groups.group(leader).removeVoter(lost, done); }).ok());
+    groups.open(d, { a, b, c });
+    REQUIRE(groups.wait([&](Group::Done done) { groups.group(leader).addVoter(d, done); }).ok());
+    const auto again = groups.wait([&](Group::Done done) { groups.group(leader).addVoter(d, done); });
+    CHECK(detailsOf(again.status()).reason == "VOTER_EXISTS");
+    groups.stop(leader); // a second loss right after the repair
+    leader = groups.leader({ leader });
+    REQUIRE(groups.propose(leader, "two").ok());
+    REQUIRE(groups.until([&] { return groups.caughtUp(d, leader); }));
+    CHECK(groups.stoppedData(d) == "one;two;");
+}
+
+// Guards against a replica that serves from a damaged log.
+TEST_CASE("a damaged log refuses to open with file and offset", "[consensus]")
+{
+    Groups groups;
+    groups.open(a, { a });
+    groups.leader();
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(groups.propose(a, "data").ok());
+    groups.stop(a);
+    const auto file = groups.folder() / "a" / "log-00000000000000000001";
+    std::fstream(file, std::ios::in | std::ios::out | std::ios::binary).seekp(300).write("damage", 6);
+    ManualClock clock;
+    Metrics metrics;
+    const auto opened = Group::open({ .self = a, .folder = groups.folder() / "a" }, {}, clock, metrics);
+    CHECK(opened.status().code() == absl::StatusCode::kDataLoss);
+    CHECK(detailsOf(opened.status()).peer == file.string());
+}
+
+// Guards against a replica that acknowledges what its disk refused. The limit on file sizes makes the write fail.
+TEST_CASE("a failed write stops the replica", "[consensus]")
+{
+    Groups groups;
+    for (const auto& id : { a, b, c })
+        groups.open(id, { a, b, c });
+    const auto leader = groups.leader();
+    rlimit limit {};
+    REQUIRE(::getrlimit(RLIMIT_FSIZE, &limit) == 0);
+    auto small = limit;
+    small.rlim_cur = 64;
+    std::signal(SIGXFSZ, SIG_IGN);
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &small) == 0);
+    const auto failed = groups.propose(leader, "lost");
+    REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+    CHECK(detailsOf(failed.status()).outcome == Outcome::Unknown);
+    CHECK(groups.field(leader, "failure").as_string().find("write failed") != std::string::npos);
+    CHECK(detailsOf(groups.propose(leader, "again").status()).outcome == Outcome::NotRun);
+}
--- a/test/consensus-wal-test.cc
+++ b/test/consensus-wal-test.cc
@@ -1,7 +1,12 @@
 #include "consensus/wal.h"
 
+#include "consensus/record.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <rapidcheck.h>
 #include <unistd.h>
 
 using namespace turmericpier;
@@ -44,6 +49,36 @@
         for (auto index = from; index <= to; ++index)
             REQUIRE(wal->append(hard(term), { entry(index, term) }).ok());
     }
+    void snapshot(uint64_t index, uint64_t term, bool resetLog)
+    {
+        REQUIRE(wal->writeSnapshot(state(index, term)).ok());
+        REQUIRE(wal->adoptSnapshot(Index { index }, Term { term }, hard(term), resetLog).ok());
+    }
+    std::vector<fs::path> files(std::string_view prefix) const
+    {
+        std::vector<fs::path> found;
+        for (const auto& item : fs::directory_iterator(folder)) {
+            if (item.path().filename().string().starts_with(prefix))
+                found.push_back(item.path());
+        }
+        std::ranges::sort(found);
+        return found;
+    }
+    size_t count(std::string_view prefix) const { return files(prefix).size(); }
+    fs::path lastSegment() const { return files("log-").back(); }
+    static std::string read(const fs::path& path)
+    {
+        std::ifstream in(path, std::ios::binary);
+        return { std::istreambuf_iterator<char>(in), {} };
+    }
+    static void write(const fs::path& path, std::string_view bytes)
+    {
+        std::ofstream(path, std::ios::binary | std::ios::trunc).write(bytes.data(), bytes.size());
+    }
+    static Snapshot state(uint64_t index, uint64_t term)
+    {
+        return { Index { index }, Term { term }, { InstanceId("a") }, "state " + std::to_string(index) };
+    }
     static HardState hard(uint64_t term) { return { Term { term }, InstanceId("a"), Index { 0 }, false }; }
     static LogEntry entry(uint64_t index, uint64_t term)
     {
@@ -64,3 +99,188 @@
     REQUIRE(stored.entries.size() == 10);
     CHECK(stored.entries.back().data == "entry 10");
 }
+
+// Guards against a replica that refuses to start after a power loss, or keeps half a record.
+TEST_CASE("an incomplete record at the end is cut off and counted", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 10);
+    const auto size = fs::file_size(disk.lastSegment());
+    disk.append(11, 11);
+    const auto full = fs::file_size(disk.lastSegment());
+    const auto bytes = Disk::read(disk.lastSegment());
+    for (auto kept = size + 1; kept < full; ++kept) {
+        CAPTURE(kept, full);
+        Disk torn;
+        Disk::write(torn.folder / disk.lastSegment().filename(), bytes.substr(0, kept));
+        CHECK(torn.open().entries.size() == 10);
+        CHECK(torn.metrics.counter("consensus_wal_torn_tails_total").value() == 1);
+        torn.append(11, 12, 2);
+        const auto stored = torn.open();
+        REQUIRE(stored.entries.size() == 12);
+        CHECK(stored.entries.back().term == Term { 2 });
+        CHECK(torn.metrics.counter("consensus_wal_torn_tails_total").value() == 1);
+    }
+}
+
+// Guards against entries that vanish because damage in the middle is taken for an incomplete write.
+TEST_CASE("a changed byte in the middle refuses to open", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 10);
+    const auto middle = fs::file_size(disk.lastSegment());
+    disk.append(11, 11);
+    const auto end = fs::file_size(disk.lastSegment());
+    disk.append(12, 13);
+    const auto name = disk.lastSegment().filename();
+    const auto bytes = Disk::read(disk.lastSegment());
+    for (auto offset = middle; offset < end; ++offset) { // header, length and body
+        Disk corrupt;
+        auto changed = bytes;
+        changed[offset] = static_cast<char>(~changed[offset]);
+        Disk::write(corrupt.folder / name, changed);
+        const auto status = corrupt.tryOpen();
+        CAPTURE(offset, status.ToString());
+        REQUIRE(status.code() == absl::StatusCode::kDataLoss);
+        CHECK(absl::StrContains(std::string(status.message()), absl::StrCat(name.string(), ": offset ", middle)));
+        CHECK(Disk::read(corrupt.folder / name) == changed); // nothing is cut
+    }
+}
+
+// Guards against damage that goes unnoticed because it lies at the end of a segment that is not the last.
+TEST_CASE("damage or a gap before the last segment refuses to open", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 10);
+    const auto first = disk.lastSegment();
+    std::ignore = disk.open();
+    disk.append(11, 12);
+    const auto second = disk.lastSegment();
+    std::ignore = disk.open();
+    disk.append(13, 14);
+    const auto bytes = Disk::read(first);
+    Disk::write(first, bytes.substr(0, bytes.size() - 1));
+    CHECK(disk.tryOpen().code() == absl::StatusCode::kDataLoss);
+    Disk::write(first, bytes);
+    fs::remove(second);
+    CHECK(disk.tryOpen().code() == absl::StatusCode::kDataLoss);
+}
+
+// Guards against old entries that come back after a new leader replaced them.
+TEST_CASE("replaced entries stay replaced", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 10);
+    disk.append(5, 6, 2);
+    const auto stored = disk.open();
+    REQUIRE(stored.entries.size() == 6);
+    CHECK(stored.entries[3].term == Term { 1 });
+    CHECK(stored.entries[4].term == Term { 2 });
+    disk.append(7, 7, 2);
+    CHECK(disk.open().entries.size() == 7);
+}
+
+// Guards against a log that grows for ever, or is cut above what the snapshot covers.
+TEST_CASE("a snapshot shortens the log", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    for (uint64_t round = 0; round < 5; ++round) {
+        disk.append(round * 10 + 1, round * 10 + 10);
+        disk.snapshot(round * 10 + 5, 1, false);
+        REQUIRE(disk.wal->compact(Index { round < 1 ? 0 : round * 10 - 5 }, Disk::hard(1)).ok());
+    }
+    CHECK(disk.count("log-") <= 3);
+    CHECK(disk.count("snapshot-") == 1);
+    const auto stored = disk.open();
+    REQUIRE(stored.snapshot);
+    CHECK(stored.snapshot->index == Index { 45 });
+    CHECK(stored.snapshot->data == "state 45");
+    CHECK(stored.baseIndex.value <= 35);
+    CHECK(stored.entries.back().index == Index { 50 });
+}
+
+// Guards against a mixture of the old log and a snapshot from the leader, also after a crash between the two steps.
+TEST_CASE("a snapshot from the leader replaces the log", "[consensus]")
+{
+    const bool crash = GENERATE(false, true);
+    const uint64_t last = GENERATE(10, 200); // the old log ends before or after the snapshot
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, last);
+    if (crash)
+        REQUIRE(disk.wal->writeSnapshot(Disk::state(100, 3)).ok());
+    else
+        disk.snapshot(100, 3, true);
+    Disk::write(disk.folder / "snapshot-00000000000000000150.tmp", "left by a crash");
+    auto stored = disk.open();
+    CHECK(stored.baseIndex == Index { 100 });
+    CHECK(stored.baseTerm == Term { 3 });
+    CHECK(stored.entries.empty());
+    CHECK(disk.count("snapshot-") == 1);
+    disk.append(101, 105, 3);
+    stored = disk.open();
+    REQUIRE(stored.entries.size() == 5);
+    CHECK(stored.entries.front().index == Index { 101 });
+}
+
+// Guards against a state machine that starts from a damaged snapshot.
+TEST_CASE("a damaged snapshot refuses to open", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.snapshot(100, 3, true);
+    const auto file = disk.folder / "snapshot-00000000000000000100";
+    auto bytes = Disk::read(file);
+    bytes[bytes.size() / 2] ^= 1;
+    Disk::write(file, bytes);
+    CHECK(disk.tryOpen().code() == absl::StatusCode::kDataLoss);
+}
+
+// Guards against a replica that goes on after the disk failed: a later sync may succeed without the lost pages.
+TEST_CASE("after a failed write or sync nothing more is written", "[consensus]")
+{
+    const bool failWrite = GENERATE(false, true);
+    Disk disk;
+    bool broken = false;
+    int calls = 0;
+    WalOptions options { .folder = disk.folder };
+    options.write = [&](int file, const char* data, size_t size) {
+        ++calls;
+        return broken && failWrite ? (errno = ENOSPC, -1) : ::write(file, data, size);
+    };
+    options.sync = [&](int file) {
+        ++calls;
+        return broken && !failWrite ? (errno = EIO, -1) : ::fdatasync(file);
+    };
+    disk.wal = Wal::open(options, disk.metrics).value();
+    disk.append(1, 3);
+    broken = true;
+    CHECK(disk.wal->append(Disk::hard(1), { Disk::entry(4, 1) }).code() == absl::StatusCode::kInternal);
+    broken = false;
+    const auto before = calls;
+    CHECK_FALSE(disk.wal->append(Disk::hard(1), { Disk::entry(4, 1) }).ok());
+    CHECK_FALSE(disk.wal->compact(Index { 1 }, Disk::hard(1)).ok());
+    CHECK(calls == before);
+}
+
+// Guards against a checksum or a length check that misses a kind of damage.
+TEST_CASE("a record with any one byte changed is not read", "[consensus]")
+{
+    ::setenv("RC_PARAMS", "seed=1 max_success=500", 0);
+    CHECK(rc::check([](const std::string& body, uint64_t sequence) {
+        const auto bytes = detail::frameRecord(sequence, body);
+        const auto record = detail::readRecord(bytes, 0);
+        RC_ASSERT(record.has_value());
+        RC_ASSERT(record->body == body);
+        RC_ASSERT(record->sequence == sequence);
+        auto changed = bytes;
+        changed[*rc::gen::inRange<size_t>(0, bytes.size())] ^= *rc::gen::inRange(1, 256);
+        RC_ASSERT(!detail::readRecord(changed, 0));
+        RC_ASSERT(!detail::readRecord(std::string_view(bytes).substr(0, bytes.size() - 1), 0));
+    }));
+}
