--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -128,7 +128,7 @@
     m_pendingReads.clear();
     if (m_pendingVoter)
         m_changeResults.push_back({ m_pendingVoter->id,
-            refuse(absl::StatusCode::kUnavailable, "LEADERSHIP_LOST", "leadership was lost before the change") });
+            refuse(absl::StatusCode::kUnavailable, "LEADERSHIP_LOST", "leadership was lost before the change"), {} });
     m_pendingVoter.reset();
     m_progress.clear();
     m_rounds.clear();
