Fence the earlier attempts of resent requests and add claims for them

Cause: a repeatable request that a caller resent through another entry could run on two workers at once, because only non-repeatable requests were claimed. Change: a resent request is fenced on the workers of its service, then claimed; attempts that were claimed are numbered apart at the workers; queries, dispatches and claims name the worker's incarnation. Conclusion: a resend is safe before the deadline of its earlier attempt.

--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -56,7 +56,7 @@
 wait_for "services: 1" cli status
 wait_for '"grants":' cli status --json
 
-cli request load --service till --partner duftwerk --region "$region" --count "$requests" --rate 1000 \
+timeout 240 "$binary" request load --entries "$entries" --service till --partner duftwerk --region "$region" --count "$requests" --rate 1000 \
     --non_repeatable_every 10 --callers 32 --deadline_ms 5000 --record "$folder/partner.jsonl" > "$folder/load.txt" &
 load=$!
 sleep 3
@@ -70,7 +70,7 @@
 wait "$load" || fail "load: $(cat "$folder/load.txt")"
 cat "$folder/load.txt"
 
-doubled=$(cat "$folder"/w*.executions | awk '$1 == "begin" && $4 == 1 { print $2 }' | sort | uniq -d | wc -l)
-echo "non-repeatable requests that ran more than once: $doubled"
-[ "$doubled" -eq 0 ] || fail "a non-repeatable request ran twice"
+executions=$(cat "$folder"/w*.executions | sort -n -k5 | awk -f scripts/check-executions.awk)
+echo "$executions"
+[ "$executions" = "non-repeatable requests run twice: 0, requests run in two places at once: 0" ] || fail "a request ran twice"
 cli ledger reconcile "$folder/partner.jsonl" --region "$region" --partner duftwerk
--- a/src/app/load.cc
+++ b/src/app/load.cc
@@ -35,6 +35,12 @@
         return stubs;
     }
 
+    uint32_t millisSince(Steady::time_point time)
+    {
+        return static_cast<uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - time).count());
+    }
+
     struct Attempts {
         absl::StatusOr<rpc::CallReply> reply;
         uint32_t resent = 0;
@@ -45,8 +51,12 @@
     {
         const auto end = Steady::now() + giveUp;
         const auto perCall = std::chrono::milliseconds(request.deadline_ms()) + answerGrace;
+        auto lastSent = Steady::now();
         for (uint32_t sent = 0;; ++sent) {
             request.set_resends(sent);
+            if (sent > 0)
+                request.set_last_sent_ms_ago(std::max<uint32_t>(1, millisSince(lastSent)));
+            lastSent = Steady::now();
             grpc::ClientContext context;
             context.set_deadline(std::chrono::system_clock::now() + perCall);
             rpc::CallReply reply;
--- a/src/ledger/state.cc
+++ b/src/ledger/state.cc
@@ -63,6 +63,7 @@
         uint32_t service = 0;
         uint32_t attempt = 0;
         uint64_t incarnation = 0;
+        uint64_t workerIncarnation = 0;
 
         friend bool operator==(const CompactClaim&, const CompactClaim&) = default;
     };
@@ -75,7 +76,7 @@
     CompactClaim compact(const Claim& claim)
     {
         return { names.numberOf(claim.entry()), names.numberOf(claim.worker()), names.numberOf(claim.service()),
-            claim.attempt(), claim.incarnation() };
+            claim.attempt(), claim.incarnation(), claim.worker_incarnation() };
     }
 
     Claim expand(const Claims::value_type& stored) const
@@ -87,6 +88,7 @@
         claim.set_worker(names.textOf(stored.second.worker));
         claim.set_attempt(stored.second.attempt);
         claim.set_service(names.textOf(stored.second.service));
+        claim.set_worker_incarnation(stored.second.workerIncarnation);
         return claim;
     }
 
@@ -125,7 +127,7 @@
         }
         const auto claim = claims.find(requestKey(record.partner(), record.home_region(), record.request_id()));
         if (claim != claims.end()) {
-            if (record.attempts() < claim->second.attempt && record.outcome() != rpc::RAN)
+            if (record.claim_attempt() < claim->second.attempt && record.outcome() != rpc::RAN)
                 return resultOf(LedgerResult::STALE_ATTEMPT, expand(*claim));
             claims.erase(claim);
         }
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -15,7 +15,19 @@
     // An outcome must reach the ledger even after the caller has given up.
     constexpr Duration outcomeGrace = std::chrono::seconds(30);
 
-    routing::RouterOptions routerOptions(const settings::Settings& settings)
+    // Tickets with this bit are of requests that are claimed before their dispatch.
+    constexpr uint64_t claimedBit = uint64_t { 1 } << 63U;
+    // At the workers, claimed attempts are numbered apart from unclaimed ones: those of a resent request are fenced as
+    // a whole, while the ledger orders the claimed ones of all entries.
+    constexpr uint32_t firstClaimedAttempt = 1'000;
+
+    uint32_t wireAttempt(Ticket ticket, uint32_t attempt)
+    {
+        return (ticket.value & claimedBit) != 0 ? firstClaimedAttempt + attempt : attempt;
+    }
+
+    routing::RouterOptions routerOptions(
+        const settings::Settings& settings, std::function<bool(const routing::Request&)> mustClaim)
     {
         routing::RouterOptions options;
         options.self = settings.instance;
@@ -23,6 +35,7 @@
         options.region = settings.region;
         options.seed = std::hash<InstanceId> {}(settings.instance);
         options.maxAttempts = settings.entry.maxAttempts;
+        options.mustClaim = std::move(mustClaim);
         return options;
     }
 
@@ -45,7 +58,8 @@
     , m_loop(loop)
     , m_clock(clock)
     , m_metrics(metrics)
-    , m_router(routerOptions(settings))
+    , m_router(routerOptions(settings, [this](const routing::Request& request) { return isResent(request.key); }))
+    , m_resendFence(m_endpoints, loop)
 {
 }
 
@@ -91,12 +105,54 @@
     const Duration limit = request.deadline_ms() > 0 ? Duration(std::chrono::milliseconds(request.deadline_ms()))
                                                      : Duration(m_settings.entry.defaultDeadline);
     m_lastTicket = m_lastTicket.next();
-    const auto ticket = m_lastTicket;
+    const bool isClaimed = request.non_repeatable() || request.resends() > 0;
+    const auto ticket = isClaimed ? Ticket { m_lastTicket.value | claimedBit } : m_lastTicket;
     auto& pending = m_pending[ticket.value];
     pending = { key, request, now, now + limit, {}, {} };
     pending.waiters.push_back(std::move(done));
     m_byKey[key] = ticket;
-    run(m_router.submit(ticket, { key, ServiceId(request.service()), request.non_repeatable(), now + limit }, now));
+    // The claim of a non-repeatable request names its earlier attempt; a repeatable one may have been sent without one.
+    if (request.resends() > 0 && !request.non_repeatable())
+        fenceEarlierAttempts(ticket);
+    else
+        route(ticket);
+}
+
+bool RequestDriver::isResent(const std::string& key) const
+{
+    const auto ticket = m_byKey.find(key);
+    return ticket != m_byKey.end() && m_pending.at(ticket->second.value).request.resends() > 0;
+}
+
+void RequestDriver::route(Ticket ticket)
+{
+    const auto& pending = m_pending.at(ticket.value);
+    run(m_router.submit(ticket,
+        { pending.key, ServiceId(pending.request.service()), pending.request.non_repeatable(), pending.deadline },
+        m_clock.now()));
+}
+
+void RequestDriver::fenceEarlierAttempts(Ticket ticket)
+{
+    m_metrics.counter("requests_resent_total").increment();
+    const auto& pending = m_pending.at(ticket.value);
+    const auto& request = pending.request;
+    const auto earlierDeadline = std::chrono::milliseconds(
+        request.deadline_ms() > 0 ? request.deadline_ms() : m_settings.entry.defaultDeadline.count());
+    const auto elapsed = std::chrono::milliseconds(request.last_sent_ms_ago());
+    ResendFence::Request fence { pending.key, firstClaimedAttempt - 1, m_workersOf[ServiceId(request.service())],
+        pending.arrived + (elapsed < earlierDeadline ? earlierDeadline - elapsed : Duration::zero())
+            + m_settings.leases.clockSkewBound };
+    // Past the deadline the router refuses the request as not run, which would be untrue if an earlier attempt ran.
+    m_resendFence.start(std::move(fence), pending.deadline, [this, ticket](bool isFenced) {
+        if (isFenced)
+            return route(ticket);
+        carryOut(routing::Reply { ticket,
+            makeError({ absl::StatusCode::kUnavailable, turmericpier::Outcome::Unknown, "EARLIER_ATTEMPT_OPEN", "fence",
+                          m_settings.instance.str() },
+                "an earlier attempt of the request may still run on a worker that cannot be asked"),
+            {}, 0, 0 });
+    });
 }
 
 void RequestDriver::setState(const log::ControlSnapshot& state)
@@ -112,14 +168,19 @@
     }
     std::set<std::string> drained(state.drained().begin(), state.drained().end());
     std::vector<routing::WorkerInfo> workers;
+    std::map<ServiceId, std::vector<WorkerId>> workersOf;
     for (const auto& worker : state.workers()) {
         routing::WorkerInfo info { WorkerId(worker.worker()), DataCentreId(worker.data_centre()),
-            RegionId(worker.region()), worker.leaving() || drained.count(worker.worker()) > 0, {} };
-        for (const auto& service : worker.services())
+            RegionId(worker.region()), worker.leaving() || drained.count(worker.worker()) > 0, {},
+            Incarnation { worker.incarnation() } };
+        for (const auto& service : worker.services()) {
             info.services.emplace_back(service);
+            workersOf[info.services.back()].push_back(info.worker);
+        }
         workers.push_back(std::move(info));
         m_endpoints.setAddress(WorkerId(worker.worker()), worker.address());
     }
+    m_workersOf = std::move(workersOf);
     m_router.setServices(std::move(services));
     run(m_router.setWorkers(std::move(workers), m_clock.now()));
 }
@@ -141,7 +202,11 @@
     run(m_router.setGrants(std::move(grants), m_clock.now()));
 }
 
-void RequestDriver::tick() { run(m_router.tick(m_clock.now())); }
+void RequestDriver::tick()
+{
+    m_resendFence.tick(m_clock.now());
+    run(m_router.tick(m_clock.now()));
+}
 
 void RequestDriver::run(const routing::Actions& actions)
 {
@@ -154,7 +219,7 @@
     const auto& pending = m_pending.at(action.ticket.value);
     ExecuteRequest request;
     request.set_key(pending.key);
-    request.set_attempt(action.attempt);
+    request.set_attempt(wireAttempt(action.ticket, action.attempt));
     request.set_service(pending.request.service());
     request.set_payload(pending.request.payload());
     request.set_deadline_ms(
@@ -162,6 +227,7 @@
     request.set_entry(m_settings.instance.str());
     request.set_grant_epoch(action.grantEpoch.value);
     request.set_non_repeatable(pending.request.non_repeatable());
+    request.set_worker_incarnation(action.workerIncarnation.value);
     m_metrics.counter("dispatches_total").increment();
     m_endpoints.execute(action.worker, std::move(request), action.timeout,
         [this, ticket = action.ticket, attempt = action.attempt](absl::StatusOr<ExecuteReply> reply) {
@@ -186,8 +252,8 @@
 void RequestDriver::carryOut(const routing::QueryWorker& action)
 {
     QueryRequest request;
-    request.set_key(m_pending.at(action.ticket.value).key);
-    request.set_attempt(action.attempt);
+    request.set_key(action.key);
+    request.set_attempt(wireAttempt(action.ticket, action.attempt));
     m_metrics.counter("queries_total").increment();
     m_endpoints.query(action.worker, std::move(request), queryTimeout,
         [this, ticket = action.ticket, attempt = action.attempt](absl::StatusOr<QueryReply> reply) {
@@ -207,7 +273,8 @@
     const auto pending = m_pending.find(ticket.value);
     if (state == routing::QueryState::Done && pending != m_pending.end())
         pending->second.answers[attempt] = reply->answer();
-    run(m_router.queried(ticket, attempt, state, m_clock.now()));
+    const Incarnation incarnation { reply.ok() ? reply->worker_incarnation() : 0 };
+    run(m_router.queried(ticket, attempt, state, m_clock.now(), incarnation));
 }
 
 void RequestDriver::carryOut(const routing::CommitClaim& action)
@@ -221,6 +288,7 @@
     claim.set_worker(action.worker.str());
     claim.set_attempt(action.attempt);
     claim.set_service(pending.request.service());
+    claim.set_worker_incarnation(action.workerIncarnation.value);
     m_hooks.commit(RegionId(pending.request.home_region()), std::move(item), pending.deadline,
         [this, ticket = action.ticket, attempt = action.attempt](
             const absl::StatusOr<log::LedgerResult>& result) { claimed(ticket, attempt, result); });
@@ -243,6 +311,7 @@
         claim.code = Code::ClaimedBefore;
         claim.worker = WorkerId(result->claim().worker());
         claim.attempt = result->claim().attempt();
+        claim.workerIncarnation = Incarnation { result->claim().worker_incarnation() };
     }
     run(m_router.claimCommitted(ticket, attempt, claim, m_clock.now()));
 }
@@ -260,6 +329,7 @@
     record.set_reason(action.reason);
     record.set_worker(action.worker.str());
     record.set_attempts(action.attempts);
+    record.set_claim_attempt(action.claimAttempt);
     const auto deadline = std::max(pending.deadline, m_clock.now()) + outcomeGrace;
     m_hooks.commit(RegionId(pending.request.home_region()), std::move(item), deadline,
         [this, ticket = action.ticket](const absl::StatusOr<log::LedgerResult>& result) { recorded(ticket, result); });
@@ -271,6 +341,8 @@
     routing::OutcomeResult outcome;
     if (result.ok() && result->code() == log::LedgerResult::ACCEPTED) {
         outcome.code = Code::Accepted;
+    } else if (result.ok() && result->code() == log::LedgerResult::STALE_ATTEMPT) {
+        outcome.code = Code::ClaimedBefore;
     } else if (result.ok() && result->has_outcome()) {
         outcome.code = Code::EndedBefore;
         outcome.outcome = outcomeOf(result->outcome());
--- a/src/rpc/request-driver.h
+++ b/src/rpc/request-driver.h
@@ -3,6 +3,7 @@
 #include "caller.grpc.pb.h"
 #include "log.pb.h"
 #include "rpc/endpoint-client.h"
+#include "rpc/resend-fence.h"
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/event-loop.h"
 #include "turmericpier/base/metrics.h"
@@ -57,6 +58,10 @@
         std::map<uint32_t, std::string> answers; ///< By attempt.
     };
 
+    /// Makes sure that no earlier attempt of a resent request runs or will run, then hands it to the router.
+    void fenceEarlierAttempts(routing::Ticket ticket);
+    void route(routing::Ticket ticket);
+    bool isResent(const std::string& key) const;
     absl::Status check(const CallRequest& request) const;
     void run(const routing::Actions& actions);
     void carryOut(const routing::Dispatch& action);
@@ -78,6 +83,8 @@
     Metrics& m_metrics;
     routing::Router m_router;
     EndpointClient m_endpoints;
+    ResendFence m_resendFence;
+    std::map<ServiceId, std::vector<WorkerId>> m_workersOf;
     routing::Ticket m_lastTicket;
     std::unordered_map<uint64_t, Pending> m_pending; ///< By ticket.
     std::unordered_map<std::string, routing::Ticket> m_byKey;
--- a/test/standin/main.cc
+++ b/test/standin/main.cc
@@ -141,7 +141,7 @@
             std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
                 .count());
         SteadyClock clock;
-        RequestTable requests(options);
+        RequestTable requests(options, incarnation);
         TaskTable tasks(options, incarnation, clock);
         EndpointService service(requests);
         grpc::ServerBuilder builder;
--- a/test/standin/requests.cc
+++ b/test/standin/requests.cc
@@ -20,8 +20,9 @@
     }
 } // namespace
 
-RequestTable::RequestTable(const WorkerOptions& options)
+RequestTable::RequestTable(const WorkerOptions& options, uint64_t incarnation)
     : m_options(options)
+    , m_incarnation(incarnation)
 {
     if (!options.executionLog.empty())
         m_log.open(options.executionLog, std::ios::app);
@@ -30,8 +31,8 @@
 void RequestTable::writeLog(const char* event, const rpc::ExecuteRequest& request)
 {
     if (m_log.is_open())
-        m_log << event << " " << request.key() << " " << request.attempt() << " " << request.non_repeatable()
-              << std::endl;
+        m_log << event << " " << request.key() << " " << request.attempt() << " " << request.non_repeatable() << " "
+              << std::chrono::steady_clock::now().time_since_epoch().count() << std::endl;
 }
 
 grpc::Status RequestTable::admit(const rpc::ExecuteRequest& request)
@@ -39,6 +40,8 @@
     const auto refuse = [&](const std::string& reason) {
         return failure(grpc::StatusCode::FAILED_PRECONDITION, rpc::NOT_RUN, reason, m_options.id);
     };
+    if (request.worker_incarnation() != 0 && request.worker_incarnation() != m_incarnation)
+        return refuse("OTHER_INCARNATION");
     const auto fence = m_fences.find(request.entry());
     if (fence != m_fences.end() && request.grant_epoch() < fence->second)
         return refuse("FENCED_GRANT");
@@ -65,13 +68,17 @@
         number = ++m_executed;
         writeLog("begin", request);
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(m_options.serviceTimeMs + m_options.faults.stallMs));
+    const auto workTime = m_options.serviceTimeMs + m_options.faults.stallMs;
+    const bool isCut = workTime > request.deadline_ms();
+    std::this_thread::sleep_for(std::chrono::milliseconds(isCut ? request.deadline_ms() : workTime));
     std::lock_guard lock(m_mutex);
     --m_running;
     auto& attempt = m_attempts[{ request.key(), request.attempt() }];
     attempt.state = State::Done;
     attempt.answer = request.service() + ": " + request.payload();
     writeLog("end", request);
+    if (isCut)
+        return failure(grpc::StatusCode::DEADLINE_EXCEEDED, rpc::RAN, "DEADLINE_EXCEEDED", m_options.id);
     if (m_options.faults.failAll)
         return failure(grpc::StatusCode::INTERNAL, rpc::RAN, "FAILED", m_options.id);
     if ((number * 37 + m_options.seed) % 100 < m_options.faults.loseAnswersPercent)
@@ -83,7 +90,10 @@
 rpc::QueryReply RequestTable::query(const rpc::QueryRequest& request)
 {
     rpc::QueryReply reply;
+    reply.set_worker_incarnation(m_incarnation);
     std::lock_guard lock(m_mutex);
+    if (request.up_to())
+        return queryUpTo(request, std::move(reply));
     const auto found = m_attempts.find({ request.key(), request.attempt() });
     if (found == m_attempts.end()) {
         auto& fenced = m_fencedAttempts[request.key()];
@@ -98,6 +108,23 @@
     return reply;
 }
 
+rpc::QueryReply RequestTable::queryUpTo(const rpc::QueryRequest& request, rpc::QueryReply reply)
+{
+    reply.set_state(rpc::QueryReply::NOT_SEEN);
+    const auto end = m_attempts.upper_bound({ request.key(), request.attempt() });
+    for (auto it = m_attempts.lower_bound({ request.key(), 0 }); it != end; ++it) {
+        if (it->second.state == State::Running) {
+            reply.set_state(rpc::QueryReply::RUNNING);
+            return reply;
+        }
+        reply.set_state(rpc::QueryReply::DONE);
+        reply.set_answer(it->second.answer);
+    }
+    auto& fenced = m_fencedAttempts[request.key()];
+    fenced = std::max(fenced, request.attempt());
+    return reply;
+}
+
 void RequestTable::fence(const rpc::Fence& fence)
 {
     std::lock_guard lock(m_mutex);
--- a/test/standin/worker.h
+++ b/test/standin/worker.h
@@ -47,7 +47,7 @@
 /// Requests: slots, fences and answers kept by (key, attempt). Thread-safe.
 class RequestTable {
 public:
-    explicit RequestTable(const WorkerOptions& options);
+    RequestTable(const WorkerOptions& options, uint64_t incarnation);
 
     grpc::Status execute(const rpc::ExecuteRequest& request, rpc::ExecuteReply& reply);
     rpc::QueryReply query(const rpc::QueryRequest& request);
@@ -69,10 +69,12 @@
     };
     using AttemptKey = std::pair<std::string, uint32_t>;
 
+    rpc::QueryReply queryUpTo(const rpc::QueryRequest& request, rpc::QueryReply reply);
     grpc::Status admit(const rpc::ExecuteRequest& request);
     void writeLog(const char* event, const rpc::ExecuteRequest& request);
 
     const WorkerOptions& m_options;
+    const uint64_t m_incarnation;
     mutable std::mutex m_mutex;
     std::map<AttemptKey, Attempt> m_attempts;
     std::map<std::string, uint64_t> m_fences; ///< By entry.
