Move older ledger records to segment files

Keys of older records are kept as 8-byte digests with the outcome in the two low bits, bounded by count.

Conclusion: memory is bounded by the options. A resend that comes after 1.6 million later outcomes is no longer recognised.

--- a/bench/ledger-bench.cc
+++ b/bench/ledger-bench.cc
@@ -2,8 +2,12 @@
 #include "log.pb.h"
 #include "turmericpier/ledger/state.h"
 
+#include <algorithm>
 #include <benchmark/benchmark.h>
+#include <chrono>
+#include <filesystem>
 #include <malloc.h>
+#include <unistd.h>
 
 using namespace turmericpier;
 using namespace turmericpier::ledger;
@@ -55,14 +59,20 @@
     }
 }
 
+size_t heapBytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 /// Cost of one more outcome on top of the given number of records, and bytes of memory for each of them.
 void applyOutcomes(benchmark::State& bench)
 {
     const auto records = static_cast<uint64_t>(bench.range(0));
-    const auto before = mallinfo2().uordblks + mallinfo2().hblkhd;
+    const auto before = heapBytes();
     LedgerState state;
     fill(state, records);
-    const auto after = mallinfo2().uordblks + mallinfo2().hblkhd;
+    const auto after = heapBytes();
     uint64_t number = records;
     uint64_t index = records * 2;
     for (auto _ : bench) {
@@ -78,6 +88,40 @@
 }
 BENCHMARK(applyOutcomes)->Arg(10'000)->Arg(100'000)->Arg(1'000'000)->Iterations(2'000);
 
+/// The same with older records in segment files: memory, the slowest batch of 32 outcomes, and the snapshot.
+void applyWithSegments(benchmark::State& bench)
+{
+    const auto records = static_cast<uint64_t>(bench.range(0));
+    const auto folder = std::filesystem::temp_directory_path() / ("ledger-bench-" + std::to_string(::getpid()));
+    for (auto _ : bench) {
+        std::filesystem::remove_all(folder);
+        const auto before = heapBytes();
+        LedgerState state({ .folder = folder });
+        uint64_t index = 0;
+        double slowest = 0;
+        double total = 0;
+        for (uint64_t number = 0; number < records;) {
+            log::LedgerBatch batch;
+            for (int i = 0; i < itemsPerBatch; ++i)
+                addItem(batch, number++, false);
+            const auto start = std::chrono::steady_clock::now();
+            state.apply(Index { ++index }, batch);
+            const std::chrono::duration<double> spent = std::chrono::steady_clock::now() - start;
+            slowest = std::max(slowest, spent.count());
+            total += spent.count();
+        }
+        bench.counters["heap_mb"] = static_cast<double>(heapBytes() - before) / 1e6;
+        bench.counters["batch_us"] = total * 1e6 * itemsPerBatch / static_cast<double>(records);
+        bench.counters["slowest_batch_ms"] = slowest * 1e3;
+        const auto start = std::chrono::steady_clock::now();
+        bench.counters["snapshot_mb"] = static_cast<double>(state.snapshot().size()) / 1e6;
+        const std::chrono::duration<double> spent = std::chrono::steady_clock::now() - start;
+        bench.counters["snapshot_ms"] = spent.count() * 1e3;
+        std::filesystem::remove_all(folder);
+    }
+}
+BENCHMARK(applyWithSegments)->Arg(100'000)->Arg(1'000'000)->Arg(5'000'000)->Iterations(1)->Unit(benchmark::kSecond);
+
 /// Snapshot and restore of the given number of records.
 void snapshotAndRestore(benchmark::State& bench)
 {
--- a/src/ledger/state.cc
+++ b/src/ledger/state.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
+#include <array>
 #include <boost/json.hpp>
 #include <optional>
 #include <vector>
@@ -24,14 +25,24 @@
 }
 
 namespace {
-    /// The key's parts are hashed like those of a record.
-    uint64_t digestOfKey(const std::string& key)
+    /// Partner, home region and request id.
+    using KeyParts = std::array<std::string, 3>;
+
+    KeyParts partsOf(const std::string& key)
     {
         const std::vector<std::string> parts = absl::StrSplit(key, absl::MaxSplits('/', 2));
-        const auto part = [&](size_t i) { return i < parts.size() ? parts[i] : std::string(); };
-        return detail::digestOf(part(0), part(1), part(2));
+        KeyParts result;
+        std::copy(parts.begin(), parts.end(), result.begin());
+        return result;
+    }
+
+    KeyParts partsOf(const LedgerRecord& record)
+    {
+        return { record.partner(), record.home_region(), record.request_id() };
     }
 
+    uint64_t digestOf(const KeyParts& parts) { return detail::digestOf(parts[0], parts[1], parts[2]); }
+
     bool isSame(const LedgerRecord& a, const LedgerRecord& b)
     {
         return a.outcome() == b.outcome() && a.service() == b.service() && a.reason() == b.reason()
@@ -68,6 +79,13 @@
     };
     using Claims = absl::flat_hash_map<std::string, CompactClaim>;
 
+    explicit Impl(LedgerOptions given)
+        : options(std::move(given))
+        , outcomes(options)
+    {
+    }
+
+    const LedgerOptions options;
     Claims claims; ///< Those without an outcome.
     detail::Interner names; ///< Of the claims.
     detail::RecordStore outcomes;
@@ -90,10 +108,21 @@
         return claim;
     }
 
-    std::optional<LedgerRecord> findOutcome(uint64_t digest) const
+    /// The standing outcome. If its record was moved to a file, only the key and the outcome are set: applying an entry
+    /// of the log must not depend on files, which a replica may lack.
+    std::optional<LedgerRecord> findOutcome(const KeyParts& parts) const
     {
-        const auto number = outcomes.find(digest);
-        return number ? std::optional(outcomes.at(*number)) : std::nullopt;
+        const auto number = outcomes.find(digestOf(parts));
+        if (!number)
+            return std::nullopt;
+        if (outcomes.isInMemory(*number))
+            return outcomes.at(*number);
+        LedgerRecord record;
+        record.set_partner(parts[0]);
+        record.set_home_region(parts[1]);
+        record.set_request_id(parts[2]);
+        record.set_outcome(outcomes.outcomeOf(*number));
+        return record;
     }
 
     /// The attempts of a key are counted up by compare-and-set: only the claim that follows the standing one replaces
@@ -101,7 +130,7 @@
     /// attempts may come from an entry that has not seen the standing one, which may still run.
     LedgerResult apply(const Claim& claim)
     {
-        if (const auto outcome = findOutcome(digestOfKey(claim.key())))
+        if (const auto outcome = findOutcome(partsOf(claim.key())))
             return resultOf(LedgerResult::ENDED_BEFORE, *outcome);
         const auto next = compact(claim);
         const auto [standing, isNew] = claims.try_emplace(claim.key(), next);
@@ -118,8 +147,8 @@
     /// one.
     LedgerResult apply(Index index, const LedgerRecord& record)
     {
-        const auto digest = detail::digestOf(record.partner(), record.home_region(), record.request_id());
-        if (const auto outcome = findOutcome(digest)) {
+        const auto parts = partsOf(record);
+        if (const auto outcome = findOutcome(parts)) {
             const auto code = isSame(*outcome, record) ? LedgerResult::ACCEPTED : LedgerResult::ENDED_BEFORE;
             return resultOf(code, *outcome);
         }
@@ -131,7 +160,7 @@
         }
         auto result = resultOf(LedgerResult::ACCEPTED, record);
         result.mutable_outcome()->set_index(index.value);
-        outcomes.append(digest, result.outcome());
+        outcomes.append(digestOf(parts), result.outcome());
         return result;
     }
 
@@ -150,8 +179,8 @@
     }
 };
 
-LedgerState::LedgerState()
-    : m_impl(std::make_unique<Impl>())
+LedgerState::LedgerState(LedgerOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options)))
 {
 }
 
@@ -168,13 +197,17 @@
         else if (item.has_outcome())
             result = m_impl->apply(index, item.outcome());
     }
+    m_impl->outcomes.seal();
     return results;
 }
 
 LedgerResult LedgerState::find(const std::string& key) const
 {
-    if (const auto outcome = m_impl->findOutcome(digestOfKey(key)))
-        return resultOf(LedgerResult::ENDED_BEFORE, *outcome);
+    const auto parts = partsOf(key);
+    if (const auto outcome = m_impl->findOutcome(parts)) {
+        const auto record = m_impl->outcomes.load(*m_impl->outcomes.find(digestOf(parts)));
+        return resultOf(LedgerResult::ENDED_BEFORE, record ? *record : *outcome);
+    }
     const auto claim = m_impl->claims.find(key);
     return claim == m_impl->claims.end() ? LedgerResult()
                                          : resultOf(LedgerResult::CLAIMED_BEFORE, m_impl->expand(*claim));
@@ -183,13 +216,11 @@
 LedgerResults LedgerState::outcomesAfter(Index after, const std::string& partner, size_t limit) const
 {
     LedgerResults results;
-    const auto& outcomes = m_impl->outcomes;
     size_t wholeIndexes = 0; // Results up to the last change of index.
     uint64_t index = 0;
-    for (size_t number = outcomes.firstAfter(after); number < outcomes.size(); ++number) {
-        const auto record = outcomes.at(number);
+    m_impl->outcomes.visitAfter(after, [&](const LedgerRecord& record) {
         if (!partner.empty() && record.partner() != partner)
-            continue;
+            return true;
         const auto size = static_cast<size_t>(results.results_size());
         if (record.index() != index) {
             index = record.index();
@@ -199,10 +230,11 @@
         if (size >= limit && wholeIndexes > 0) {
             results.mutable_results()->DeleteSubrange(
                 static_cast<int>(wholeIndexes), static_cast<int>(size - wholeIndexes));
-            break;
+            return false;
         }
         *results.add_results() = resultOf(LedgerResult::ENDED_BEFORE, record);
-    }
+        return true;
+    });
     return results;
 }
 
@@ -219,8 +251,7 @@
     log::LedgerSnapshot snapshot;
     for (const auto* claim : m_impl->sortedClaims(m_impl->claims.size()))
         *snapshot.add_claims() = m_impl->expand(*claim);
-    for (size_t number = 0; number < m_impl->outcomes.size(); ++number)
-        *snapshot.add_outcomes() = m_impl->outcomes.at(number);
+    m_impl->outcomes.writeTo(snapshot);
     return snapshot.SerializeAsString();
 }
 
@@ -229,22 +260,28 @@
     log::LedgerSnapshot snapshot;
     if (!snapshot.ParseFromArray(data.data(), static_cast<int>(data.size())))
         return absl::DataLossError(absl::StrCat("ledger snapshot of ", data.size(), " bytes is malformed"));
-    auto impl = std::make_unique<Impl>();
+    auto impl = std::make_unique<Impl>(m_impl->options);
     for (const auto& claim : snapshot.claims())
         impl->claims.emplace(claim.key(), impl->compact(claim));
-    for (const auto& record : snapshot.outcomes())
-        impl->outcomes.append(detail::digestOf(record.partner(), record.home_region(), record.request_id()), record);
+    if (auto status = impl->outcomes.readFrom(snapshot); !status.ok())
+        return status;
     m_impl = std::move(impl);
     return absl::OkStatus();
 }
 
+std::optional<Index> LedgerState::missingAfter() const { return m_impl->outcomes.missingAfter(); }
+
+absl::Status LedgerState::fillMissing(const LedgerResults& page) { return m_impl->outcomes.fillMissing(page); }
+
 std::string LedgerState::dump() const
 {
     const auto& outcomes = m_impl->outcomes;
     return boost::json::serialize(boost::json::object {
         { "claims", m_impl->claims.size() },
         { "outcomes", outcomes.size() },
-        { "last_outcome_index", outcomes.size() == 0 ? 0 : outcomes.at(outcomes.size() - 1).index() },
+        { "digests", outcomes.digests() },
+        { "sealed_segments", outcomes.sealedSegments() },
+        { "missing_segments", outcomes.missingSegments() },
     });
 }
 
--- a/src/peer/frame.cc
+++ b/src/peer/frame.cc
@@ -145,7 +145,7 @@
 {
     m_fault = fault;
     m_error = frameError(fault, "decode frame", message);
-    m_buffer = std::string();
+    std::string().swap(m_buffer); // An assignment of an empty string would keep the buffer.
     m_begin = 0;
     return m_error;
 }
