--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -30,7 +30,7 @@
     Address listen;
     std::map<InstanceId, Address> peers;
     size_t queuePerPeer = 4'096; ///< Messages waiting for one peer; more are dropped and counted.
-    size_t queueBytesPerPeer = 16U << 20U; ///< Bytes waiting for one peer; a single message always fits.
+    size_t queueBytesPerPeer = 16U << 20U; ///< No message is queued behind this many bytes.
     size_t maxIncoming = 256; ///< Incoming connections; more are closed and counted.
 };
 
--- a/src/peer/outgoing.cc
+++ b/src/peer/outgoing.cc
@@ -43,9 +43,8 @@
 {
     {
         std::lock_guard lock(m_mutex);
-        const bool full = m_queuedMessages >= m_limits.messages
-            || (m_queuedMessages > 0 && m_queuedBytes + frame.size() > m_limits.bytes);
-        if (full) {
+        // A large message, such as a snapshot, must not depend on an empty queue.
+        if (m_queuedMessages >= m_limits.messages || m_queuedBytes >= m_limits.bytes) {
             m_dropped.increment();
             return false;
         }
--- a/test/peer-transport-test.cc
+++ b/test/peer-transport-test.cc
@@ -93,6 +93,24 @@
     }
 }
 
+// Guards against a snapshot that is dropped because it is longer than a frame or than the queue.
+TEST_CASE("a message longer than a frame arrives between others", "[peer]")
+{
+    Node b("b");
+    Node a("a", { { InstanceId("b"), b.address() } });
+    sendUntilReceived(a, b, InstanceId("b"));
+    const auto large = appendEnvelope(5, maxFrameBody);
+    const std::string expected = bytesOf(large);
+    CHECK(a.transport.send(InstanceId("b"), numberedEnvelope(2)));
+    CHECK(a.transport.send(InstanceId("b"), large));
+    std::unique_lock lock(b.mutex);
+    b.changed.wait(lock, [&] { return b.received.back().correlation == large.correlation; });
+    auto received = std::move(b.received.back());
+    received.incarnation = large.incarnation;
+    received.from = large.from;
+    CHECK(bytesOf(received) == expected);
+}
+
 // Guards against a self-addressed message that leaves the process or is lost.
 TEST_CASE("a message to this process goes to its handler", "[peer]")
 {
