Test the queue's room and the order of connections

Cause: two trial changes of the transport, one that never gave room in the queue back and one that let an older connection replace a newer one, passed all tests.

Change: a test for each.

--- a/test/peer-transport-test.cc
+++ b/test/peer-transport-test.cc
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 using namespace turmericpier;
@@ -158,6 +159,27 @@
     CHECK(transport.dump().find("\"queued\":2") != std::string::npos);
 }
 
+// Guards against a queue that counts messages that have left it, and refuses for good after some time.
+TEST_CASE("sent messages make room in the queue", "[peer]")
+{
+    Node b("b");
+    Metrics metrics;
+    Transport transport({ .self = InstanceId("a"),
+                            .listen = { "127.0.0.1", 0 },
+                            .peers = { { InstanceId("b"), b.address() } },
+                            .queuePerPeer = 2,
+                            .queueBytesPerPeer = 400 },
+        metrics);
+    REQUIRE(transport.start().ok());
+    for (uint64_t i = 1; i <= 50; ++i) {
+        // The message before may have arrived without its write being accounted for yet.
+        while (!transport.send(InstanceId("b"), numberedEnvelope(i)))
+            std::this_thread::yield();
+        b.waitFor(i);
+    }
+    CHECK(b.received.back().correlation == 50);
+}
+
 // Guards against a start that seems to work while the address belongs to another process.
 TEST_CASE("an address in use is an error that names the address", "[peer]")
 {
@@ -223,6 +245,27 @@
     CHECK(b.metrics.counter("peer_connections_superseded_total").value() == 1);
 }
 
+// Guards against an old connection whose first message is late and that replaces the new one.
+TEST_CASE("an older connection does not replace a newer one", "[peer]")
+{
+    using boost::asio::ip::tcp;
+    Node b("b");
+    boost::asio::io_context io;
+    tcp::socket older(io);
+    tcp::socket newer(io);
+    for (auto* socket : { &older, &newer })
+        socket->connect({ boost::asio::ip::make_address("127.0.0.1"), b.transport.port() });
+    boost::asio::write(newer, boost::asio::buffer(*encodeFrame(numberedEnvelope(1))));
+    b.waitFor(1);
+    boost::asio::write(older, boost::asio::buffer(*encodeFrame(numberedEnvelope(2))));
+    std::string rest;
+    boost::system::error_code closed;
+    boost::asio::read(older, boost::asio::dynamic_buffer(rest), closed);
+    boost::asio::write(newer, boost::asio::buffer(*encodeFrame(numberedEnvelope(3))));
+    b.waitFor(2);
+    CHECK(b.received[1].correlation == 3);
+}
+
 // Guards against connections that use up the descriptors of the process.
 TEST_CASE("incoming connections over the limit are closed and counted", "[peer]")
 {
