--- a/test/routing-fake-world.h
+++ b/test/routing-fake-world.h
@@ -5,7 +5,7 @@
 /// A few routers with fake workers, ledger and callers, and the faults between them.
 namespace turmericpier::routing::fakes {
 
-/// One run: three requests, three entries of which callers use the first that is up, three workers, a grant change and
+/// One run: six requests, three entries of which callers use the first that is up, three workers, a grant change and
 /// a worker list change.
 class World {
 public:
@@ -78,6 +78,7 @@
     WorkerId m_targetWorker { "w0" };
     uint64_t m_nextTicket = 0;
     bool m_answerLost = false;
+    bool m_lastKeysSent = false;
     size_t m_active = 0; ///< Entry that callers use.
     std::map<std::string, std::set<WorkerId>> m_executing;
     std::map<std::string, int> m_executions;
@@ -87,7 +88,9 @@
 namespace detail {
     inline const ServiceId service("till");
     inline const std::string target("p/r/target");
-    inline const std::array keys { target, std::string("p/r/b"), std::string("p/r/c") };
+    inline const std::array firstKeys { std::string("p/r/b"), std::string("p/r/c") };
+    /// Sent after the target's end: they find out whether slots still in use are given away.
+    inline const std::array lastKeys { std::string("p/r/x"), std::string("p/r/y"), std::string("p/r/z") };
     constexpr int64_t latency = 1;
     constexpr int64_t lossNoticed = 10;
     constexpr int64_t lateBy = 60;
@@ -196,6 +199,9 @@
         violation("reply differs from the ledger for " + key);
     if (told == Outcome::Unknown && !ended && !m_ledger.claims.contains(key))
         violation("reply before any outcome of " + key);
+    if (key == detail::target && !std::exchange(m_lastKeysSent, true))
+        for (const std::string& last : detail::lastKeys)
+            after(detail::latency, [this, &last] { submit(m_active, last); });
     if (fire(Step::Reply, key) == Fault::LoseRequest)
         after(detail::lossNoticed, [this, key] { submit(std::min(m_active + 1, entryCount - 1), key); });
 }
@@ -346,8 +352,8 @@
     pushWorkers();
     for (size_t entry = 0; entry < m_entries.size(); ++entry)
         pushGrants(entry);
-    submit(m_active, detail::keys[1]);
-    submit(m_active, detail::keys[2]);
+    for (const std::string& key : detail::firstKeys)
+        submit(m_active, key);
     after(4, [this] { submit(m_active, detail::target); });
     const auto change = [this](Step step, const Event& push) {
         const auto fault = fire(step, detail::target);
@@ -386,8 +392,9 @@
         for (const auto& [ticket, key] : entry.keys)
             if (!entry.crashed && (!entry.replies.contains(ticket) || entry.replies.at(ticket) != 1))
                 violation("a caller has no reply");
-    for (const std::string& key : detail::keys)
-        checkKey(key);
+    for (const Entry& entry : m_entries)
+        for (const auto& [ticket, key] : entry.keys)
+            checkKey(key);
 }
 
 inline void World::checkKey(const std::string& key)
--- a/test/routing-router-test.cc
+++ b/test/routing-router-test.cc
@@ -357,6 +357,44 @@
     SECTION("refused") { f.refused(f.router->failed(ticket(1), 1, refusal, at(2))); }
 }
 
+// Guards against a dispatch for a caller that left, or after the deadline, because the claim took long.
+TEST_CASE("A claim that is accepted too late is not used", "[routing]")
+{
+    Fixture f(1, 1);
+    f.router->submit(ticket(1), request("1", true), start);
+    SECTION("cancelled")
+    {
+        f.router->cancelled(ticket(1), at(1));
+        REQUIRE(f.inUse(0) == 0);
+        const CommitOutcome ended = f.refused(f.router->claimCommitted(ticket(1), 1, accepted, at(2)));
+        REQUIRE(ended.reason == "CANCELLED");
+        REQUIRE(ended.claimAttempt == 1);
+    }
+    SECTION("late: NOT_RUN is said only after the claim is decided")
+    {
+        REQUIRE(only<CommitOutcome>(f.router->tick(at(1'000))).empty());
+        REQUIRE(f.inUse(0) == 0);
+        REQUIRE(f.refused(f.router->claimCommitted(ticket(1), 1, accepted, at(1'001))).reason == "DEADLINE_EXCEEDED");
+    }
+}
+
+// Guards against a non-repeatable request as a probe, and against an ejected worker that is never probed.
+TEST_CASE("A worker is probed by repeatable requests alone, one at a time", "[routing]")
+{
+    Fixture f(2, 8);
+    f.router->setServices({ { till, 1'000 } });
+    for (uint64_t i = 1; i <= 10; ++i) {
+        const Dispatch dispatch = f.dispatched(i);
+        if (dispatch.worker == f.workers[0].worker)
+            f.router->failed(dispatch.ticket, 1, refusal, start);
+    }
+    f.router->tick(at(10'000));
+    const auto claims = only<CommitClaim>(f.router->submit(ticket(20), request("n", true, 20'000), at(10'000)));
+    REQUIRE(claims.at(0).worker == f.workers[1].worker);
+    REQUIRE(f.dispatched(21, at(10'000)).worker == f.workers[0].worker);
+    REQUIRE(f.dispatched(22, at(10'000)).worker == f.workers[1].worker);
+}
+
 // Guards against requests lost by a planned stop.
 TEST_CASE("A draining router refuses new requests and finishes the others", "[routing]")
 {
