--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -386,10 +386,13 @@
     const RouterCounters& counters = m_impl->counters;
     boost::json::object services;
     for (const auto& [id, service] : m_impl->table.services()) {
+        boost::json::array ejected;
+        for (const Worker* worker : service->ejected)
+            ejected.emplace_back(worker->info.worker.str());
         services[id.str()] = { { "waiting", service->queue.size() }, { "backingOff", service->backingOff },
-            { "running", service->running }, { "workers", service->memberCount() },
-            { "ejected", service->ejected.size() }, { "serviceTimeUs", service->serviceTime.count() / 1'000 },
-            { "retryTokens", service->retries.tokens() }, { "paidLinkTokens", service->paidLink.tokens() } };
+            { "running", service->running }, { "workers", service->memberCount() }, { "ejected", std::move(ejected) },
+            { "serviceTimeUs", service->serviceTime.count() / 1'000 }, { "retryTokens", service->retries.tokens() },
+            { "paidLinkTokens", service->paidLink.tokens() } };
     }
     const boost::json::object object { { "draining", m_impl->draining }, { "requests", m_impl->calls.size() },
         { "orphans", m_impl->orphans.size() }, { "submitted", counters.submitted }, { "refused", counters.refused },
--- a/test/routing-router-test.cc
+++ b/test/routing-router-test.cc
@@ -212,6 +212,22 @@
     REQUIRE(retried <= 10 + number / 10);
 }
 
+// Guards against a retry on the worker that has just refused, which is less loaded for that very reason.
+TEST_CASE("A retry prefers a busier worker over the one tried before", "[routing]")
+{
+    Fixture f(2, 4);
+    f.grants[0].slots = 0;
+    f.push(start);
+    f.dispatched(1);
+    f.dispatched(2);
+    f.grants[0].slots = 4;
+    f.push(start);
+    const Dispatch first = f.dispatched(3);
+    REQUIRE(first.worker == f.workers[0].worker);
+    f.router->failed(ticket(3), 1, refusal, at(1));
+    REQUIRE(only<Dispatch>(f.router->tick(at(20))).at(0).worker == f.workers[1].worker);
+}
+
 // Guards against a second attempt while the first may still run.
 TEST_CASE("After a lost connection the attempt is fenced before the next", "[routing]")
 {
@@ -255,6 +271,21 @@
     REQUIRE(f.inUse(0) == 0);
 }
 
+// Guards against slots that stay in use for ever after a worker's crash.
+TEST_CASE("A new incarnation of the worker ends what its predecessor ran", "[routing]")
+{
+    Fixture f(1, 1);
+    f.dispatched(1);
+    f.router->tick(at(1'000));
+    f.router->tick(at(1'500)); // UNKNOWN
+    f.router->tick(at(1'700));
+    REQUIRE(f.inUse(0) == 1);
+    f.workers[0].incarnation = Incarnation { 2 };
+    f.push(at(1'800));
+    f.router->tick(at(2'500));
+    REQUIRE(f.inUse(0) == 0);
+}
+
 // Guards against two runs of one request by hedging, and against fencing without means for another attempt.
 TEST_CASE("A hedge queries the slow attempt and starts another only if it was not seen", "[routing]")
 {
@@ -449,6 +480,21 @@
         REQUIRE(count >= 20);
 }
 
+// Guards against a service whose healthy workers leave while the others are ejected.
+TEST_CASE("Ejected workers return when more than half would be ejected", "[routing]")
+{
+    Fixture f(4, 8);
+    f.router->setServices({ { till, 1'000 } });
+    for (uint64_t i = 1; i <= 24; ++i) {
+        const Dispatch dispatch = f.dispatched(i);
+        if (dispatch.worker == f.workers[0].worker || dispatch.worker == f.workers[1].worker)
+            f.router->failed(dispatch.ticket, 1, refusal, start);
+    }
+    f.workers[2].leaving = f.workers[3].leaving = true;
+    f.push(at(1));
+    f.dispatched(30, at(2));
+}
+
 // Guards against slots, tickets or replies lost in orders of events that no single test has.
 TEST_CASE("Random events keep slots within grants and give one reply each", "[routing]")
 {
