Never report NOT_RUN for a request that ran

A repeatable request without a claim can be refused by a second entry, which records NOT_RUN, while the first entry runs it. The first entry then told its caller NOT_RUN. It now gives the answer and counts the contradiction; the record itself can only be corrected by the ledger.

--- a/src/routing/router-impl.h
+++ b/src/routing/router-impl.h
@@ -70,6 +70,7 @@
     uint64_t queried = 0;
     uint64_t unknown = 0;
     uint64_t ignored = 0; ///< Results for attempts that are not current any more.
+    uint64_t contradicted = 0; ///< Ran here, while the ledger holds NOT_RUN.
     uint64_t joined = 0; ///< Submits that joined an open request of the same key.
 };
 
--- a/src/routing/router.cc
+++ b/src/routing/router.cc
@@ -299,7 +299,11 @@
         m_impl->reply(*call, own.outcome, own.reason, own.answeredAttempt, now);
         break;
     case OutcomeResult::Code::EndedBefore:
-        if (result.outcome == own.outcome)
+        // NOT_RUN for a request that ran would be false, whatever the ledger says. It can only stand for a repeatable
+        // request without a claim that was refused by another entry meanwhile.
+        if (own.outcome == Outcome::Ran && result.outcome == Outcome::NotRun)
+            ++m_impl->counters.contradicted;
+        if (result.outcome == own.outcome || (own.outcome == Outcome::Ran && result.outcome == Outcome::NotRun))
             m_impl->reply(*call, own.outcome, own.reason, own.answeredAttempt, now);
         else
             m_impl->reply(*call, result.outcome, result.reason.empty() ? "ENDED_BEFORE" : result.reason, 0, now);
@@ -398,7 +402,7 @@
         { "orphans", m_impl->orphans.size() }, { "submitted", counters.submitted }, { "refused", counters.refused },
         { "dispatched", counters.dispatched }, { "retried", counters.retried }, { "queried", counters.queried },
         { "unknown", counters.unknown }, { "ignored", counters.ignored }, { "joined", counters.joined },
-        { "services", services } };
+        { "contradicted", counters.contradicted }, { "services", services } };
     return boost::json::serialize(object);
 }
 
--- a/test/routing-router-test.cc
+++ b/test/routing-router-test.cc
@@ -373,6 +373,21 @@
     REQUIRE(replies[0].status.ok());
 }
 
+// Guards against NOT_RUN for a request that ran, and against another outcome than the ledger's in all other cases.
+TEST_CASE("The outcome that stands in the ledger is told, unless it is a false NOT_RUN", "[routing]")
+{
+    Fixture f(1, 1);
+    f.dispatched(1);
+    f.router->answered(ticket(1), 1, at(1));
+    const auto told = [&](Outcome standing) {
+        const OutcomeResult result { OutcomeResult::Code::EndedBefore, standing };
+        return only<Reply>(f.router->outcomeCommitted(ticket(1), result, at(2))).at(0).status;
+    };
+    SECTION("NOT_RUN") { REQUIRE(told(Outcome::NotRun).ok()); }
+    SECTION("RAN") { REQUIRE(told(Outcome::Ran).ok()); }
+    SECTION("UNKNOWN") { REQUIRE(detailsOf(told(Outcome::Unknown)).outcome == Outcome::Unknown); }
+}
+
 // Guards against work for a caller that is gone, and against uncounted work.
 TEST_CASE("Cancelled requests are not dispatched further, but what ran is counted", "[routing]")
 {
