--- a/test/routing-router-test.cc
+++ b/test/routing-router-test.cc
@@ -212,6 +212,22 @@
     REQUIRE(retried <= 10 + number / 10);
 }
 
+// Guards against a retry on the worker that has just refused, which is less loaded for that very reason.
+TEST_CASE("A retry prefers a busier worker over the one tried before", "[routing]")
+{
+    Fixture f(2, 4);
+    f.grants[0].slots = 0;
+    f.push(start);
+    f.dispatched(1);
+    f.dispatched(2);
+    f.grants[0].slots = 4;
+    f.push(start);
+    const Dispatch first = f.dispatched(3);
+    REQUIRE(first.worker == f.workers[0].worker);
+    f.router->failed(ticket(3), 1, refusal, at(1));
+    REQUIRE(only<Dispatch>(f.router->tick(at(20))).at(0).worker == f.workers[1].worker);
+}
+
 // Guards against a second attempt while the first may still run.
 TEST_CASE("After a lost connection the attempt is fenced before the next", "[routing]")
 {
@@ -255,6 +271,21 @@
     REQUIRE(f.inUse(0) == 0);
 }
 
+// Guards against slots that stay in use for ever after a worker's crash.
+TEST_CASE("A new incarnation of the worker ends what its predecessor ran", "[routing]")
+{
+    Fixture f(1, 1);
+    f.dispatched(1);
+    f.router->tick(at(1'000));
+    f.router->tick(at(1'500)); // UNKNOWN
+    f.router->tick(at(1'700));
+    REQUIRE(f.inUse(0) == 1);
+    f.workers[0].incarnation = Incarnation { 2 };
+    f.push(at(1'800));
+    f.router->tick(at(2'500));
+    REQUIRE(f.inUse(0) == 0);
+}
+
 // Guards against two runs of one request by hedging, and against fencing without means for another attempt.
 TEST_CASE("A hedge queries the slow attempt and starts another only if it was not seen", "[routing]")
 {
@@ -342,6 +373,21 @@
     REQUIRE(replies[0].status.ok());
 }
 
+// Guards against NOT_RUN for a request that ran, and against another outcome than the ledger's in all other cases.
+TEST_CASE("The outcome that stands in the ledger is told, unless it is a false NOT_RUN", "[routing]")
+{
+    Fixture f(1, 1);
+    f.dispatched(1);
+    f.router->answered(ticket(1), 1, at(1));
+    const auto told = [&](Outcome standing) {
+        const OutcomeResult result { OutcomeResult::Code::EndedBefore, standing };
+        return only<Reply>(f.router->outcomeCommitted(ticket(1), result, at(2))).at(0).status;
+    };
+    SECTION("NOT_RUN") { REQUIRE(told(Outcome::NotRun).ok()); }
+    SECTION("RAN") { REQUIRE(told(Outcome::Ran).ok()); }
+    SECTION("UNKNOWN") { REQUIRE(detailsOf(told(Outcome::Unknown)).outcome == Outcome::Unknown); }
+}
+
 // Guards against work for a caller that is gone, and against uncounted work.
 TEST_CASE("Cancelled requests are not dispatched further, but what ran is counted", "[routing]")
 {
@@ -357,6 +403,44 @@
     SECTION("refused") { f.refused(f.router->failed(ticket(1), 1, refusal, at(2))); }
 }
 
+// Guards against a dispatch for a caller that left, or after the deadline, because the claim took long.
+TEST_CASE("A claim that is accepted too late is not used", "[routing]")
+{
+    Fixture f(1, 1);
+    f.router->submit(ticket(1), request("1", true), start);
+    SECTION("cancelled")
+    {
+        f.router->cancelled(ticket(1), at(1));
+        REQUIRE(f.inUse(0) == 0);
+        const CommitOutcome ended = f.refused(f.router->claimCommitted(ticket(1), 1, accepted, at(2)));
+        REQUIRE(ended.reason == "CANCELLED");
+        REQUIRE(ended.claimAttempt == 1);
+    }
+    SECTION("late: NOT_RUN is said only after the claim is decided")
+    {
+        REQUIRE(only<CommitOutcome>(f.router->tick(at(1'000))).empty());
+        REQUIRE(f.inUse(0) == 0);
+        REQUIRE(f.refused(f.router->claimCommitted(ticket(1), 1, accepted, at(1'001))).reason == "DEADLINE_EXCEEDED");
+    }
+}
+
+// Guards against a non-repeatable request as a probe, and against an ejected worker that is never probed.
+TEST_CASE("A worker is probed by repeatable requests alone, one at a time", "[routing]")
+{
+    Fixture f(2, 8);
+    f.router->setServices({ { till, 1'000 } });
+    for (uint64_t i = 1; i <= 10; ++i) {
+        const Dispatch dispatch = f.dispatched(i);
+        if (dispatch.worker == f.workers[0].worker)
+            f.router->failed(dispatch.ticket, 1, refusal, start);
+    }
+    f.router->tick(at(10'000));
+    const auto claims = only<CommitClaim>(f.router->submit(ticket(20), request("n", true, 20'000), at(10'000)));
+    REQUIRE(claims.at(0).worker == f.workers[1].worker);
+    REQUIRE(f.dispatched(21, at(10'000)).worker == f.workers[0].worker);
+    REQUIRE(f.dispatched(22, at(10'000)).worker == f.workers[1].worker);
+}
+
 // Guards against requests lost by a planned stop.
 TEST_CASE("A draining router refuses new requests and finishes the others", "[routing]")
 {
@@ -411,6 +495,21 @@
         REQUIRE(count >= 20);
 }
 
+// Guards against a service whose healthy workers leave while the others are ejected.
+TEST_CASE("Ejected workers return when more than half would be ejected", "[routing]")
+{
+    Fixture f(4, 8);
+    f.router->setServices({ { till, 1'000 } });
+    for (uint64_t i = 1; i <= 24; ++i) {
+        const Dispatch dispatch = f.dispatched(i);
+        if (dispatch.worker == f.workers[0].worker || dispatch.worker == f.workers[1].worker)
+            f.router->failed(dispatch.ticket, 1, refusal, start);
+    }
+    f.workers[2].leaving = f.workers[3].leaving = true;
+    f.push(at(1));
+    f.dispatched(30, at(2));
+}
+
 // Guards against slots, tickets or replies lost in orders of events that no single test has.
 TEST_CASE("Random events keep slots within grants and give one reply each", "[routing]")
 {
