Test the order of sync, count and send, and the lease over a restart

Cause: trials with single faults put into the core (a leader that counts itself before its sync, a restarted replica that votes at once, a voter change before the first commit of a term) passed the tests. Change: directed tests of these rules; the simulated network checks that nothing that depends on the disk is sent before the sync. Conclusion: the core needed no change.

--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -15,7 +15,9 @@
 struct GroupOptions {
     GroupId group;
     InstanceId self;
-    std::vector<InstanceId> voters; ///< First voters of an empty log; later the log decides.
+    /// First voters of an empty log; later the log decides. The first election needs all of them, because a majority of
+    /// empty replicas could be replicas that lost their disks.
+    std::vector<InstanceId> voters;
     std::vector<InstanceId> preferredLeaders; ///< Leadership moves to one of these when it is up to date.
     std::filesystem::path folder; ///< Holds the log and the snapshots of this group alone.
     Duration heartbeat = std::chrono::milliseconds(100);
@@ -47,7 +49,9 @@
     std::string result; ///< What the hook `apply` returned.
 };
 
-/// All methods may be called from any thread.
+/// All methods may be called from any thread. A callback runs on the thread of the group, but on the caller's thread if
+/// the group's queue is full or the group has stopped. After a failed write or sync the replica stops: it answers
+/// everything with REPLICA_STOPPED until the process is restarted.
 class Group {
 public:
     using Done = std::function<void(absl::StatusOr<Applied> result)>;
@@ -60,15 +64,17 @@
     void start();
     void stop();
 
-    /// Appends `data`. `done` runs on the group's thread after the entry is applied, or with an error whose outcome is
-    /// NotRun if the entry can not be committed any more, and Unknown if leadership was lost before that was known.
+    /// Appends `data`, at most 3 MiB. `done` runs on the group's thread after the entry is applied, or with an error
+    /// whose outcome is NotRun if the entry can not be committed any more, and Unknown if leadership was lost before
+    /// that was known.
     void propose(std::string data, Done done);
     /// Runs `done` on the group's thread once it is certain that this replica leads and has applied all that was
     /// committed before the call.
     void read(std::function<void(absl::Status)> done);
     void receive(InstanceId from, Message message);
-    /// Adds or removes one voter; refused while another change is in progress.
+    /// Adds one voter once it has caught up; refused while another change is in progress.
     void addVoter(InstanceId voter, Done done);
+    /// Removes one voter; refused while another change is in progress.
     void removeVoter(InstanceId voter, Done done);
     void transferLeadership(InstanceId to);
     /// State of the replica as a JSON object.
--- a/test/consensus-core-test.cc
+++ b/test/consensus-core-test.cc
@@ -385,3 +385,58 @@
     network.run(100ms);
     CHECK(network.readsConfirmed == 2);
 }
+
+// Guards against a restarted replica that forgets that it answered the leader a moment ago, and by its vote lets
+// another leader commit while the first one still reads under its lease.
+TEST_CASE("a restarted replica keeps the lease it granted", "[consensus]")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Network network(seed, three);
+        network.commitEntries(5);
+        const auto leader = network.leader();
+        const auto between = otherThan(three, { leader });
+        const auto apart = otherThan(three, { leader, between });
+        network.dropIf = [&](const InstanceId& from, const InstanceId& to, const Message&) {
+            return (from == leader && to == apart) || (from == apart && to == leader);
+        };
+        for (int round = 0; round < 20; ++round) {
+            network.crash(between);
+            network.start(between);
+            for (int steps = 0; steps < 100; ++steps) {
+                network.step();
+                std::ignore = network.propose(apart);
+                network.read(leader);
+            }
+        }
+        CHECK(network.readsConfirmed > 1'000);
+        network.dropIf = nullptr;
+        settle(network);
+    }
+}
+
+// Guards against a leader that counts itself for an entry its own disk does not hold yet, and against one that changes
+// the voters while it may not know of an earlier change.
+TEST_CASE("a new leader waits for its own sync and for an entry of its own term", "[consensus]")
+{
+    TimePoint now { 1s };
+    Core core({ .self = a },
+        { .hardState = { Term { 1 } }, .entries = { { Term { 1 }, Index { 1 } } }, .voters = three }, now);
+    now = now + 2s;
+    core.tick(now);
+    core.step(b, { .type = MessageType::PreVoteReply, .term = Term { 2 } }, now);
+    core.step(b, { .type = MessageType::VoteReply, .term = Term { 2 } }, now);
+    REQUIRE(core.role() == Role::Leader);
+    REQUIRE(core.propose("data").value() == Index { 3 });
+    core.removeVoter(1, c);
+    const auto ready = core.takeReady();
+    REQUIRE(ready.changes.size() == 1);
+    CHECK(detailsOf(ready.changes.front().index.status()).reason == "LEADER_NOT_READY");
+    REQUIRE(ready.entries.size() == 2);
+    core.step(b, { .type = MessageType::AppendReply, .term = Term { 2 }, .logIndex = Index { 3 } }, now);
+    CHECK(core.commit() == Index {});
+    core.persisted(Index { 3 }, Term { 2 });
+    CHECK(core.commit() == Index { 3 });
+    core.removeVoter(2, c);
+    CHECK(core.takeReady().changes.front().index.ok());
+}
--- a/test/consensus-network.h
+++ b/test/consensus-network.h
@@ -245,6 +245,12 @@
         while (replica.core && replica.core->hasReady()) {
             auto ready = replica.core->takeReady();
             checkRole(id);
+            for (const auto& out : ready.messages) { // sent before the sync: a leader's messages of a durable term only
+                const auto type = out.message.type;
+                REQUIRE(out.message.term == replica.hardState.term);
+                REQUIRE((type == MessageType::Append || type == MessageType::Heartbeat || type == MessageType::Snapshot
+                    || type == MessageType::TimeoutNow));
+            }
             if (killed(id, Stage::Taken, ready))
                 return;
             send(id, std::move(ready.messages));
