Let a group start again whose first leader is killed at once

Cause: every replica of a new group counts as one that may have lost its disk until it hears from a leader. If the first leader was killed before that, nobody could vote for it any more and the group stayed without a leader. Change: the first entry holds the incarnation of the first leader; a replica that remembers voting for that incarnation with an empty log knows that it forgot nothing. New tests for both, and for chunks of two leaders.

--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -24,6 +24,9 @@
     Duration electionTimeoutMin = std::chrono::milliseconds(1'000);
     Duration electionTimeoutMax = std::chrono::milliseconds(2'000);
     uint64_t snapshotEvery = 20'000; ///< Entries applied between two snapshots.
+    /// Bytes applied between two snapshots, whichever comes first. The entries since the snapshot before the last one
+    /// are kept in memory, and entries may have up to 3 MiB.
+    uint64_t snapshotBytes = 128ULL * 1024 * 1024;
     uint64_t seed = 1; ///< Of the election timeouts.
 };
 
--- a/include/turmericpier/consensus/message.h
+++ b/include/turmericpier/consensus/message.h
@@ -26,7 +26,7 @@
 enum class EntryKind : uint8_t {
     Data,
     Membership, ///< `data` is the new list of voters, one id per line.
-    Empty, ///< First entry of a new leader.
+    Empty, ///< First entry of a new leader; the first of all holds the leader's incarnation.
 };
 
 struct LogEntry {
@@ -52,12 +52,13 @@
     Index logIndex;
     Term logTerm;
     Index commit;
-    bool reject = false;
+    bool reject = false; ///< In replies; Vote: leadership is handed over, so that the leader's lease does not count.
     /// AppendReply with reject: the sender's last index that may match. Append: the leader's last index.
     Index rejectHint;
-    /// Heartbeat: round, copied into the reply. Vote: 1 if leadership is handed over. Snapshot: offset of the chunk.
-    /// SnapshotReply: offset of the next chunk. AppendReply: incarnation of a replica that started with an empty disk
-    /// and has not caught up yet, otherwise 0. Append: that incarnation as last heard.
+    /// Heartbeat: round, copied into the reply. Vote and PreVote: incarnation of the first leader of the log, or of the
+    /// candidate if its log is empty. Snapshot: offset of the chunk. SnapshotReply: offset of the next chunk.
+    /// AppendReply: incarnation of a replica that started with an empty disk and has not caught up yet, otherwise 0.
+    /// Append: that incarnation as last heard.
     uint64_t context = 0;
     std::vector<LogEntry> entries;
     std::optional<Snapshot> snapshot;
--- a/src/consensus/core-follower.cc
+++ b/src/consensus/core-follower.cc
@@ -11,10 +11,6 @@
         becomeFollower(m_hard.term, from);
     m_leaderContact = m_now;
     resetElectionTimer();
-    // The leader won with this replica's vote for an empty log. It needed every voter, so that all of them were empty
-    // and there was nothing to forget.
-    if (m_hard.recovering && m_emptyVote && m_hard.vote == from)
-        m_hard.recovering = false;
 }
 
 void Core::onAppend(const InstanceId& from, Message& message)
@@ -30,6 +26,7 @@
         return rejectAppend(from, message);
     Index matched { message.logIndex.value + message.entries.size() };
     appendFromLeader(message.entries);
+    noteOrigin(origin());
     if (belowBase)
         matched = std::max(matched, m_log.base());
     commitTo(std::min(message.commit, matched));
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -2,14 +2,13 @@
 
 #include "turmericpier/base/error.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace turmericpier::consensus {
 
 namespace {
-    // Value of Message::context in a vote request that follows TimeoutNow.
-    constexpr uint64_t transferContext = 1;
-
     // Replicas with the same seed in their settings must still draw different timeouts.
     std::mt19937_64 seedOf(const CoreOptions& options)
     {
@@ -109,7 +108,6 @@
     if (term > m_hard.term) {
         m_hard.term = term;
         m_hard.vote = {};
-        m_emptyVote = false;
         m_recoverTo.reset();
     }
     m_role = Role::Follower;
@@ -145,7 +143,8 @@
     if (role == Role::Candidate) {
         m_hard.term = m_hard.term.next();
         m_hard.vote = m_options.self;
-        m_emptyVote = m_log.last().value == 0;
+        if (m_log.last().value == 0)
+            m_hard.emptyVote = m_options.incarnation;
         m_recoverTo.reset();
         resetElectionTimer();
     }
@@ -160,7 +159,8 @@
     request.term = m_role == Role::Candidate ? m_hard.term : m_hard.term.next();
     request.logIndex = m_log.last();
     request.logTerm = m_log.lastTerm();
-    request.context = transfer ? transferContext : 0;
+    request.context = m_log.last().value == 0 ? m_options.incarnation : origin();
+    request.reject = transfer;
     for (const auto& voter : voters()) {
         if (voter != m_options.self)
             sendAfterSync(voter, request);
@@ -205,11 +205,12 @@
     m_uncommittedBytes = 0;
     m_preferAfter = m_now + m_options.electionTimeoutMax;
     m_termStart = m_log.last().next();
-    // The first entry of all names the voters, so that later replicas need no settings to know them.
-    if (m_log.last().value == 0)
+    // The first entries of all identify the election that every voter took part in, and name the voters, so that later
+    // replicas need no settings to know them.
+    const bool first = m_log.last().value == 0;
+    appendEntry(EntryKind::Empty, first ? absl::StrCat(m_options.incarnation) : std::string());
+    if (first)
         appendEntry(EntryKind::Membership, encodeVoters(voters()));
-    else
-        appendEntry(EntryKind::Empty, {});
     startRound();
 }
 
@@ -256,7 +257,7 @@
         break;
     case MessageType::Vote:
         // A removed or restarted replica does not disturb a leader that is in contact with this one.
-        if (inLease() && message.context != transferContext)
+        if (inLease() && !message.reject)
             return false;
         break;
     default:
@@ -289,6 +290,8 @@
 void Core::onVoteRequest(const InstanceId& from, const Message& message)
 {
     const bool preVote = message.type == MessageType::PreVote;
+    if (message.logIndex.value != 0)
+        noteOrigin(message.context);
     const bool upToDate = message.logTerm > m_log.lastTerm()
         || (message.logTerm == m_log.lastTerm() && message.logIndex >= m_log.last());
     const bool free = preVote ? message.term > m_hard.term && !inLease()
@@ -298,7 +301,8 @@
     const bool grant = upToDate && free && allowed;
     if (grant && !preVote) {
         m_hard.vote = from;
-        m_emptyVote = m_log.last().value == 0 && message.logIndex.value == 0;
+        if (m_log.last().value == 0 && message.logIndex.value == 0)
+            m_hard.emptyVote = message.context;
         resetElectionTimer();
     }
     Message reply;
@@ -333,6 +337,23 @@
         m_hard.recovering = false;
 }
 
+uint64_t Core::origin() const
+{
+    uint64_t origin = 0;
+    const Index first { 1 };
+    if (m_log.base().value != 0 || m_log.last() < first || !absl::SimpleAtoi(m_log.at(first).data, &origin))
+        return 0; // compacted; a replica that needs it catches up from a leader instead
+    return origin;
+}
+
+void Core::noteOrigin(uint64_t origin)
+{
+    // The log began with an election that needed the vote which this replica remembers. Every replica was empty then,
+    // so that there was nothing to forget.
+    if (m_hard.recovering && origin != 0 && origin == m_hard.emptyVote)
+        m_hard.recovering = false;
+}
+
 bool Core::hasReady() const
 {
     return !m_messages.empty() || !m_afterSync.empty() || m_installed || m_unstable <= m_log.last()
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -40,6 +40,8 @@
     InstanceId vote;
     Index commit;
     bool recovering = false; ///< Started with an empty disk and may have forgotten votes and entries.
+    /// Incarnation of the candidate that this replica last voted for while both had empty logs.
+    uint64_t emptyVote = 0;
 
     friend bool operator==(const HardState&, const HardState&) = default;
 };
@@ -179,6 +181,8 @@
     void onTimeoutNow(const InstanceId& from);
     void failPending();
     void finishRecovery();
+    uint64_t origin() const;
+    void noteOrigin(uint64_t origin);
 
     // Follower side of replication (core-follower.cc).
     void followLeader(const InstanceId& from);
@@ -238,7 +242,6 @@
     bool m_logReset = false;
     std::optional<IncomingSnapshot> m_incoming;
     std::optional<Index> m_recoverTo; ///< Last index of the leader, learned after this replica started.
-    bool m_emptyVote = false; ///< Voted with an empty log in this term.
     Index m_unstable; ///< First entry not handed out to be persisted.
     Index m_persisted;
     Index m_handedOut; ///< Last committed entry handed out to be applied.
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -140,6 +140,7 @@
         if (entry.kind == EntryKind::Data)
             result = hooks.apply(entry.index, entry.data);
         applied = entry.index;
+        appliedBytes += entry.data.size();
         appliedEntries.increment();
         const auto found = waiting.find(entry.index);
         if (found == waiting.end())
@@ -192,8 +193,11 @@
     void takeSnapshot()
     {
         const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
-        if (writing || applied.value - previous.value < options.snapshotEvery)
+        const bool due
+            = applied.value - previous.value >= options.snapshotEvery || appliedBytes >= options.snapshotBytes;
+        if (writing || !due || applied == previous)
             return;
+        appliedBytes = 0;
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->index = applied;
         snapshot->term = *core.log().termAt(applied);
@@ -333,6 +337,7 @@
     absl::Status failed;
     HardState hardState;
     Index applied;
+    uint64_t appliedBytes = 0; ///< Since the last snapshot.
     RoleChange lastRole;
     uint64_t nextId = 1;
     std::map<Index, Proposal> waiting; ///< Proposals and voter changes in the log.
--- a/src/consensus/wal.cc
+++ b/src/consensus/wal.cc
@@ -72,6 +72,7 @@
         out.set_vote(state.vote.str());
         out.set_commit(state.commit.value);
         out.set_recovering(state.recovering);
+        out.set_empty_vote(state.emptyVote);
     }
 } // namespace
 
@@ -210,7 +211,8 @@
         }
     }
     const auto& hard = record.hard_state();
-    m_stored.hardState = { Term { hard.term() }, InstanceId(hard.vote()), Index { hard.commit() }, hard.recovering() };
+    m_stored.hardState = { Term { hard.term() }, InstanceId(hard.vote()), Index { hard.commit() }, hard.recovering(),
+        hard.empty_vote() };
     for (const auto& proto : record.entries()) {
         LogEntry entry { Term { proto.term() }, Index { proto.index() }, static_cast<EntryKind>(proto.kind()),
             proto.data() };
--- a/test/consensus-core-test.cc
+++ b/test/consensus-core-test.cc
@@ -248,6 +248,30 @@
     network.waitForLeader();
 }
 
+// Guards against a new group that stays without a leader because its replicas can not tell that they forgot nothing.
+TEST_CASE("a group whose first leader is killed at once starts again", "[consensus]")
+{
+    for (const auto stage : { Stage::Taken, Stage::Sent, Stage::Synced, Stage::Acknowledged }) {
+        for (const bool killAll : { false, true }) {
+            CAPTURE(static_cast<int>(stage), killAll);
+            Network network(1, three);
+            InstanceId first;
+            network.killAt = [&](const InstanceId& id, Stage at, const Ready& ready) {
+                if (first.empty() && at == stage && !ready.entries.empty())
+                    first = id;
+                return id == first && at == stage && !ready.entries.empty();
+            };
+            REQUIRE(network.runUntil([&] { return !first.empty(); }));
+            network.killAt = nullptr;
+            for (const auto& id : three) {
+                if (killAll)
+                    network.crash(id);
+            }
+            settle(network);
+        }
+    }
+}
+
 // Guards against a peer that never catches up, or is sent more at once than a frame holds.
 TEST_CASE("a peer hundreds of changes behind catches up", "[consensus]")
 {
@@ -296,6 +320,22 @@
     }
 }
 
+// Guards against a state machine that is joined from the chunks of two leaders, whose bytes may differ.
+TEST_CASE("a snapshot transfer starts over under a new leader", "[consensus]")
+{
+    Core core({ .self = a }, { .voters = three }, TimePoint { 1s });
+    const auto nextOffset = [&](const InstanceId& leader, uint64_t term, uint64_t offset) {
+        Message chunk { .type = MessageType::Snapshot, .term = Term { term }, .context = offset };
+        chunk.snapshot = Snapshot { Index { 10 }, Term { 1 }, three, "data" };
+        core.step(leader, std::move(chunk), TimePoint { 1s });
+        return core.takeReady().afterSync.back().message.context;
+    };
+    CHECK(nextOffset(b, 2, 0) == 4);
+    CHECK(nextOffset(b, 2, 4) == 8);
+    CHECK(nextOffset(c, 3, 8) == 0);
+    CHECK(nextOffset(c, 3, 0) == 4);
+}
+
 // Guards against two changes of the voters in progress at once, whose majorities need not overlap.
 TEST_CASE("of two racing changes of the voters one is refused", "[consensus]")
 {
--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -49,6 +49,7 @@
         options.voters = std::move(voters);
         options.folder = m_folder.path / id.str();
         options.snapshotEvery = snapshotEvery;
+        options.snapshotBytes = snapshotBytes;
         GroupHooks hooks;
         hooks.send = [this, id](const InstanceId& to, Message message) {
             std::shared_lock lock(m_mutex);
@@ -150,6 +151,7 @@
 
     Counter& counter(std::string_view name) { return m_metrics.counter(name); }
     std::function<void()> onApply;
+    uint64_t snapshotBytes = UINT64_MAX;
 
     Group& group(const InstanceId& id) { return *m_replicas.at(id).group; }
     boost::json::value field(const InstanceId& id, std::string_view name)
@@ -302,6 +304,18 @@
     CHECK(std::distance(std::filesystem::directory_iterator(groups.folder() / leader.str()), {}) < 8);
 }
 
+// Guards against a log of few but large entries that fills the memory before the next snapshot.
+TEST_CASE("large entries bring the next snapshot forward", "[consensus]")
+{
+    Groups groups;
+    groups.snapshotBytes = 10'000;
+    groups.open(a, { a });
+    groups.leader();
+    for (int i = 0; i < 12; ++i)
+        REQUIRE(groups.propose(a, std::string(1'000, 'x')).ok());
+    CHECK(groups.until([&] { return groups.number(a, "snapshot") > 0; }));
+}
+
 // Guards against a repair that needs a stop of the group.
 TEST_CASE("a lost instance is replaced by remove and add, or by one with an empty disk", "[consensus]")
 {
