--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -34,6 +34,7 @@
 struct Group::Impl {
     struct Proposal {
         Term term;
+        TimePoint since;
         Done done;
     };
     /// What dump() shows; copied once per batch.
@@ -67,6 +68,7 @@
         , snapshots(metrics.counter("consensus_snapshots_total"))
         , roleChanges(metrics.counter("consensus_role_changes_total"))
         , refusedPosts(metrics.counter("consensus_ring_full_total"))
+        , commitLatency(metrics.latency("consensus_commit_seconds"))
     {
         loop.setBatchEnd([this] { process(); });
         loop.postAfter(Duration::zero(), [this] { onTimer(); });
@@ -147,6 +149,7 @@
             return;
         auto proposal = std::move(found->second);
         waiting.erase(found);
+        commitLatency.record(clock.now() - proposal.since);
         if (proposal.term == entry.term)
             proposal.done(Applied { entry.index, std::move(result) });
         else
@@ -159,7 +162,7 @@
         auto& proposal = waiting[index];
         if (proposal.done) // leadership was lost and won again within one batch
             proposal.done(error(Outcome::Unknown, "LEADERSHIP_LOST", "another entry took the index"));
-        proposal = { term, std::move(done) };
+        proposal = { term, clock.now(), std::move(done) };
     }
 
     void onChange(const ChangeResult& change)
@@ -334,6 +337,7 @@
     Counter& snapshots;
     Counter& roleChanges;
     Counter& refusedPosts;
+    Latency& commitLatency; ///< From the proposal to its application.
     absl::Status failed;
     HardState hardState;
     Index applied;
