Widen the decision engine

Cause: the first engine scanned all workers, placed services as batch tasks and had neither quotas nor preemption. Change: split into tables, placement index, queue by class, claims, reservations with backfill, services, usage and explain; uses fair shares, preemption, learned sizes, worker health and the restart pacer. A property test drives random events with late and lost messages. It found a gang placed on a worker twice the size of its claim, a gang queued in part after a leader change, a claim placed with a newer learned size, and a lost start that was never retried; all are fixed. JobSubmitted has a new field 'accepted' and Placement has the worker's incarnation.

--- a/include/turmericpier/decision/engine.h
+++ b/include/turmericpier/decision/engine.h
@@ -23,6 +23,8 @@
     Worker worker;
     Incarnation incarnation;
 };
+/// Usage of tasks that run on the worker. After a leader change each running task has to be reported once within
+/// 10 minutes, because a restored placement that nothing confirms is stopped.
 struct WorkerReport {
     WorkerId worker;
     std::vector<TaskUsage> usage;
@@ -42,6 +44,7 @@
 };
 struct JobSubmitted {
     Job job;
+    bool accepted = false; ///< Given again after a leader change: not refused, as it may run already.
 };
 struct JobCancelled {
     JobId job;
@@ -52,6 +55,7 @@
 struct TeamChanged {
     Team team;
 };
+/// Without it or a report of the task within a lease after the placement, the task is stopped and placed again.
 struct TaskStarted {
     TaskId task;
     Epoch epoch;
@@ -84,11 +88,15 @@
 
 // Actions.
 
-/// Place the task: commit it, then start it. The capacity is taken from this moment.
+/// Place the task: commit it, then start it, unless a StopTask of the same epoch came meanwhile. The capacity is taken
+/// from this moment, and the lease of the task begins with it. A service whose replicas are moved or lost has tasks
+/// beyond its declared number for a while; their indexes start at `Job::tasks`.
 struct PlaceTask {
     Placement placement;
     uint64_t checkpoint = 0; ///< To resume from; 0 to start afresh.
 };
+/// The lease of the task is not to be renewed from now on. A worker that does not run this epoch of the task answers
+/// with TaskEnded as well, and refuses a later start of the epoch.
 struct StopTask {
     TaskId task;
     WorkerId worker;
--- a/include/turmericpier/decision/model.h
+++ b/include/turmericpier/decision/model.h
@@ -81,6 +81,8 @@
     WorkerId worker;
     Epoch epoch;
     Resources limit;
+    /// Of the worker when the task was placed. A later incarnation has to refuse the start. Zero if not known.
+    Incarnation incarnation;
 };
 
 } // namespace turmericpier::decision
--- /dev/null
+++ b/src/decision/engine-placement.cc
@@ -0,0 +1,404 @@
+#include "decision/engine-impl.h"
+
+#include <algorithm>
+#include <array>
+
+/// Which waiting task is tried next, and on which worker it is placed.
+namespace turmericpier::decision {
+
+namespace {
+
+    constexpr size_t candidateLimit = 16;
+    // Looked at for a replica whose best candidate shares a rack with another replica.
+    constexpr size_t spreadCandidateLimit = 96;
+    constexpr size_t backfillCandidateLimit = 16;
+    // Tasks of one job placed before the order of the teams is looked at again.
+    constexpr uint32_t tasksPerTurn = 8;
+    // Requests without room that are remembered for the rest of a round.
+    constexpr size_t maxFailures = 16;
+    // A suspect worker loses against any other; a worker on which the task failed loses against a suspect one.
+    constexpr double suspicionWeight = 50;
+    constexpr double failedHereWeight = 100;
+
+    uint64_t replicaKey(JobIndex job, uint32_t place, bool rack)
+    {
+        return uint64_t { raw(job) } << 32 | uint64_t { rack } << 31 | place;
+    }
+
+} // namespace
+
+void Engine::Impl::placeWaiting()
+{
+    dirty = false;
+    failures.clear();
+    queue(tables.teams.size()); // the rounds point into the list of queues
+    WaitQueue::Round critical(queue(0));
+    if (!placeQueue(critical)) {
+        dirty = true;
+        return;
+    }
+    absl::flat_hash_map<TeamId, WaitQueue::Round> rounds; // only looked up
+    std::vector<TeamId> exhausted;
+    while (const auto team = shares.next()) {
+        const auto number = tables.teams.intern(*team) + 1;
+        auto& round = rounds.try_emplace(*team, queue(number)).first->second;
+        if (!round.current()) {
+            shares.setWaiting(*team, false);
+            exhausted.push_back(*team);
+            continue;
+        }
+        if (budget == 0) {
+            dirty = true;
+            break;
+        }
+        const auto job = round.current()->job;
+        switch (tryJob(job)) {
+        case Attempt::Placed:
+            round.next();
+            break;
+        case Attempt::Blocked:
+            round.block();
+            break;
+        case Attempt::More:
+        case Attempt::Budget:
+            break;
+        }
+    }
+    for (const auto& team : exhausted)
+        updateWaiting(tables.teams.intern(team) + 1);
+}
+
+/// Tries the jobs of the queue in order. Returns false if the budget ran out.
+bool Engine::Impl::placeQueue(WaitQueue::Round& round)
+{
+    while (const auto entry = round.current()) {
+        if (budget == 0)
+            return false;
+        switch (tryJob(entry->job)) {
+        case Attempt::Placed:
+            round.next();
+            break;
+        case Attempt::Blocked:
+            round.block();
+            break;
+        case Attempt::More:
+        case Attempt::Budget:
+            break;
+        }
+    }
+    return true;
+}
+
+Engine::Impl::Attempt Engine::Impl::tryJob(JobIndex index)
+{
+    auto& job = tables.at(index);
+    if (job.kind == JobKind::Gang)
+        return tryGang(index);
+    return tryTasks(index);
+}
+
+TaskIndex Engine::Impl::nextQueued(JobRecord& job) const
+{
+    while (!tables.at(job.tasks[job.hint]).queued)
+        ++job.hint;
+    return job.tasks[job.hint];
+}
+
+Engine::Impl::Attempt Engine::Impl::tryTasks(JobIndex index)
+{
+    auto& job = tables.at(index);
+    const bool urgent = job.priority >= urgentPriority;
+    for (uint32_t placed = 0; placed < tasksPerTurn && job.queuedTasks > 0; ++placed) {
+        if (budget == 0)
+            return Attempt::Budget;
+        const auto admission = shares.admission(tables.teams[job.team], job.effective.unpack());
+        if (!urgent && admission == FairShare::Admission::Refused) {
+            blocked(index, WaitReason::OverQuota);
+            return Attempt::Blocked;
+        }
+        const auto task = nextQueued(job);
+        Choice choice;
+        if (!choose(job, task, choice)) {
+            blocked(index, WaitReason::NoCapacity);
+            claimFor(index, admission);
+            return Attempt::Blocked;
+        }
+        take(task, choice);
+        emitPlacement(task, choice);
+    }
+    return job.queuedTasks == 0 ? Attempt::Placed : Attempt::More;
+}
+
+Engine::Impl::Attempt Engine::Impl::tryGang(JobIndex index)
+{
+    auto& job = tables.at(index);
+    const auto total = times(job.effective, job.queuedTasks);
+    const auto admission = shares.admission(tables.teams[job.team], total.unpack());
+    if (job.priority < urgentPriority && admission == FairShare::Admission::Refused) {
+        blocked(index, WaitReason::OverQuota);
+        return Attempt::Blocked;
+    }
+    std::vector<TaskIndex> placed;
+    bool done = false;
+    if (!isKnownToFail(job.effective, job.queuedTasks)) {
+        // One data centre first: the tasks of a gang talk to each other.
+        for (uint16_t dc = 0; dc < this->index.dataCentres() && !done; ++dc)
+            done = tryGangIn(index, dc, placed);
+        done = done || tryGangIn(index, std::nullopt, placed);
+        if (!done)
+            rememberFailure(job.effective, job.queuedTasks);
+    }
+    if (!done) {
+        blocked(index, WaitReason::NoCapacity);
+        claimFor(index, admission);
+        return Attempt::Blocked;
+    }
+    for (const auto task : placed)
+        emitPlacement(task, { tables.at(task).worker, 0, static_cast<uint32_t>(placed.size()) });
+    return Attempt::Placed;
+}
+
+bool Engine::Impl::tryGangIn(JobIndex index, std::optional<uint16_t> dataCentre, std::vector<TaskIndex>& placed)
+{
+    auto& job = tables.at(index);
+    const PackedResources free(dataCentre ? this->index.freeOf(*dataCentre) : this->index.free());
+    uint32_t left = job.queuedTasks;
+    if (timesFitting(job.effective, free, left) < left)
+        return false;
+    std::vector<TaskIndex> waiting;
+    for (const auto task : job.tasks) {
+        if (tables.at(task).queued)
+            waiting.push_back(task);
+    }
+    size_t position = 0;
+    while (position < waiting.size()) {
+        const auto order = policyOf(job).order;
+        if (dataCentre)
+            this->index.findIn(*dataCentre, job.effective, order, candidateLimit, found);
+        else
+            this->index.find(job.effective, order, candidateLimit, found);
+        Choice choice;
+        evaluate(job, waiting[position], choice);
+        if (choice.worker == WorkerIndex::None)
+            break;
+        const auto fitting = timesFitting(
+            job.effective, tables.at(choice.worker).available(), static_cast<uint32_t>(waiting.size() - position));
+        for (uint32_t i = 0; i < fitting; ++i)
+            take(waiting[position++], choice);
+    }
+    if (position == waiting.size()) {
+        placed = std::move(waiting);
+        return true;
+    }
+    for (size_t i = 0; i < position; ++i)
+        giveBack(waiting[i]);
+    return false;
+}
+
+void Engine::Impl::blocked(JobIndex index, WaitReason reason)
+{
+    auto& job = tables.at(index);
+    const auto former = std::exchange(job.waitReason, job.claim != 0 ? WaitReason::WaitsForClaim : reason);
+    if (reason != WaitReason::NoCapacity || former == reason || job.parked || largest.empty())
+        return;
+    // Looked at when the job is blocked for the first time: it may fit none of the present workers.
+    for (uint32_t i = 0; i < tables.workerSlots(); ++i) {
+        const auto& worker = tables.at(WorkerIndex { i });
+        if (worker.live && worker.announced && job.request.fitsInto(worker.capacity))
+            return;
+    }
+    park(index, "a task requests " + toText(job.request.unpack()) + ", more than any present worker has",
+        WaitReason::NoWorkerLargeEnough);
+}
+
+bool Engine::Impl::isKnownToFail(const PackedResources& request, uint32_t count) const
+{
+    return std::any_of(failures.begin(), failures.end(),
+        [&](const auto& failure) { return failure.first.fitsInto(request) && failure.second <= count; });
+}
+
+void Engine::Impl::rememberFailure(const PackedResources& request, uint32_t count)
+{
+    std::erase_if(
+        failures, [&](const auto& failure) { return request.fitsInto(failure.first) && count <= failure.second; });
+    if (failures.size() < maxFailures)
+        failures.emplace_back(request, count);
+}
+
+bool Engine::Impl::choose(const JobRecord& job, TaskIndex task, Choice& choice)
+{
+    if (chooseProbe(job, task, choice))
+        return true;
+    if (!isKnownToFail(job.effective, 1)) {
+        if (job.kind == JobKind::Service) {
+            if (chooseSpread(job, task, choice))
+                return true;
+        } else {
+            index.find(job.effective, policies[job.policy].order, candidateLimit, found);
+            evaluate(job, task, choice);
+            if (choice.worker != WorkerIndex::None)
+                return true;
+        }
+        rememberFailure(job.effective, 1);
+    }
+    return chooseBackfill(job, task, choice);
+}
+
+/// The data centre with the fewest replicas first, then a rack without any.
+bool Engine::Impl::chooseSpread(const JobRecord& job, TaskIndex task, Choice& choice)
+{
+    const auto jobIndex = tables.at(task).job;
+    std::vector<std::pair<uint32_t, uint16_t>> order;
+    for (uint16_t dc = 0; dc < index.dataCentres(); ++dc) {
+        if (index.sizeOf(dc) > 0)
+            order.emplace_back(replicasIn(jobIndex, dc, false), dc);
+    }
+    std::sort(order.begin(), order.end());
+    for (const auto& [count, dc] : order) {
+        index.findIn(dc, job.effective, SearchOrder::BothEnds, candidateLimit, found);
+        evaluate(job, task, choice);
+        if (choice.worker == WorkerIndex::None)
+            continue;
+        if (replicasIn(jobIndex, tables.at(choice.worker).rack, true) > 0) {
+            index.findIn(dc, job.effective, SearchOrder::BothEnds, spreadCandidateLimit, found);
+            evaluate(job, task, choice);
+        }
+        return true;
+    }
+    return false;
+}
+
+/// A quarantined worker that is due for a probe gets one batch task that may be retried.
+bool Engine::Impl::chooseProbe(const JobRecord& job, TaskIndex task, Choice& choice)
+{
+    if (probes.empty() || job.kind != JobKind::Batch || job.priority >= urgentPriority || tables.at(task).failures > 0)
+        return false;
+    for (const auto worker : probes) {
+        if (!job.effective.fitsInto(tables.at(worker).available()))
+            continue;
+        choice = { .worker = worker, .candidates = 1, .probe = true };
+        return true;
+    }
+    return false;
+}
+
+/// Capacity that a reservation waits for can be used by tasks that are stopped once the reservation is complete.
+/// Declared run times play no part.
+bool Engine::Impl::chooseBackfill(const JobRecord& job, TaskIndex task, Choice& choice)
+{
+    if (reservations == 0 || job.kind != JobKind::Batch || job.priority >= urgentPriority || job.claim != 0
+        || tables.at(task).preemptions >= policies[job.policy].policy.maxPreemptions)
+        return false;
+    size_t looked = 0;
+    for (const auto& [id, claim] : claims) {
+        if (!claim.reservation || claim.preempting || tables.at(claim.job).priority < job.priority)
+            continue;
+        for (size_t i = 0; i < claim.parts.size() && looked < backfillCandidateLimit; ++i, ++looked) {
+            const auto worker = claim.parts[(i + backfillCursor) % claim.parts.size()].worker;
+            const auto& record = tables.at(worker);
+            if (!record.takesWork() || !job.effective.fitsInto(record.capacity - record.used))
+                continue;
+            backfillCursor += static_cast<uint32_t>(i);
+            choice = { .worker = worker, .candidates = 1, .backfill = true };
+            return true;
+        }
+    }
+    backfillCursor += backfillCandidateLimit;
+    return false;
+}
+
+/// Chooses the best of the workers in `found`. Equal scores go to the lower worker id.
+void Engine::Impl::evaluate(const JobRecord& job, TaskIndex task, Choice& choice)
+{
+    const auto& score = policies[job.policy].score;
+    const auto jobIndex = tables.at(task).job;
+    const auto failed = failedOn.empty() ? failedOn.end() : failedOn.find(task);
+    choice = { .candidates = static_cast<uint32_t>(found.size()) };
+    for (const auto index : found) {
+        const auto& worker = tables.at(index);
+        ScoreInput input { job.effective.unpack(), worker.available().unpack(), worker.capacity.unpack() };
+        if (job.kind == JobKind::Service) {
+            input.sameJobInRack = replicasIn(jobIndex, worker.rack, true);
+            input.sameJobInDataCentre = replicasIn(jobIndex, worker.dataCentre, false);
+        }
+        auto value = score(input) - suspicionWeight * worker.suspicion;
+        if (failed != failedOn.end()
+            && std::find(failed->second.begin(), failed->second.end(), index) != failed->second.end())
+            value -= failedHereWeight;
+        if (choice.worker == WorkerIndex::None || value > choice.score
+            || (value == choice.score && worker.id < tables.at(choice.worker).id)) {
+            choice.worker = index;
+            choice.score = value;
+        }
+    }
+}
+
+/// Takes the capacity for the task. The placement stands once it is emitted; until then giveBack() undoes it.
+void Engine::Impl::take(TaskIndex index, const Choice& choice)
+{
+    auto& task = tables.at(index);
+    auto& job = tables.at(task.job);
+    task.state = TaskState::Placed;
+    task.backfill = choice.backfill;
+    task.probe = choice.probe;
+    tables.occupy(index, choice.worker, job.effective);
+    refreshWorker(choice.worker);
+}
+
+void Engine::Impl::giveBack(TaskIndex index)
+{
+    const auto worker = tables.at(index).worker;
+    tables.vacate(index);
+    tables.at(index).state = TaskState::Waiting;
+    refreshWorker(worker);
+}
+
+void Engine::Impl::emitPlacement(TaskIndex index, const Choice& choice)
+{
+    auto& task = tables.at(index);
+    auto& job = tables.at(task.job);
+    task.epoch = nextEpoch;
+    nextEpoch = nextEpoch.next();
+    task.since = now;
+    task.checkpointAt = {};
+    task.reportedAt = {};
+    task.usedCpu = task.usedMemory = task.peakCpu = task.peakMemory = task.memoryGrowth = 0;
+    shares.take(tables.teams[job.team], task.limit.unpack());
+    if (job.kind == JobKind::Service)
+        countReplica(task, 1);
+    if (choice.probe) {
+        tables.at(choice.worker).probing = true;
+        health.probeStarted(tables.at(choice.worker).id);
+        std::erase(probes, choice.worker);
+    }
+    const auto kind = choice.probe ? DecisionKind::Probed
+        : choice.backfill          ? DecisionKind::Backfilled
+                                   : DecisionKind::Placed;
+    note(kind, job, &task, &choice);
+    const auto& worker = tables.at(task.worker);
+    actions.push_back(PlaceTask {
+        { tables.idOf(task), worker.id, task.epoch, task.limit.unpack(), worker.incarnation }, task.checkpoint });
+    timers.add(now + holdTime(), TimerKind::StartTimeout, index, task.epoch);
+    budget -= budget > 0 ? 1 : 0;
+    unqueueTask(index);
+}
+
+uint32_t Engine::Impl::replicasIn(JobIndex job, uint32_t place, bool rack) const
+{
+    const auto it = replicaCounts.find(replicaKey(job, place, rack));
+    return it == replicaCounts.end() ? 0 : it->second;
+}
+
+void Engine::Impl::countReplica(const TaskRecord& task, int change)
+{
+    const auto& worker = tables.at(task.worker);
+    for (const bool rack : { false, true }) {
+        const auto key = replicaKey(task.job, rack ? worker.rack : worker.dataCentre, rack);
+        auto& count = replicaCounts[key];
+        count += change;
+        if (count == 0)
+            replicaCounts.erase(key);
+    }
+}
+
+} // namespace turmericpier::decision
--- /dev/null
+++ b/src/decision/engine-workers.cc
@@ -0,0 +1,251 @@
+#include "decision/engine-impl.h"
+
+#include <algorithm>
+
+/// Workers: announcements, loss, draining, quarantine.
+namespace turmericpier::decision {
+
+void Engine::Impl::refreshWorker(WorkerIndex index)
+{
+    auto& worker = tables.at(index);
+    const bool placeable = worker.takesWork();
+    if (placeable != this->index.contains(index)) {
+        const auto amount = worker.capacity.unpack();
+        if (placeable)
+            capacity += amount;
+        else
+            capacity -= amount;
+        liveWorkers += placeable ? 1 : -1;
+        capacityChanged = true;
+    }
+    if (placeable)
+        this->index.update(index, worker.dataCentre, worker.available());
+    else
+        this->index.remove(index);
+}
+
+void Engine::Impl::on(const WorkerAnnounced& event)
+{
+    auto index = tables.findWorker(event.worker.id);
+    if (index == WorkerIndex::None) {
+        index = tables.addWorker(event.worker.id);
+        health.addWorker(event.worker.id);
+    }
+    auto& worker = tables.at(index);
+    if (worker.announced && event.incarnation < worker.incarnation)
+        return;
+    const bool restarted = worker.announced && event.incarnation > worker.incarnation;
+    // Out of the index first, so that the sum of capacities stays right when the capacity changes.
+    worker.announced = false;
+    refreshWorker(index);
+    worker.announced = true;
+    worker.lost = false;
+    worker.incarnation = event.incarnation;
+    worker.capacity = PackedResources(event.worker.capacity);
+    const auto recount = [this, index](int change) {
+        forEachTaskOn(index, [&](TaskIndex task) {
+            if (tables.at(tables.at(task).job).kind == JobKind::Service)
+                countReplica(tables.at(task), change);
+        });
+    };
+    recount(-1);
+    worker.dataCentre = static_cast<uint16_t>(tables.dataCentres.intern(event.worker.dataCentre));
+    worker.rack = tables.racks.intern(event.worker.rack);
+    recount(1);
+    if (std::none_of(largest.begin(), largest.end(), [&](const auto& c) { return worker.capacity.fitsInto(c); })) {
+        std::erase_if(largest, [&](const auto& c) { return c.fitsInto(worker.capacity); });
+        largest.push_back(worker.capacity);
+    }
+    if (!firstAnnounced)
+        firstAnnounced = now;
+    if (restarted)
+        restartWorker(index);
+    shrinkTo(index);
+    refreshWorker(index);
+    reconcileServicesOn(index);
+    capacityFreed();
+}
+
+void Engine::Impl::restartWorker(WorkerIndex index)
+{
+    // What was known of its health belonged to the former process.
+    auto& worker = tables.at(index);
+    health.removeWorker(worker.id);
+    health.addWorker(worker.id);
+    worker.suspicion = 0;
+    worker.probing = false;
+    if (worker.quarantined) {
+        worker.quarantined = false;
+        actions.push_back(WorkerQuarantined { worker.id, false, "the worker was restarted" });
+    }
+    forEachTaskOn(index, [this](TaskIndex task) {
+        // A start that is still on its way could reach the new process: it has to be fenced first.
+        if (tables.at(task).state == TaskState::Running)
+            lostTask(task, Requeue::Paced);
+        else
+            requestStop(task, "the worker was restarted");
+    });
+}
+
+/// Stops tasks of a worker that has less capacity than before, lowest priority first.
+void Engine::Impl::shrinkTo(WorkerIndex index)
+{
+    const auto& worker = tables.at(index);
+    const auto excess = [&worker] { return !(worker.used - worker.stopping).fitsInto(worker.capacity); };
+    if (!excess())
+        return;
+    dropClaimsOn(index);
+    std::vector<TaskIndex> order;
+    forEachTaskOn(index, [&](TaskIndex task) { order.push_back(task); });
+    std::sort(order.begin(), order.end(), [this](TaskIndex a, TaskIndex b) {
+        const auto rank = [this](TaskIndex t) {
+            const auto& job = tables.at(tables.at(t).job);
+            return std::tuple(job.priority, job.kind != JobKind::Batch, tables.at(t).epoch);
+        };
+        return rank(a) < rank(b);
+    });
+    for (const auto task : order) {
+        if (!excess())
+            break;
+        requestStop(task, "the worker has less capacity than before");
+    }
+}
+
+void Engine::Impl::on(const WorkerLost& event)
+{
+    const auto index = tables.findWorker(event.worker);
+    if (index == WorkerIndex::None || tables.at(index).lost)
+        return;
+    auto& worker = tables.at(index);
+    worker.lost = true;
+    worker.lostDeadline = now + holdTime();
+    lostLeases.emplace_back(worker.lostDeadline, index);
+    dropClaimsOn(index);
+    refreshWorker(index);
+    reconcileServicesOn(index);
+}
+
+void Engine::Impl::endLostLeases()
+{
+    while (!lostLeases.empty() && lostLeases.front().first <= now) {
+        const auto [deadline, index] = lostLeases.front();
+        lostLeases.pop_front();
+        const auto& worker = tables.at(index);
+        if (!worker.live || !worker.lost || worker.lostDeadline != deadline)
+            continue;
+        forEachTaskOn(index, [this](TaskIndex task) { lostTask(task, Requeue::Paced); });
+    }
+    while (!orphans.empty() && orphans.front().until <= now) {
+        const auto orphan = orphans.front();
+        orphans.pop_front();
+        tables.at(orphan.worker).reserved -= orphan.limit;
+        refreshWorker(orphan.worker);
+        capacityFreed();
+    }
+}
+
+void Engine::Impl::on(const WorkerDraining& event)
+{
+    const auto index = tables.findWorker(event.worker);
+    if (index == WorkerIndex::None || tables.at(index).draining == event.draining)
+        return;
+    tables.at(index).draining = event.draining;
+    if (event.draining) {
+        dropClaimsOn(index);
+        // A task that has checkpointed before loses nothing by moving now; others run to their end.
+        forEachTaskOn(index, [this](TaskIndex task) {
+            const auto& record = tables.at(task);
+            if (tables.at(record.job).kind == JobKind::Batch && record.checkpoint > 0)
+                requestStop(task, "the worker is drained", preemptionOptions().checkpointTime);
+        });
+    }
+    refreshWorker(index);
+    reconcileServicesOn(index);
+    capacityFreed();
+}
+
+void Engine::Impl::on(const WorkerGone& event)
+{
+    const auto index = tables.findWorker(event.worker);
+    if (index == WorkerIndex::None)
+        return;
+    dropClaimsOn(index);
+    tables.at(index).announced = false;
+    refreshWorker(index);
+    forEachTaskOn(index, [this](TaskIndex task) { lostTask(task, Requeue::Paced); });
+    health.removeWorker(event.worker);
+    std::erase(probes, index);
+    std::erase_if(lostLeases, [index](const auto& lease) { return lease.second == index; });
+    std::erase_if(orphans, [index](const auto& orphan) { return orphan.worker == index; });
+    absl::erase_if(failedOn, [index](auto& entry) {
+        entry.second.erase(std::remove(entry.second.begin(), entry.second.end(), index), entry.second.end());
+        return entry.second.empty();
+    });
+    tables.removeWorker(index);
+    capacityFreed();
+}
+
+void Engine::Impl::reconcileServicesOn(WorkerIndex index)
+{
+    absl::btree_set<std::pair<uint64_t, JobIndex>> jobs;
+    forEachTaskOn(index, [&](TaskIndex task) {
+        const auto job = tables.at(task).job;
+        if (tables.at(job).kind == JobKind::Service)
+            jobs.emplace(tables.at(job).order, job);
+    });
+    for (const auto& [order, job] : jobs)
+        reconcileService(job);
+}
+
+void Engine::Impl::dropClaimsOn(WorkerIndex index)
+{
+    if (tables.at(index).reserved == PackedResources {})
+        return;
+    std::vector<uint32_t> dropped;
+    for (const auto& [id, claim] : claims) {
+        if (std::any_of(claim.parts.begin(), claim.parts.end(), [&](const auto& p) { return p.worker == index; }))
+            dropped.push_back(id);
+    }
+    for (const auto id : dropped)
+        dropClaim(id);
+}
+
+void Engine::Impl::applyHealth(const std::vector<HealthChange>& changes)
+{
+    for (const auto& change : changes) {
+        const auto index = tables.findWorker(change.worker);
+        if (index == WorkerIndex::None)
+            continue;
+        tables.at(index).quarantined = change.quarantined;
+        tables.at(index).probing = false;
+        std::erase(probes, index);
+        if (change.quarantined)
+            dropClaimsOn(index);
+        else
+            capacityFreed();
+        refreshWorker(index);
+        actions.push_back(WorkerQuarantined { change.worker, change.quarantined, change.reason });
+    }
+}
+
+void Engine::Impl::updateSuspicion(WorkerIndex index)
+{
+    auto& worker = tables.at(index);
+    worker.suspicion = static_cast<float>(health.suspicion(worker.id, now));
+}
+
+void Engine::Impl::findProbes()
+{
+    probes.clear();
+    if (health.quarantinedWorkers() == 0)
+        return;
+    for (uint32_t i = 0; i < tables.workerSlots(); ++i) {
+        const auto& worker = tables.at(WorkerIndex { i });
+        if (!worker.live || !worker.quarantined || worker.lost || worker.draining || worker.probing)
+            continue;
+        if (health.admission(worker.id, now) == WorkerHealth::Admission::Probe)
+            probes.push_back(WorkerIndex { i });
+    }
+}
+
+} // namespace turmericpier::decision
--- a/test/decision-engine-test.cc
+++ b/test/decision-engine-test.cc
@@ -1,49 +1,15 @@
-#include "turmericpier/decision/engine.h"
-
-#include <catch2/catch.hpp>
+#include "decision-fake-cell.h"
 
 using namespace turmericpier;
 using namespace turmericpier::decision;
-
-namespace {
-
-Worker worker(const std::string& id, int64_t cpu = 4'000, const std::string& rack = "r1")
-{
-    return { WorkerId(id), DataCentreId("vienna"), RegionId("east"), RackId(rack), { { cpu }, { 8'192 }, { 0 } } };
-}
-
-Job job(const std::string& id, int64_t cpu = 1'000, uint32_t tasks = 1, JobKind kind = JobKind::Batch)
-{
-    Job job;
-    job.id = JobId(id);
-    job.team = TeamId("team");
-    job.policy = PolicyId("policy");
-    job.kind = kind;
-    job.tasks = tasks;
-    job.request = { { cpu }, { 512 }, { 0 } };
-    return job;
-}
-
-template <typename T> std::vector<T> only(const Actions& actions)
-{
-    std::vector<T> out;
-    for (const auto& action : actions) {
-        if (const auto* found = std::get_if<T>(&action))
-            out.push_back(*found);
-    }
-    return out;
-}
-
-TimePoint at(int64_t milliseconds) { return { std::chrono::milliseconds(milliseconds) }; }
-
-} // namespace
+using namespace turmericpier::decision::test;
 
 TEST_CASE("a placed task takes capacity until its end is known")
 {
     Engine engine({});
-    engine.handle(WorkerAnnounced { worker("w1"), { 1 } }, at(0));
-    engine.handle(JobSubmitted { job("a", 3'000) }, at(0));
-    engine.handle(JobSubmitted { job("b", 3'000) }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w1"), { 1 } }, at(0));
+    engine.handle(JobSubmitted { makeJob("a", 3'000) }, at(0));
+    engine.handle(JobSubmitted { makeJob("b", 3'000) }, at(0));
     const auto placed = only<PlaceTask>(engine.tick(at(0)));
     REQUIRE(placed.size() == 1);
     CHECK(placed[0].placement.task == TaskId("a.0"));
@@ -57,11 +23,11 @@
 TEST_CASE("the task of a lost worker is placed again only after lease end plus the clock skew bound")
 {
     Engine engine({});
-    engine.handle(WorkerAnnounced { worker("w1"), { 1 } }, at(0));
-    engine.handle(JobSubmitted { job("a") }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w1"), { 1 } }, at(0));
+    engine.handle(JobSubmitted { makeJob("a") }, at(0));
     const auto first = only<PlaceTask>(engine.tick(at(0)));
     REQUIRE(first.size() == 1);
-    engine.handle(WorkerAnnounced { worker("w2"), { 1 } }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w2"), { 1 } }, at(0));
     engine.handle(WorkerLost { WorkerId("w1") }, at(1'000));
     CHECK(only<PlaceTask>(engine.tick(at(31'499))).empty());
     const auto second = only<PlaceTask>(engine.tick(at(31'500)));
@@ -73,18 +39,18 @@
 TEST_CASE("a gang is placed completely or not at all")
 {
     Engine engine({});
-    engine.handle(WorkerAnnounced { worker("w1"), { 1 } }, at(0));
-    engine.handle(JobSubmitted { job("g", 3'000, 2, JobKind::Gang) }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w1"), { 1 } }, at(0));
+    engine.handle(JobSubmitted { makeJob("g", 3'000, 2, JobKind::Gang) }, at(0));
     CHECK(only<PlaceTask>(engine.tick(at(0))).empty());
-    engine.handle(WorkerAnnounced { worker("w2"), { 1 } }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w2"), { 1 } }, at(0));
     CHECK(only<PlaceTask>(engine.tick(at(0))).size() == 2);
 }
 
 TEST_CASE("a restored placement is not started a second time")
 {
     Engine engine({});
-    engine.handle(WorkerAnnounced { worker("w1"), { 1 } }, at(0));
-    engine.handle(JobSubmitted { job("a", 1'000, 2) }, at(0));
+    engine.handle(WorkerAnnounced { makeWorker("w1"), { 1 } }, at(0));
+    engine.handle(JobSubmitted { makeJob("a", 1'000, 2) }, at(0));
     engine.handle(Restored { { { TaskId("a.0"), WorkerId("w1"), { 7 }, {} } }, { TaskId("a.1") }, { 9 } }, at(0));
     CHECK(engine.tick(at(0)).empty());
     CHECK(only<JobDone>(engine.handle(TaskEnded { TaskId("a.0"), { 7 } }, at(10))).size() == 1);
