Try only what fits into freed room after a task has ended

Cause: in a full cell with 170 teams and 50,000 waiting jobs each event tried every team and class again. Change: classes that were tried in vain are passed over until they fit into freed room; teams whose smallest request is not admitted are left out; planning of preemption is bounded per time instead of per tick; smaller job and timer records.

--- a/bench/decision-bench.cc
+++ b/bench/decision-bench.cc
@@ -66,7 +66,7 @@
         m_engine.tick(m_now);
     }
 
-    /// Every fifth job is a service with two replicas.
+    /// Every fifth job is a service.
     void submit()
     {
         Job job;
@@ -104,7 +104,7 @@
     {
         m_running.reserve(tasks);
         while (m_running.size() < tasks) {
-            for (int i = 0; i < 500; ++i)
+            for (size_t i = std::min<size_t>(500, tasks - m_running.size()); i > 0; --i)
                 submit();
             if (tick() == 0)
                 break;
--- a/src/decision/engine-claims.cc
+++ b/src/decision/engine-claims.cc
@@ -11,6 +11,9 @@
     constexpr size_t maxGangCandidates = 256;
     // Tasks of one job for which victims are stopped at the same time.
     constexpr uint32_t maxPartsPerClaim = 64;
+    // Time until a job for which no victims were found is looked at again.
+    constexpr Duration retry = std::chrono::seconds(1);
+    constexpr Duration urgentRetry = std::chrono::milliseconds(100);
     // A claim whose victims have left but whose capacity was not enough is planned again after this long.
     constexpr Duration claimTimeout = std::chrono::seconds(45);
 
@@ -55,7 +58,7 @@
     }
     if (tables.at(claim.job).claim == id)
         tables.at(claim.job).claim = 0;
-    dirty = true;
+    retryAll();
 }
 
 /// Called when a job found no room. Urgent jobs and those within their team's quota get victims; others that have
@@ -63,10 +66,12 @@
 void Engine::Impl::claimFor(JobIndex index, FairShare::Admission admission)
 {
     auto& job = tables.at(index);
-    if (job.claim != 0 || plansLeft == 0 || this->index.size() == 0)
+    const bool urgent = job.priority >= urgentPriority;
+    if (job.claim != 0 || now < job.nextTry || this->index.size() == 0 || (plansLeft == 0 && !urgent))
         return;
+    job.nextTry = now + (urgent ? urgentRetry : retry);
     const bool withinQuota = admission == FairShare::Admission::Quota;
-    --plansLeft;
+    plansLeft -= plansLeft > 0 ? 1 : 0;
     if (job.kind == JobKind::Gang)
         planGangVictims(index, withinQuota);
     else
--- a/src/decision/engine-impl.h
+++ b/src/decision/engine-impl.h
@@ -144,6 +144,8 @@
     };
     void placeWaiting();
     bool placeQueue(WaitQueue::Round& round);
+    bool placeTeams();
+    bool advance(WaitQueue::Round& round, JobIndex job);
     Attempt tryJob(JobIndex job);
     Attempt tryTasks(JobIndex job);
     Attempt tryGang(JobIndex job);
@@ -198,6 +200,11 @@
     void note(DecisionKind kind, const JobRecord& job, const TaskRecord* task, const Choice* choice = nullptr);
     Duration holdTime() const { return options.taskLease + options.clockSkewBound; }
     void capacityFreed();
+    /// Everything that waits is tried again, not only what fits where tasks have ended.
+    void retryAll();
+    bool mayHaveRoom(const WaitQueue& waiting) const;
+    bool isAdmitted(uint32_t queueNumber) const;
+    void measureRoom();
 
     EngineOptions options;
     Tables tables;
@@ -232,9 +239,14 @@
     uint64_t nextOrder = 1;
     TimePoint now;
     TimePoint nextSecond;
+    TimePoint nextPlans;
     Actions actions;
 
     bool dirty = false; ///< Something changed that may let a waiting task start.
+    bool fullRound = false;
+    bool retryRequested = false; ///< Since the round began.
+    std::vector<WorkerIndex> freed; ///< Workers with more room than in the last round, unless fullRound is set.
+    PackedResources room; ///< Largest amount of each resource available on one of them.
     bool claimsDirty = false;
     uint32_t budget = 0;
     uint32_t plansLeft = 0;
--- a/src/decision/engine-jobs.cc
+++ b/src/decision/engine-jobs.cc
@@ -83,8 +83,8 @@
         return;
     const auto index = tables.addJob(submitted.id);
     auto& job = tables.at(index);
-    job.team = tables.teams.intern(submitted.team);
-    job.policy = tables.policies.intern(submitted.policy);
+    job.team = static_cast<uint16_t>(tables.teams.intern(submitted.team));
+    job.policy = static_cast<uint16_t>(tables.policies.intern(submitted.policy));
     if (policies.size() <= job.policy || !policies[job.policy].score)
         on(PolicyChanged { Policy { .id = submitted.policy } }); // defaults until the policy is given
     job.family = tables.families.intern(Id<struct FamilyTag>(submitted.family));
@@ -93,7 +93,8 @@
     job.priority = submitted.priority;
     job.minAvailable = std::min(submitted.minAvailable, submitted.tasks);
     job.request = PackedResources(submitted.request);
-    job.declaredRunTime = submitted.declaredRunTime;
+    job.declaredSeconds = static_cast<uint32_t>(
+        std::clamp<int64_t>(submitted.declaredRunTime / std::chrono::seconds(1), 0, UINT32_MAX));
     job.order = nextOrder++;
     job.tasks.reserve(submitted.tasks);
     for (uint32_t i = 0; i < submitted.tasks; ++i)
@@ -207,7 +208,7 @@
     const auto& family = tables.families[job.family];
     if (family.empty())
         return job.request;
-    const auto estimate = sizes.estimate(family.str(), job.request.unpack(), job.declaredRunTime);
+    const auto estimate = sizes.estimate(family.str(), job.request.unpack(), std::chrono::seconds(job.declaredSeconds));
     const PackedResources size(estimate.size);
     const bool placeable = std::any_of(largest.begin(), largest.end(), [&](const auto& c) { return size.fitsInto(c); });
     return placeable && isValid(estimate.size) ? size : job.request;
@@ -244,20 +245,17 @@
 {
     auto& job = tables.at(index);
     const bool critical = job.priority >= urgentPriority || isBelowFloor(job);
-    const uint32_t number = critical ? 0 : job.team + 1;
-    if (job.inQueue && job.queue == number)
+    if (job.inQueue && job.critical == critical)
         return;
     dequeueJob(index);
     job.effective = effectiveRequest(job);
     job.inQueue = true;
-    job.queue = number;
-    const auto priority = critical ? std::max(job.priority, urgentPriority) : job.priority;
-    job.key = { ~priority, job.effective, job.kind == JobKind::Gang ? job.order : 0 };
-    auto& target = queue(number);
+    job.critical = critical;
+    auto& target = queue(job.queue());
     const bool wasEmpty = target.empty();
-    target.insert(job.key, { job.order, index });
+    target.insert(job.key(), { job.order, index });
     if (wasEmpty)
-        updateWaiting(number);
+        updateWaiting(job.queue());
     dirty = true;
 }
 
@@ -267,9 +265,9 @@
     if (!job.inQueue)
         return;
     job.inQueue = false;
-    queue(job.queue).erase(job.key, { job.order, index });
-    if (queue(job.queue).empty())
-        updateWaiting(job.queue);
+    queue(job.queue()).erase(job.key(), { job.order, index });
+    if (queue(job.queue()).empty())
+        updateWaiting(job.queue());
 }
 
 } // namespace turmericpier::decision
--- a/src/decision/engine-placement.cc
+++ b/src/decision/engine-placement.cc
@@ -14,6 +14,8 @@
     constexpr size_t backfillCandidateLimit = 16;
     // Tasks of one job placed before the order of the teams is looked at again.
     constexpr uint32_t tasksPerTurn = 8;
+    // An attempt costs time for each task of the gang, so that it is not repeated with each task that ends.
+    constexpr Duration gangRetry = std::chrono::milliseconds(100);
     // Requests without room that are remembered for the rest of a round.
     constexpr size_t maxFailures = 16;
     // A suspect worker loses against any other; a worker on which the task failed loses against a suspect one.
@@ -27,45 +29,59 @@
 
 } // namespace
 
+void Engine::Impl::measureRoom()
+{
+    room = {};
+    for (const auto worker : freed) {
+        if (!index.contains(worker))
+            continue;
+        const auto& free = index.freeOn(worker);
+        room = { std::max(room.cpu, free.cpu), std::max(room.memory, free.memory),
+            std::max(room.accelerators, free.accelerators) };
+    }
+}
+
+/// False if all classes of the queue were tried before and none fits where tasks have ended since.
+bool Engine::Impl::mayHaveRoom(const WaitQueue& waiting) const
+{
+    return !waiting.empty() && (fullRound || waiting.hasUntried() || waiting.least().fitsInto(room));
+}
+
+/// False if not even the smallest request of the team would be admitted.
+bool Engine::Impl::isAdmitted(uint32_t number) const
+{
+    return shares.admission(tables.teams[number - 1], queues[number].least().unpack()) != FairShare::Admission::Refused;
+}
+
+/// A round tries what waits. After the end of single tasks only classes that fit into the freed room are tried, so
+/// that an event in a full cell does not cost time for each team and class.
 void Engine::Impl::placeWaiting()
 {
     dirty = false;
+    retryRequested = false;
     failures.clear();
     queue(tables.teams.size()); // the rounds point into the list of queues
-    WaitQueue::Round critical(queue(0));
-    if (!placeQueue(critical)) {
-        dirty = true;
-        return;
+    measureRoom();
+    WaitQueue::Round critical(queues[0], fullRound, room);
+    const bool complete = placeQueue(critical) && placeTeams();
+    if (complete) {
+        fullRound = retryRequested;
+        freed.clear();
     }
-    absl::flat_hash_map<TeamId, WaitQueue::Round> rounds; // only looked up
-    std::vector<TeamId> exhausted;
-    while (const auto team = shares.next()) {
-        const auto number = tables.teams.intern(*team) + 1;
-        auto& round = rounds.try_emplace(*team, queue(number)).first->second;
-        if (!round.current()) {
-            shares.setWaiting(*team, false);
-            exhausted.push_back(*team);
-            continue;
-        }
-        if (budget == 0) {
-            dirty = true;
-            break;
-        }
-        const auto job = round.current()->job;
-        switch (tryJob(job)) {
-        case Attempt::Placed:
-            round.next();
-            break;
-        case Attempt::Blocked:
-            round.block();
-            break;
-        case Attempt::More:
-        case Attempt::Budget:
-            break;
-        }
-    }
-    for (const auto& team : exhausted)
-        updateWaiting(tables.teams.intern(team) + 1);
+    dirty = dirty || retryRequested || !complete;
+}
+
+/// Goes on with the round after an attempt to place the job. Returns true if something was placed.
+bool Engine::Impl::advance(WaitQueue::Round& round, JobIndex job)
+{
+    const auto attempt = tryJob(job);
+    if (attempt == Attempt::Placed)
+        round.next();
+    else if (attempt == Attempt::Blocked)
+        round.block();
+    if (attempt != Attempt::Blocked && !fullRound)
+        measureRoom();
+    return attempt != Attempt::Blocked;
 }
 
 /// Tries the jobs of the queue in order. Returns false if the budget ran out.
@@ -74,19 +90,50 @@
     while (const auto entry = round.current()) {
         if (budget == 0)
             return false;
-        switch (tryJob(entry->job)) {
-        case Attempt::Placed:
-            round.next();
-            break;
-        case Attempt::Blocked:
-            round.block();
-            break;
-        case Attempt::More:
-        case Attempt::Budget:
+        advance(round, entry->job);
+    }
+    return true;
+}
+
+/// Tries the teams in fair order. Returns false if the budget ran out.
+bool Engine::Impl::placeTeams()
+{
+    absl::flat_hash_map<uint32_t, WaitQueue::Round> rounds; // only looked up
+    std::vector<uint32_t> exhausted;
+    std::vector<uint32_t> possible;
+    for (uint32_t number = 1; number < queues.size(); ++number) {
+        if (mayHaveRoom(queues[number]) && isAdmitted(number))
+            possible.push_back(number);
+    }
+    bool complete = true;
+    while (!possible.empty()) {
+        const auto team = shares.next();
+        if (!team)
             break;
+        const auto number = tables.teams.intern(*team) + 1;
+        if (const auto it = std::find(possible.begin(), possible.end(), number); it != possible.end()) {
+            auto& round = rounds.try_emplace(number, queues[number], fullRound, room).first->second;
+            if (const auto entry = round.current()) {
+                if (budget == 0) {
+                    complete = false;
+                    break;
+                }
+                if (advance(round, entry->job)) {
+                    if (!fullRound)
+                        std::erase_if(possible, [this](uint32_t n) { return !mayHaveRoom(queues[n]); });
+                    continue;
+                }
+                if (tables.at(entry->job).waitReason != WaitReason::OverQuota || isAdmitted(number))
+                    continue;
+            }
+            possible.erase(it);
         }
+        shares.setWaiting(*team, false); // passed over for the rest of the round
+        exhausted.push_back(number);
     }
-    return true;
+    for (const auto number : exhausted)
+        updateWaiting(number);
+    return complete;
 }
 
 Engine::Impl::Attempt Engine::Impl::tryJob(JobIndex index)
@@ -140,7 +187,7 @@
     }
     std::vector<TaskIndex> placed;
     bool done = false;
-    if (!isKnownToFail(job.effective, job.queuedTasks)) {
+    if ((fullRound || now >= job.nextTry) && !isKnownToFail(job.effective, job.queuedTasks)) {
         // One data centre first: the tasks of a gang talk to each other.
         for (uint16_t dc = 0; dc < this->index.dataCentres() && !done; ++dc)
             done = tryGangIn(index, dc, placed);
@@ -151,6 +198,7 @@
     if (!done) {
         blocked(index, WaitReason::NoCapacity);
         claimFor(index, admission);
+        job.nextTry = std::max(job.nextTry, now + gangRetry);
         return Attempt::Blocked;
     }
     for (const auto task : placed)
@@ -350,7 +398,8 @@
     const auto worker = tables.at(index).worker;
     tables.vacate(index);
     tables.at(index).state = TaskState::Waiting;
-    refreshWorker(worker);
+    // Not by refreshWorker(): nothing more has become free than there was before the attempt.
+    this->index.update(worker, tables.at(worker).dataCentre, tables.at(worker).available());
 }
 
 void Engine::Impl::emitPlacement(TaskIndex index, const Choice& choice)
--- a/src/decision/engine-tasks.cc
+++ b/src/decision/engine-tasks.cc
@@ -157,7 +157,7 @@
     task.since = now;
     auto& job = tables.at(task.job);
     job.everStarted = true;
-    if (job.moving || (job.inQueue && job.queue == 0 && job.priority < urgentPriority))
+    if (job.moving || (job.inQueue && job.critical && job.priority < urgentPriority))
         reconcileService(task.job);
 }
 
@@ -332,7 +332,7 @@
         else
             finishIfDone(index);
     }
-    capacityFreed();
+    retryAll();
 }
 
 /// A service that was being moved has more tasks than declared.
--- a/src/decision/engine-workers.cc
+++ b/src/decision/engine-workers.cc
@@ -5,6 +5,13 @@
 /// Workers: announcements, loss, draining, quarantine.
 namespace turmericpier::decision {
 
+namespace {
+
+    // With more workers than this, a round over everything that waits is cheaper than looking for what fits on them.
+    constexpr size_t maxFreedWorkers = 32;
+
+} // namespace
+
 void Engine::Impl::refreshWorker(WorkerIndex index)
 {
     auto& worker = tables.at(index);
@@ -18,10 +25,20 @@
         liveWorkers += placeable ? 1 : -1;
         capacityChanged = true;
     }
-    if (placeable)
-        this->index.update(index, worker.dataCentre, worker.available());
-    else
+    if (!placeable) {
         this->index.remove(index);
+        return;
+    }
+    const auto available = worker.available();
+    const bool more = !this->index.contains(index) || !available.fitsInto(this->index.freeOn(index));
+    this->index.update(index, worker.dataCentre, available);
+    if (!more || fullRound)
+        return;
+    dirty = true;
+    if (freed.size() < maxFreedWorkers)
+        freed.push_back(index);
+    else
+        retryAll();
 }
 
 void Engine::Impl::on(const WorkerAnnounced& event)
@@ -63,7 +80,7 @@
     shrinkTo(index);
     refreshWorker(index);
     reconcileServicesOn(index);
-    capacityFreed();
+    retryAll();
 }
 
 void Engine::Impl::restartWorker(WorkerIndex index)
@@ -161,7 +178,7 @@
     }
     refreshWorker(index);
     reconcileServicesOn(index);
-    capacityFreed();
+    retryAll();
 }
 
 void Engine::Impl::on(const WorkerGone& event)
@@ -182,7 +199,7 @@
         return entry.second.empty();
     });
     tables.removeWorker(index);
-    capacityFreed();
+    retryAll();
 }
 
 void Engine::Impl::reconcileServicesOn(WorkerIndex index)
@@ -222,7 +239,7 @@
         if (change.quarantined)
             dropClaimsOn(index);
         else
-            capacityFreed();
+            retryAll();
         refreshWorker(index);
         actions.push_back(WorkerQuarantined { change.worker, change.quarantined, change.reason });
     }
--- a/src/decision/engine.cc
+++ b/src/decision/engine.cc
@@ -10,8 +10,9 @@
     // Jobs remembered by WorkerHealth take about 300 bytes each.
     constexpr size_t healthJobs = 8'192;
     constexpr size_t learnedFamilies = 2'048;
-    // Bounds the time that one tick spends on planning preemption.
-    constexpr uint32_t plansPerTick = 8;
+    // Bounds the time spent on planning preemption, which takes about 100 us each.
+    constexpr uint32_t plansPerPeriod = 8;
+    constexpr Duration planPeriod = std::chrono::milliseconds(100);
     // Work that is due once a second: probes, pacing, stuck moves, parked jobs.
     constexpr Duration slowPeriod = std::chrono::seconds(1);
     // A cell with few workers is paced as if it had this many, so that a handful of restarts is never delayed.
@@ -48,14 +49,14 @@
         record.order = SearchOrder::BothEnds;
     else
         record.order = event.policy.score == ScoreKind::PackingFirst ? SearchOrder::LeastFree : SearchOrder::MostFree;
-    dirty = true;
+    retryAll();
 }
 
 void Engine::Impl::on(const TeamChanged& event)
 {
     tables.teams.intern(event.team.id);
     shares.setTeam(event.team);
-    dirty = true;
+    retryAll();
 }
 
 void Engine::Impl::capacityFreed()
@@ -64,6 +65,14 @@
     claimsDirty = true;
 }
 
+void Engine::Impl::retryAll()
+{
+    dirty = true;
+    claimsDirty = true;
+    fullRound = true;
+    retryRequested = true;
+}
+
 void Engine::Impl::note(DecisionKind kind, const JobRecord& job, const TaskRecord* task, const Choice* choice)
 {
     History::Decision decision { .at = now, .job = job.order, .request = job.effective, .kind = kind };
@@ -97,8 +106,7 @@
         moveWithoutReplacement();
         recheckParked();
         // Reservations and preemption depend on how long tasks have waited or run.
-        dirty = true;
-        claimsDirty = true;
+        retryAll();
     }
     if (pacer.waiting() > 0) {
         for (const auto& id : pacer.take(now)) {
@@ -107,7 +115,10 @@
         }
     }
     budget = options.placementsPerTick;
-    plansLeft = plansPerTick;
+    if (now >= nextPlans) {
+        nextPlans = now + planPeriod;
+        plansLeft = plansPerPeriod;
+    }
     if (claimsDirty)
         progressClaims();
     if (dirty)
--- a/src/decision/placement-index.h
+++ b/src/decision/placement-index.h
@@ -26,6 +26,7 @@
     void remove(WorkerIndex worker);
     bool contains(WorkerIndex worker) const;
 
+    const PackedResources& freeOn(WorkerIndex worker) const { return m_entries[raw(worker)].free; }
     size_t size() const { return m_all.count; }
     uint16_t dataCentres() const { return static_cast<uint16_t>(m_dataCentres.size()); }
     size_t sizeOf(uint16_t dataCentre) const { return m_dataCentres[dataCentre].count; }
--- a/src/decision/tables.h
+++ b/src/decision/tables.h
@@ -105,23 +105,23 @@
 
 struct JobRecord {
     JobId id;
-    uint32_t team = 0;
-    uint32_t policy = 0;
+    uint16_t team = 0;
+    uint16_t policy = 0;
     uint32_t family = 0;
     uint32_t taskCount = 0; ///< As declared; a service that is moved may have more records.
     uint32_t priority = 0;
     uint32_t minAvailable = 0;
     PackedResources request; ///< As declared.
     PackedResources effective; ///< As learned for the family; tasks are placed by it.
-    Duration declaredRunTime { 0 };
+    uint32_t declaredSeconds = 0;
     uint64_t order = 0; ///< Unique.
     TimePoint waitingSince;
+    TimePoint nextTry; ///< Of a gang or of preemption for the job, if nothing but single tasks have ended.
     absl::InlinedVector<TaskIndex, 2> tasks;
     uint32_t queuedTasks = 0;
     uint32_t endedTasks = 0;
     uint32_t hint = 0; ///< No queued task has a lower index.
     uint32_t claim = 0; ///< Id of the claim, 0 without one.
-    uint32_t queue = 0; ///< Queue in which the job waits.
     JobKind kind = JobKind::Batch;
     WaitReason waitReason = WaitReason::None;
     bool live : 1 = false;
@@ -130,9 +130,16 @@
     bool everStarted : 1 = false;
     bool parked : 1 = false;
     bool inQueue : 1 = false;
+    bool critical : 1 = false; ///< Waits in the queue of urgent jobs and services below their floor.
     bool moving : 1 = false; ///< A service with replicas on draining workers.
     bool stopPending : 1 = false; ///< A gang whose tasks all have to stop before it is placed again.
-    ClassKey key; ///< Of the queue entry.
+
+    uint32_t queue() const { return critical ? 0U : team + 1U; }
+    ClassKey key() const
+    {
+        const auto rank = critical ? std::max(priority, urgentPriority) : priority;
+        return { ~rank, effective, kind == JobKind::Gang ? order : 0 };
+    }
 };
 
 /// Interned texts, numbered in order of appearance.
--- a/src/decision/timers.h
+++ b/src/decision/timers.h
@@ -3,6 +3,7 @@
 #include "decision/tables.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 namespace turmericpier::decision {
@@ -18,7 +19,6 @@
 /// Timers of tasks. A timer that no longer applies is not removed but recognised by its epoch when it fires.
 struct Timer {
     TimePoint at;
-    uint64_t sequence = 0; ///< Fires in order of creation at equal times.
     Epoch epoch;
     TaskIndex task = TaskIndex::None;
     TimerKind kind = TimerKind::StartTimeout;
@@ -28,7 +28,7 @@
 public:
     void add(TimePoint at, TimerKind kind, TaskIndex task, Epoch epoch)
     {
-        m_heap.push_back({ at, m_sequence++, epoch, task, kind });
+        m_heap.push_back({ at, epoch, task, kind });
         std::push_heap(m_heap.begin(), m_heap.end(), later);
     }
     /// Takes out the next timer that is due.
@@ -46,11 +46,10 @@
 private:
     static bool later(const Timer& a, const Timer& b)
     {
-        return std::pair(a.at, a.sequence) > std::pair(b.at, b.sequence);
+        return std::tuple(a.at, a.epoch, a.kind) > std::tuple(b.at, b.epoch, b.kind);
     }
 
     std::vector<Timer> m_heap;
-    uint64_t m_sequence = 0;
 };
 
 } // namespace turmericpier::decision
