Measure placements in a cell with a steady number of tasks

Cause: the bench ended replicas of services without cancelling them, so that the cells filled up and were compared at different loads.

--- a/bench/decision-bench.cc
+++ b/bench/decision-bench.cc
@@ -90,10 +90,8 @@
         for (auto& action : m_engine.tick(m_now)) {
             if (auto* place = std::get_if<PlaceTask>(&action)) {
                 ++placed;
-                if (m_keep) {
-                    m_engine.handle(TaskStarted { place->placement.task, place->placement.epoch }, m_now);
-                    m_running.push_back({ std::move(place->placement.task), place->placement.epoch });
-                }
+                m_engine.handle(TaskStarted { place->placement.task, place->placement.epoch }, m_now);
+                m_running.push_back({ std::move(place->placement.task), place->placement.epoch });
             }
         }
         m_now = m_now + std::chrono::milliseconds(1);
@@ -111,19 +109,23 @@
         }
     }
 
-    /// One running task, chosen at random, ends.
+    /// One running task, chosen at random, ends; if it belongs to a service, the service is cancelled.
     void endOne()
     {
         const size_t i = m_random() % m_running.size();
         std::swap(m_running[i], m_running.back());
-        m_engine.handle(TaskEnded { m_running.back().task, m_running.back().epoch, TaskEnd::Finished }, m_now);
+        const auto& [task, epoch] = m_running.back();
+        const auto job = task.str().substr(0, task.str().rfind('.'));
+        const bool service = std::stoul(job.substr(job.find('-') + 1)) % 5 == 0;
+        if (service)
+            m_engine.handle(JobCancelled { JobId(job) }, m_now);
+        m_engine.handle(TaskEnded { task, epoch, service ? TaskEnd::Stopped : TaskEnd::Finished }, m_now);
         m_running.pop_back();
     }
 
     size_t running() const { return m_running.size(); }
     Engine& engine() { return m_engine; }
     TimePoint now() const { return m_now; }
-    void pass(Duration duration) { m_now = m_now + duration; }
 
 private:
     struct Running {
@@ -136,7 +138,6 @@
     TimePoint m_now { std::chrono::seconds(1) };
     std::vector<Running> m_running;
     uint64_t m_jobs = 0;
-    bool m_keep = true;
 };
 
 size_t runningTasks(uint32_t workers) { return std::min<size_t>(130'000, size_t { workers } * 15); }
