--- a/include/turmericpier/decision/grant-policy.h
+++ b/include/turmericpier/decision/grant-policy.h
@@ -34,7 +34,7 @@
     InstanceId entry;
     DataCentreId dataCentre;
     RegionId region;
-    bool alive = true; ///< Grants of others are released.
+    bool alive = true; ///< False for an entry that is lost or stops: its grants are released.
     std::vector<GrantDemand> demand;
 };
 
