Learn sizes without inflating well declared ones

A task that used just its limit counted as held back by it, so that every size was raised; one size was learned for families whose jobs declare many sizes; and full workers were relieved although every task kept to its limit. Change: samples at the limit are raised only until three tasks with room are known, and do not push those out. Sizes are learned as a ratio to the declared size where that varies less. A size stays at most as declared unless a task needed more. Relief acts only while a task exceeds its limit or the limits exceed the capacity. The engine passes the declared size.

--- a/bench/decision-quality-bench.cc
+++ b/bench/decision-quality-bench.cc
@@ -186,7 +186,8 @@
         std::map<WorkerId, Epoch> last; // On workers without enough memory; epochs grow with each start.
         std::map<WorkerId, std::vector<TaskUsage>> usage;
         for (auto& [epoch, task] : running) {
-            const auto& [id, worker, ignored, limit] = task.placement;
+            const TaskId& id = task.placement.task;
+            const WorkerId& worker = task.placement.worker;
             if (now == task.startAt) {
                 used[worker] += task.arrival->real;
                 send(TaskStarted { id, epoch });
--- a/include/turmericpier/decision/size-estimator.h
+++ b/include/turmericpier/decision/size-estimator.h
@@ -22,9 +22,10 @@
     /// Declared sizes and run times are taken to be off by this factor at most, in either direction.
     double maxFactor = 10;
     uint32_t minSamples = 3; ///< With fewer, sizes are never taken below the declared ones.
-    double margin = 0.1; ///< Safety margin with many samples.
-    double firstMargin = 0.5; ///< Added to it for one sample; shrinks with the square root of their number.
-    /// A task that uses nearly all of its limit may need more; its sample is raised by this factor.
+    double margin = 0.05; ///< Safety margin with many samples.
+    double firstMargin = 0.5; ///< Added to it for one sample; divided by the number of samples.
+    /// A task that uses just its limit may need more. Until enough samples below their limits are known, such samples
+    /// are raised by this factor, so that later tasks get the room to show what they need.
     double cappedFactor = 1.5;
     Duration unknownRunTime = std::chrono::hours(1); ///< Assumed when nothing is declared or learned.
 };
@@ -36,17 +37,52 @@
     Resources limit;
     Duration running { 0 }; ///< Since its start.
     bool finished = false; ///< The peak is final, however short the run.
+    Resources declared; ///< Of its job; zero if not known.
 };
 
 struct SizeEstimate {
-    Resources size; ///< Accelerators are always as declared: they are handed out whole.
+    /// Never above the declared size unless a task needed more. Accelerators are always as declared: they are handed
+    /// out whole.
+    Resources size;
     Duration runTime { 0 }; ///< Exceeded by about one task in ten; zero if nothing is known.
     double margin = 0; ///< Safety margin contained in `size`.
     uint32_t sizeSamples = 0;
     uint32_t runTimeSamples = 0;
 };
 
-/// Learned sizes. Memory is bounded by the number of families and the samples kept for each.
+namespace detail {
+
+    struct SampledAmount {
+        int64_t peak = 0;
+        int64_t declared = 0;
+        bool capped = false; ///< The task used just its limit.
+    };
+
+    struct Sample {
+        uint64_t taskHash = 0;
+        SampledAmount cpu;
+        SampledAmount memory;
+    };
+
+    template <typename T> struct LatestRing {
+        std::vector<T> items;
+        size_t next = 0;
+
+        void add(const T& item, size_t capacity);
+    };
+
+    struct Family {
+        LatestRing<Sample> usage; ///< Of tasks below their limits.
+        LatestRing<Sample> capped; ///< Kept apart, or they would push out what tasks with room have shown.
+        LatestRing<Duration> runTimes;
+        std::list<std::string>::iterator recent;
+    };
+
+} // namespace detail
+
+/// Learned sizes: either the amounts used, or the ratio of used to declared amounts if that varies less between the
+/// tasks of the family, as it does when jobs of many sizes are declared well. Memory is bounded by the number of
+/// families and the samples kept for each.
 class SizeEstimator {
 public:
     explicit SizeEstimator(SizeEstimatorOptions options);
@@ -65,20 +101,12 @@
     size_t families() const { return m_families.size(); }
 
 private:
-    struct Sample {
-        uint64_t taskHash = 0;
-        MilliCpu cpu;
-        MemoryMib memory;
-    };
-    struct Family {
-        std::vector<Sample> usage; ///< Ring of the latest tasks.
-        std::vector<Duration> runTimes; ///< Ring of the latest run times.
-        size_t nextUsage = 0;
-        size_t nextRunTime = 0;
-        std::list<std::string>::iterator recent;
-    };
+    using Sample = detail::Sample;
+    using Family = detail::Family;
 
     Family& touch(const std::string& family);
+    int64_t sizeOf(
+        const std::vector<detail::SampledAmount>& samples, double quantile, double margin, int64_t declared) const;
 
     SizeEstimatorOptions m_options;
     absl::btree_map<std::string, Family> m_families;
@@ -96,9 +124,10 @@
     bool movable = true; ///< False for a service at its floor or a task whose stop is under way.
 };
 
+/// A worker whose tasks keep to their limits may be used up to its capacity. The shares below apply while a task is
+/// above its limit, or will be within the horizon.
 struct ReliefOptions {
-    /// Memory cannot be throttled, so that tasks are moved before the worker is full.
-    double memoryHighShare = 0.92;
+    double memoryHighShare = 0.92; ///< Memory cannot be throttled, so that tasks are moved before the worker is full.
     double cpuHighShare = 0.97;
     /// Usage is projected this far: a report is up to 10 s old and a move takes about as long.
     Duration horizon = std::chrono::seconds(20);
--- a/src/decision/engine-tasks.cc
+++ b/src/decision/engine-tasks.cc
@@ -206,7 +206,7 @@
         if (task.peakMemory > 0)
             sizes.recordUsage(family.str(),
                 { event.task, PackedResources(task.peakCpu, task.peakMemory, task.limit.accelerators).unpack(),
-                    task.limit.unpack(), now - task.since, true });
+                    task.limit.unpack(), now - task.since, true, job.request.unpack() });
     }
     if (finished || failed) {
         task.probe = false; // the outcome is reported below instead of an aborted probe
--- a/src/decision/engine-usage.cc
+++ b/src/decision/engine-usage.cc
@@ -56,7 +56,7 @@
     if (!family.empty())
         sizes.recordUsage(family.str(),
             { usage.task, PackedResources(task.peakCpu, task.peakMemory, task.limit.accelerators).unpack(),
-                task.limit.unpack(), now - task.since, false });
+                task.limit.unpack(), now - task.since, false, tables.at(task.job).request.unpack() });
 }
 
 void Engine::Impl::relieve(WorkerIndex index)
--- a/src/decision/size-estimator.cc
+++ b/src/decision/size-estimator.cc
@@ -13,17 +13,21 @@
     using std::chrono::duration;
 
     constexpr size_t samplesPerFamily = 32;
-    // Above this share of its limit a task may be held back by it.
-    constexpr double cappedShare = 0.95;
+    constexpr size_t cappedPerFamily = 8;
+    // From this share of its limit on a task may be held back by it. Above the limit it evidently is not.
+    constexpr double cappedShare = 0.99;
     constexpr double cpuQuantile = 0.9;
+    // Memory cannot be throttled, so that the largest sample counts.
+    constexpr double memoryQuantile = 1;
     constexpr double runTimeQuantile = 0.9;
+    // Ratios are kept as whole numbers of millionths.
+    constexpr double ratioScale = 1e6;
 
     uint64_t hashOf(const TaskId& task) { return XXH3_64bits(task.str().data(), task.str().size()); }
 
-    int64_t uncap(int64_t peak, int64_t limit, double factor)
+    bool isCapped(int64_t peak, int64_t limit)
     {
-        const bool capped = limit > 0 && static_cast<double>(peak) >= cappedShare * static_cast<double>(limit);
-        return capped ? std::llround(static_cast<double>(peak) * factor) : peak;
+        return limit > 0 && peak <= limit && static_cast<double>(peak) >= cappedShare * static_cast<double>(limit);
     }
 
     // The value that a share `q` of the sorted values does not exceed.
@@ -37,6 +41,13 @@
         return *nth;
     }
 
+    // Largest value relative to the median.
+    double spreadOf(std::vector<int64_t> values)
+    {
+        const int64_t most = quantile(values, 1);
+        return static_cast<double>(most) / static_cast<double>(std::max<int64_t>(1, quantile(values, 0.5)));
+    }
+
     int64_t bounded(double learned, int64_t declared, double maxFactor)
     {
         if (declared <= 0)
@@ -74,69 +85,98 @@
     if (!sample.finished && sample.running < m_options.settleTime)
         return;
     const uint64_t hash = hashOf(sample.task);
-    const Sample taken { hash,
-        MilliCpu { uncap(sample.peak.cpu.value, sample.limit.cpu.value, m_options.cappedFactor) },
-        MemoryMib { uncap(sample.peak.memory.value, sample.limit.memory.value, m_options.cappedFactor) } };
+    const auto amountOf = [](int64_t peak, int64_t limit, int64_t declared) {
+        return detail::SampledAmount { peak, declared, isCapped(peak, limit) };
+    };
+    Sample taken { hash, amountOf(sample.peak.cpu.value, sample.limit.cpu.value, sample.declared.cpu.value),
+        amountOf(sample.peak.memory.value, sample.limit.memory.value, sample.declared.memory.value) };
     Family& state = touch(family);
-    auto it = std::find_if(
-        state.usage.begin(), state.usage.end(), [&](const Sample& known) { return known.taskHash == hash; });
-    if (it != state.usage.end()) {
-        it->cpu = std::max(it->cpu, taken.cpu);
-        it->memory = std::max(it->memory, taken.memory);
-    } else if (state.usage.size() < samplesPerFamily) {
-        state.usage.push_back(taken);
-    } else {
-        state.usage[state.nextUsage] = taken;
-        state.nextUsage = (state.nextUsage + 1) % samplesPerFamily;
+    for (auto* ring : { &state.usage, &state.capped }) {
+        auto it = std::find_if(
+            ring->items.begin(), ring->items.end(), [&](const Sample& known) { return known.taskHash == hash; });
+        if (it == ring->items.end())
+            continue;
+        taken.cpu.peak = std::max(it->cpu.peak, taken.cpu.peak);
+        taken.memory.peak = std::max(it->memory.peak, taken.memory.peak);
+        *it = taken;
+        return;
+    }
+    if (taken.cpu.capped || taken.memory.capped)
+        state.capped.add(taken, cappedPerFamily);
+    else
+        state.usage.add(taken, samplesPerFamily);
+}
+
+template <typename T> void detail::LatestRing<T>::add(const T& item, size_t capacity)
+{
+    if (items.size() < capacity) {
+        items.push_back(item);
+        return;
     }
+    items[next] = item;
+    next = (next + 1) % capacity;
 }
 
 void SizeEstimator::recordRunTime(const std::string& family, Duration runTime)
 {
-    Family& state = touch(family);
-    if (state.runTimes.size() < samplesPerFamily) {
-        state.runTimes.push_back(runTime);
-    } else {
-        state.runTimes[state.nextRunTime] = runTime;
-        state.nextRunTime = (state.nextRunTime + 1) % samplesPerFamily;
+    touch(family).runTimes.add(runTime, samplesPerFamily);
+}
+
+int64_t SizeEstimator::sizeOf(
+    const std::vector<detail::SampledAmount>& samples, double q, double margin, int64_t declared) const
+{
+    const auto uncapped = std::count_if(
+        samples.begin(), samples.end(), [](const detail::SampledAmount& sample) { return !sample.capped; });
+    std::vector<int64_t> amounts;
+    std::vector<int64_t> ratios;
+    for (const detail::SampledAmount& sample : samples) {
+        const bool raise = sample.capped && uncapped < m_options.minSamples;
+        const double peak = static_cast<double>(sample.peak) * (raise ? m_options.cappedFactor : 1);
+        amounts.push_back(std::llround(peak));
+        if (sample.declared > 0 && declared > 0)
+            ratios.push_back(std::llround(peak * ratioScale / static_cast<double>(sample.declared)));
     }
+    const bool byRatio = ratios.size() == samples.size() && spreadOf(ratios) <= spreadOf(amounts);
+    const int64_t learned = byRatio
+        ? std::llround(static_cast<double>(quantile(ratios, q)) / ratioScale * static_cast<double>(declared))
+        : quantile(amounts, q);
+    const int64_t size = bounded((1 + margin) * static_cast<double>(learned), declared, m_options.maxFactor);
+    // Too few samples to take less than declared, or nothing that needed more.
+    if (samples.size() < m_options.minSamples)
+        return std::max(size, declared);
+    return declared > 0 && learned <= declared ? std::min(size, declared) : size;
 }
 
 SizeEstimate SizeEstimator::estimate(
     const std::string& family, const Resources& declared, Duration declaredRunTime) const
 {
-    const auto marginFor = [this](size_t samples) {
-        return m_options.margin + m_options.firstMargin / std::sqrt(static_cast<double>(samples));
-    };
+    const auto marginFor
+        = [this](size_t samples) { return m_options.margin + m_options.firstMargin / static_cast<double>(samples); };
     SizeEstimate result { .size = declared };
     auto it = m_families.find(family);
     const bool known = it != m_families.end();
-    if (known && !it->second.usage.empty()) {
-        std::vector<int64_t> cpu;
-        int64_t memory = 0;
-        for (const Sample& sample : it->second.usage) {
-            cpu.push_back(sample.cpu.value);
-            memory = std::max(memory, sample.memory.value);
+    std::vector<detail::SampledAmount> cpu;
+    std::vector<detail::SampledAmount> memory;
+    if (known) {
+        for (const auto* ring : { &it->second.usage, &it->second.capped }) {
+            for (const Sample& sample : ring->items) {
+                cpu.push_back(sample.cpu);
+                memory.push_back(sample.memory);
+            }
         }
+    }
+    if (!cpu.empty()) {
         result.sizeSamples = static_cast<uint32_t>(cpu.size());
         result.margin = marginFor(cpu.size());
-        const double factor = 1 + result.margin;
-        result.size.cpu.value = bounded(
-            factor * static_cast<double>(quantile(cpu, cpuQuantile)), declared.cpu.value, m_options.maxFactor);
-        // Memory cannot be throttled, so that the largest sample counts.
-        result.size.memory.value
-            = bounded(factor * static_cast<double>(memory), declared.memory.value, m_options.maxFactor);
-        if (result.sizeSamples < m_options.minSamples) {
-            result.size.cpu = std::max(result.size.cpu, declared.cpu);
-            result.size.memory = std::max(result.size.memory, declared.memory);
-        }
+        result.size.cpu.value = sizeOf(cpu, cpuQuantile, result.margin, declared.cpu.value);
+        result.size.memory.value = sizeOf(memory, memoryQuantile, result.margin, declared.memory.value);
     }
     // Nobody learned yet whether the declared time holds: the bound is taken.
     result.runTime = Duration(std::llround(static_cast<double>(declaredRunTime.count()) * m_options.maxFactor));
-    if (known && !it->second.runTimes.empty()) {
+    if (known && !it->second.runTimes.items.empty()) {
         std::vector<int64_t> times;
-        times.reserve(it->second.runTimes.size());
-        for (Duration time : it->second.runTimes)
+        times.reserve(it->second.runTimes.items.size());
+        for (Duration time : it->second.runTimes.items)
             times.push_back(time.count());
         result.runTimeSamples = static_cast<uint32_t>(times.size());
         const double learned = (1 + marginFor(times.size())) * static_cast<double>(quantile(times, runTimeQuantile));
@@ -150,12 +190,12 @@
 Duration SizeEstimator::remainingRunTime(const std::string& family, Duration declaredRunTime, Duration elapsed) const
 {
     auto it = m_families.find(family);
-    if (it == m_families.end() || it->second.runTimes.empty()) {
+    if (it == m_families.end() || it->second.runTimes.items.empty()) {
         const Duration expected = declaredRunTime > Duration { 0 } ? declaredRunTime : m_options.unknownRunTime;
         return std::max(expected - elapsed, elapsed);
     }
     std::vector<int64_t> longer;
-    for (Duration time : it->second.runTimes) {
+    for (Duration time : it->second.runTimes.items) {
         if (time > elapsed)
             longer.push_back(time.count());
     }
@@ -164,97 +204,113 @@
 
 namespace {
 
-    bool exceedsLimit(const TaskLoad& task)
+    int64_t projectedMemory(const TaskLoad& task, Duration horizon)
     {
-        return task.usage.memory > task.limit.memory || task.usage.cpu > task.limit.cpu;
+        const auto growth = static_cast<double>(std::max<int64_t>(0, task.memoryGrowthPerSecond.value));
+        return task.usage.memory.value + std::llround(growth * duration<double>(horizon).count());
     }
 
-    std::vector<const TaskLoad*> inReliefOrder(const std::vector<TaskLoad>& tasks)
+    struct Load {
+        const TaskLoad* task = nullptr;
+        int64_t memory = 0; ///< Projected.
+        bool memoryExceeds = false;
+        bool cpuExceeds = false;
+        bool moved = false;
+    };
+
+    std::vector<Load> inReliefOrder(const std::vector<TaskLoad>& tasks, Duration horizon)
     {
-        std::vector<const TaskLoad*> order;
+        std::vector<Load> order;
         order.reserve(tasks.size());
-        for (const TaskLoad& task : tasks)
-            order.push_back(&task);
-        std::sort(order.begin(), order.end(), [](const TaskLoad* a, const TaskLoad* b) {
-            return std::tuple(!exceedsLimit(*a), a->priority, !a->canResume, -a->usage.memory.value, a->task)
-                < std::tuple(!exceedsLimit(*b), b->priority, !b->canResume, -b->usage.memory.value, b->task);
+        for (const TaskLoad& task : tasks) {
+            const int64_t memory = projectedMemory(task, horizon);
+            order.push_back(
+                { &task, memory, memory > task.limit.memory.value, task.usage.cpu > task.limit.cpu, false });
+        }
+        std::sort(order.begin(), order.end(), [](const Load& a, const Load& b) {
+            const auto rank = [](const Load& load) {
+                return std::tuple(!load.memoryExceeds && !load.cpuExceeds, load.task->priority, !load.task->canResume,
+                    -load.memory, load.task->task);
+            };
+            return rank(a) < rank(b);
         });
         return order;
     }
 
-    int64_t projectedMemory(const TaskLoad& task, Duration horizon)
-    {
-        const auto growth = static_cast<double>(std::max<int64_t>(0, task.memoryGrowthPerSecond.value));
-        return task.usage.memory.value + std::llround(growth * duration<double>(horizon).count());
-    }
+    int64_t share(double part, int64_t capacity) { return std::llround(part * static_cast<double>(capacity)); }
 
-    void relieveMemory(const Resources& capacity, const std::vector<const TaskLoad*>& order,
-        const ReliefOptions& options, std::vector<Relief>& result)
+    // Moves tasks above their limits first, then others, until the rest fits.
+    void relieveMemory(
+        const Resources& capacity, std::vector<Load>& order, const ReliefOptions& options, std::vector<Relief>& result)
     {
         int64_t projected = 0;
-        for (const TaskLoad* task : order)
-            projected += projectedMemory(*task, options.horizon);
-        const auto high = std::llround(options.memoryHighShare * static_cast<double>(capacity.memory.value));
-        int64_t left = projected - high;
-        std::vector<const TaskLoad*> chosen;
-        for (const TaskLoad* task : order) {
-            if (left <= 0)
-                break;
-            if (!task->movable || task->usage.memory.value <= 0)
-                continue;
-            chosen.push_back(task);
-            left -= projectedMemory(*task, options.horizon);
+        int64_t exceeding = 0;
+        for (const Load& load : order) {
+            projected += load.memory;
+            exceeding += load.memoryExceeds;
+        }
+        const auto bound = [&] { return share(exceeding > 0 ? options.memoryHighShare : 1, capacity.memory.value); };
+        const int64_t before = projected;
+        const int64_t boundBefore = bound();
+        const auto move = [&](Load& load, bool moved) {
+            load.moved = moved;
+            projected += moved ? -load.memory : load.memory;
+            exceeding += (moved ? -1 : 1) * int64_t { load.memoryExceeds };
+        };
+        for (const bool exceeds : { true, false }) {
+            for (Load& load : order) {
+                if (projected > bound() && load.memoryExceeds == exceeds && load.task->movable && load.memory > 0)
+                    move(load, true);
+            }
         }
         // A small task taken early is not needed if a large one was taken after it.
-        for (auto it = chosen.rbegin(); it != chosen.rend();) {
-            const int64_t memory = projectedMemory(**it, options.horizon);
-            if (left + memory > 0) {
-                ++it;
+        for (auto it = order.rbegin(); it != order.rend(); ++it) {
+            if (!it->moved)
                 continue;
-            }
-            left += memory;
-            it = std::make_reverse_iterator(chosen.erase(std::next(it).base()));
+            move(*it, false);
+            if (projected > bound())
+                move(*it, true);
         }
-        for (const TaskLoad* task : chosen) {
-            result.push_back({ Relief::Kind::Move, task->task, {},
-                absl::StrFormat(
-                    "memory projected at %d MiB of %d MiB (bound %d MiB); task uses %d MiB with limit %d MiB",
-                    projected, capacity.memory.value, high, task->usage.memory.value, task->limit.memory.value) });
+        for (const Load& load : order) {
+            if (load.moved)
+                result.push_back({ Relief::Kind::Move, load.task->task, {},
+                    absl::StrFormat(
+                        "memory projected at %d MiB of %d MiB (bound %d MiB); task uses %d MiB with limit %d MiB",
+                        before, capacity.memory.value, boundBefore, load.task->usage.memory.value,
+                        load.task->limit.memory.value) });
         }
     }
 
-    // A throttled task keeps this part of its limit, so that it still makes progress.
+    // A task throttled below its limit keeps this part of it, so that it still makes progress.
     constexpr int64_t leastCpuDivisor = 4;
 
-    void relieveCpu(const Resources& capacity, const std::vector<const TaskLoad*>& order, const ReliefOptions& options,
+    // Throttles tasks back to their limits first. Below their limits only if the limits exceed the capacity.
+    void relieveCpu(const Resources& capacity, const std::vector<Load>& order, const ReliefOptions& options,
         std::vector<Relief>& result)
     {
         int64_t used = 0;
-        for (const TaskLoad* task : order) {
-            const bool moved = std::any_of(
-                result.begin(), result.end(), [&](const Relief& relief) { return relief.task == task->task; });
-            used += moved ? 0 : task->usage.cpu.value;
+        int64_t exceeding = 0;
+        for (const Load& load : order) {
+            used += load.moved ? 0 : load.task->usage.cpu.value;
+            exceeding += !load.moved && load.cpuExceeds;
         }
-        const auto high = std::llround(options.cpuHighShare * static_cast<double>(capacity.cpu.value));
-        int64_t left = used - high;
-        const size_t moves = result.size();
-        for (const TaskLoad* task : order) {
-            if (left <= 0)
-                break;
-            const auto moved = std::span(result).first(moves);
-            if (std::any_of(
-                    moved.begin(), moved.end(), [&](const Relief& relief) { return relief.task == task->task; }))
-                continue;
-            const int64_t usage = task->usage.cpu.value;
-            const int64_t least
-                = usage > task->limit.cpu.value ? task->limit.cpu.value : task->limit.cpu.value / leastCpuDivisor;
-            const int64_t cpu = std::max(least, usage - left);
-            if (cpu >= usage)
-                continue;
-            left -= usage - cpu;
-            result.push_back({ Relief::Kind::Throttle, task->task, MilliCpu { cpu },
-                absl::StrFormat("processors used %d m of %d m (bound %d m); task uses %d m with limit %d m", used,
-                    capacity.cpu.value, high, usage, task->limit.cpu.value) });
+        const int64_t before = used;
+        for (const bool exceeds : { true, false }) {
+            for (const Load& load : order) {
+                const int64_t bound = share(exceeding > 0 ? options.cpuHighShare : 1, capacity.cpu.value);
+                if (load.moved || load.cpuExceeds != exceeds || used <= bound)
+                    continue;
+                const int64_t usage = load.task->usage.cpu.value;
+                const int64_t limit = load.task->limit.cpu.value;
+                const int64_t cpu = std::max(exceeds ? limit : limit / leastCpuDivisor, usage - (used - bound));
+                if (cpu >= usage)
+                    continue;
+                used -= usage - cpu;
+                exceeding -= exceeds && cpu == limit;
+                result.push_back({ Relief::Kind::Throttle, load.task->task, MilliCpu { cpu },
+                    absl::StrFormat("processors used %d m of %d m (bound %d m); task uses %d m with limit %d m", before,
+                        capacity.cpu.value, bound, usage, limit) });
+            }
         }
     }
 
@@ -263,7 +319,7 @@
 std::vector<Relief> planRelief(
     const Resources& capacity, const std::vector<TaskLoad>& tasks, const ReliefOptions& options)
 {
-    const auto order = inReliefOrder(tasks);
+    auto order = inReliefOrder(tasks, options.horizon);
     std::vector<Relief> result;
     relieveMemory(capacity, order, options, result);
     relieveCpu(capacity, order, options, result);
--- a/test/decision-size-estimator-test.cc
+++ b/test/decision-size-estimator-test.cc
@@ -65,6 +65,37 @@
     CHECK(fits(found, amounts(1'000, 4'000))); // Ten times the declared size.
 }
 
+// Guards against margins that make a size grow which was declared well, whether or not limits are enforced.
+TEST_CASE("a size that is declared well stays as declared", "[decision]")
+{
+    const Resources declared = amounts(2'000, 4'000);
+    SizeEstimator sizes({});
+    size_t larger = 0;
+    for (int task = 0; task < 400; ++task) {
+        const Resources limit = sizes.estimate("f", declared, 0s).size;
+        larger += limit != declared;
+        sizes.recordUsage("f", sampleOf(task, declared, limit));
+    }
+    CHECK(larger <= 5); // While it is not known whether the limit held the tasks back.
+}
+
+// Guards against one size for all jobs of a family that are declared with different sizes.
+TEST_CASE("sizes are learned relative to the declared ones where these differ", "[decision]")
+{
+    std::mt19937_64 random(4);
+    SizeEstimator sizes({});
+    for (int task = 0; task < 40; ++task) {
+        const int64_t cores = 1 + random() % 40, gigabytes = 1 + random() % 160;
+        UsageSample sample = sampleOf(task, amounts(cores * 1'000, gigabytes * 500));
+        sample.declared = amounts(cores * 1'000, gigabytes * 1'000); // Twice the memory that is used.
+        sizes.recordUsage("f", sample);
+    }
+    const Resources found = sizes.estimate("f", amounts(3'000, 10'000), 0s).size;
+    CHECK(found.cpu == MilliCpu { 3'000 });
+    CHECK(found.memory >= MemoryMib { 5'000 });
+    CHECK(found.memory <= MemoryMib { 5'500 });
+}
+
 // Guards against reports of tasks which have not grown into their size yet.
 TEST_CASE("young tasks are not counted until they finish", "[decision]")
 {
@@ -129,6 +160,21 @@
     CHECK(relief[0].task == TaskId("t3"));
 }
 
+// Guards against moves and throttles on a worker that is just full, which would go on for ever.
+TEST_CASE("a full worker whose tasks keep to their limits is left alone", "[decision]")
+{
+    const Resources capacity = amounts(16'000, 32'000);
+    std::vector<TaskLoad> tasks;
+    for (int i = 0; i < 4; ++i)
+        tasks.push_back({ TaskId("t" + std::to_string(i)), amounts(4'000, 8'000), amounts(4'000, 8'000), {}, 5 });
+    CHECK(planRelief(capacity, tasks).empty());
+    tasks[1].usage += amounts(1, 1); // One task above its limit moves alone.
+    const auto relief = planRelief(capacity, tasks);
+    REQUIRE(relief.size() == 1);
+    CHECK(relief[0].kind == Relief::Kind::Move);
+    CHECK(relief[0].task == TaskId("t1"));
+}
+
 // Guards against throttling tasks within their limits while others exceed theirs, and against stopping progress.
 TEST_CASE("processors are throttled back to the limits first", "[decision]")
 {
