Bound the planning of preemption per tick and claim for several jobs at once

Change: a round goes on to the next job once a claim stands; jobs for which no plan is left wait in a queue for planning, with one plan every 5 ms; a search passes over workers without eligible victims and looks at a bounded number of them. Conclusion: 60 urgent jobs get room within 0.5 s in the test.

--- a/src/decision/engine-claims.cc
+++ b/src/decision/engine-claims.cc
@@ -2,18 +2,11 @@
 
 #include <algorithm>
 
-/// Claims: capacity that is kept for a waiting job, and preemption to free it.
+/// Claims: capacity that is kept for a waiting job until running tasks have left it.
 namespace turmericpier::decision {
 
 namespace {
 
-    constexpr size_t candidatesPerPlan = 16;
-    constexpr size_t maxGangCandidates = 256;
-    // Tasks of one job for which victims are stopped at the same time.
-    constexpr uint32_t maxPartsPerClaim = 64;
-    // Time until a job for which no victims were found is looked at again.
-    constexpr Duration retry = std::chrono::seconds(1);
-    constexpr Duration urgentRetry = std::chrono::milliseconds(100);
     // A claim whose victims have left but whose capacity was not enough is planned again after this long.
     constexpr Duration claimTimeout = std::chrono::seconds(45);
 
@@ -70,24 +63,6 @@
     retryAll();
 }
 
-/// Called when a job found no room. Urgent jobs and those within their team's quota get victims; others that have
-/// waited for long get a reservation.
-void Engine::Impl::claimFor(JobIndex index, FairShare::Admission admission)
-{
-    auto& job = tables.at(index);
-    const bool urgent = job.priority >= urgentPriority;
-    if (job.claim != 0 || now < job.nextTry || this->index.size() == 0 || (plansLeft == 0 && !urgent))
-        return;
-    job.nextTry = now + (urgent ? urgentRetry : retry);
-    plansLeft -= plansLeft > 0 ? 1 : 0;
-    if (job.kind == JobKind::Gang)
-        planGangVictims(index, admission == FairShare::Admission::Quota);
-    else
-        planVictims(index);
-    if (job.claim == 0)
-        reserve(index, admission);
-}
-
 TeamTotals& Engine::Impl::totalsOf(uint32_t team)
 {
     if (teamTotals.size() <= team)
@@ -103,140 +78,6 @@
     return shares.admission(tables.teams[job.team], wanted);
 }
 
-RunningTask Engine::Impl::runningTaskOf(const TaskRecord& task) const
-{
-    const auto& job = tables.at(task.job);
-    const auto sinceCheckpoint = task.checkpointAt > task.since ? now - task.checkpointAt : now - task.since;
-    RunningTask out { tables.idOf(task), job.id, tables.teams[job.team], job.kind, job.priority, task.limit.unpack() };
-    out.running = now - task.since;
-    out.lostWork
-        = job.kind == JobKind::Gang ? sinceCheckpoint * static_cast<int64_t>(job.tasks.size()) : sinceCheckpoint;
-    out.canResume = task.checkpoint > 0 && task.state == TaskState::Running;
-    out.stopping = task.stopping;
-    out.preemptions = task.preemptions;
-    out.maxPreemptions = policies[job.policy].policy.maxPreemptions;
-    return out;
-}
-
-PreemptionCandidate Engine::Impl::candidateOf(WorkerIndex index) const
-{
-    const auto& worker = tables.at(index);
-    PreemptionCandidate out { worker.id, worker.available().unpack(), worker.stopping.unpack() };
-    out.tasks.reserve(worker.taskCount);
-    for (auto task = worker.firstTask; task != TaskIndex::None; task = tables.at(task).next)
-        out.tasks.push_back(runningTaskOf(tables.at(task)));
-    return out;
-}
-
-/// Workers on which the request would fit without the tasks that might be preempted. The search goes on where the last
-/// one ended, so that its cost does not depend on the number of workers while there are victims.
-std::vector<PreemptionCandidate> Engine::Impl::candidatesFor(const PackedResources& request, size_t limit)
-{
-    std::vector<PreemptionCandidate> out;
-    const auto slots = tables.workerSlots();
-    for (uint32_t i = 0; i < slots && out.size() < limit; ++i) {
-        const WorkerIndex index { (candidateCursor + i) % slots };
-        const auto& worker = tables.at(index);
-        if (!worker.takesWork() || !request.fitsInto(worker.available() + worker.stopping + worker.preemptible))
-            continue;
-        out.push_back(candidateOf(index));
-        if (out.size() == limit)
-            candidateCursor = (raw(index) + 1) % slots;
-    }
-    return out;
-}
-
-PreemptionOptions Engine::Impl::preemptionOptions() const
-{
-    PreemptionOptions out;
-    out.spareReplicas = [this](const JobId& id) {
-        const auto job = tables.findJob(id.str());
-        return job == JobIndex::None ? 0 : spareReplicas(tables.at(job));
-    };
-    out.excess = [this](const TeamId& team) {
-        const auto number = tables.teams.find(team);
-        auto excess = shares.excess(team);
-        if (number && *number < teamTotals.size())
-            excess -= teamTotals[*number].stopping; // enough of it may be on its way out already
-        return Resources { std::max(excess.cpu, MilliCpu {}), std::max(excess.memory, MemoryMib {}),
-            std::max(excess.accelerators, Accelerators {}) };
-    };
-    return out;
-}
-
-void Engine::Impl::planVictims(JobIndex index)
-{
-    auto& job = tables.at(index);
-    for (auto tasks = std::min(job.queuedTasks, maxPartsPerClaim); tasks > 0; --tasks) {
-        const bool withinQuota = admissionOf(job, 1) == FairShare::Admission::Quota;
-        const PreemptionRequest request { tables.teams[job.team], job.effective.unpack(), job.priority, withinQuota };
-        const auto candidates = candidatesFor(job.effective, candidatesPerPlan);
-        const auto plan = planPreemption(request, candidates, preemptionOptions());
-        if (!plan)
-            return;
-        auto& claim = job.claim != 0 ? claims.at(job.claim) : addClaim(index);
-        claim.preempting = true;
-        carryOut(*plan, index);
-        addPart(claim, tables.findWorker(plan->worker), 1);
-    }
-}
-
-void Engine::Impl::planGangVictims(JobIndex index, bool withinQuota)
-{
-    auto& job = tables.at(index);
-    const PreemptionRequest request { tables.teams[job.team], job.effective.unpack(), job.priority, withinQuota };
-    const auto limit = std::clamp<size_t>(2 * size_t { job.queuedTasks }, candidatesPerPlan, maxGangCandidates);
-    const auto candidates = candidatesFor(job.effective, limit);
-    const auto plans = planGangPreemption(request, job.queuedTasks, candidates, preemptionOptions());
-    if (plans.empty())
-        return;
-    auto& claim = addClaim(index);
-    claim.preempting = true;
-    for (const auto& plan : plans) {
-        carryOut(plan, index);
-        addPart(claim, tables.findWorker(plan.worker), 1);
-    }
-}
-
-void Engine::Impl::carryOut(const PreemptionPlan& plan, JobIndex forJob)
-{
-    for (const auto& victim : plan.victims) {
-        const auto task = tables.findTask(victim.task);
-        if (task != TaskIndex::None && tables.at(task).holdsPlace)
-            preempt(task, victim.checkpointFirst ? victim.checkpointTime : Duration { 0 }, forJob);
-    }
-}
-
-void Engine::Impl::preempt(TaskIndex index, Duration checkpointTime, JobIndex forJob)
-{
-    auto& task = tables.at(index);
-    if (task.stopping)
-        return;
-    const auto jobIndex = task.job;
-    const auto& job = tables.at(jobIndex);
-    History::Decision decision { .at = now,
-        .job = job.order,
-        .otherJob = tables.at(forJob).order,
-        .task = task.index,
-        .worker = tables.at(task.worker).id,
-        .request = task.limit,
-        .kind = DecisionKind::Preempted };
-    history.add(std::move(decision));
-    const auto reason = "preempted for job " + tables.at(forJob).id.str();
-    if (job.kind != JobKind::Gang) {
-        ++task.preemptions;
-        requestStop(index, reason, checkpointTime);
-        return;
-    }
-    tables.at(jobIndex).stopPending = true;
-    for (const auto member : job.tasks) {
-        if (!tables.at(member).holdsPlace)
-            continue;
-        ++tables.at(member).preemptions;
-        requestStop(member, reason, tables.at(member).checkpoint > 0 ? checkpointTime : Duration { 0 });
-    }
-}
-
 bool Engine::Impl::isReady(const Claim& claim, const Claim::Part& part, bool withoutBackfill) const
 {
     const auto& worker = tables.at(part.worker);
--- a/src/decision/engine-impl.h
+++ b/src/decision/engine-impl.h
@@ -171,13 +171,17 @@
     uint32_t replicasIn(JobIndex job, uint32_t place, bool rack) const;
     void countReplica(const TaskRecord& task, int change);
 
-    // Claims and preemption (engine-claims.cc, engine-reservations.cc).
+    // Claims and preemption (engine-claims.cc, engine-preemption.cc, engine-reservations.cc).
+    bool isCovered(const JobRecord& job) const;
+    void wantPlan(JobIndex job);
+    void planQueued();
+    bool mayBePreempted(const TaskRecord& task, const JobRecord& by, bool withinQuota) const;
     void claimFor(JobIndex job, FairShare::Admission admission);
-    void planVictims(JobIndex job);
-    void planGangVictims(JobIndex job, bool withinQuota);
+    bool planVictims(JobIndex job);
+    bool planGangVictims(JobIndex job, bool withinQuota);
     bool mayBorrowMore(const JobRecord& job, uint32_t count) const;
     void reserve(JobIndex job, FairShare::Admission admission);
-    std::vector<PreemptionCandidate> candidatesFor(const PackedResources& request, size_t limit);
+    std::vector<PreemptionCandidate> candidatesFor(const JobRecord& job, bool withinQuota, size_t limit);
     PreemptionCandidate candidateOf(WorkerIndex worker) const;
     RunningTask runningTaskOf(const TaskRecord& task) const;
     PreemptionOptions preemptionOptions() const;
@@ -263,6 +267,9 @@
     bool claimsDirty = false;
     uint32_t budget = 0;
     uint32_t plansLeft = 0;
+    uint32_t urgentPlansLeft = 0;
+    std::deque<std::pair<uint64_t, JobIndex>> planQueue; ///< Jobs to plan for, by order of submission and index.
+    std::vector<bool> teamsOverQuota; ///< By team; filled by the first search of a tick.
     uint32_t candidateCursor = 0;
     uint32_t backfillCursor = 0;
     TimePoint nextReservation;
--- a/src/decision/engine-placement.cc
+++ b/src/decision/engine-placement.cc
@@ -62,7 +62,7 @@
     failures.clear();
     queue(tables.teams.size()); // the rounds point into the list of queues
     measureRoom();
-    WaitQueue::Round critical(queues[0], fullRound, room);
+    WaitQueue::Round critical(queues[0], true, room);
     const bool complete = placeQueue(critical) && placeTeams();
     if (complete) {
         fullRound = retryRequested;
@@ -75,7 +75,8 @@
 bool Engine::Impl::advance(WaitQueue::Round& round, JobIndex job)
 {
     const auto attempt = tryJob(job);
-    if (attempt == Attempt::Placed)
+    // Once capacity is claimed for a job, the next one of its class can get a claim too.
+    if (attempt == Attempt::Placed || (attempt == Attempt::Blocked && tables.at(job).claim != 0))
         round.next();
     else if (attempt == Attempt::Blocked)
         round.block();
--- a/src/decision/engine-reservations.cc
+++ b/src/decision/engine-reservations.cc
@@ -63,8 +63,7 @@
         const auto& worker = tables.at(WorkerIndex { i });
         if (!worker.takesWork())
             continue;
-        // What services and urgent tasks hold is not expected to become free.
-        const auto potential = worker.capacity - worker.reserved - (worker.used - worker.preemptible - worker.stopping);
+        const auto potential = worker.capacity - worker.reserved - worker.lasting;
         const auto tasks = timesFitting(job.effective, potential, job.queuedTasks);
         if (tasks > 0)
             options.push_back({ worker.available(), tasks,
--- a/src/decision/engine.cc
+++ b/src/decision/engine.cc
@@ -10,9 +10,10 @@
     // Jobs remembered by WorkerHealth take about 300 bytes each.
     constexpr size_t healthJobs = 8'192;
     constexpr size_t learnedFamilies = 2'048;
-    // Bounds the time spent on planning preemption, which takes about 100 us each.
-    constexpr uint32_t plansPerPeriod = 8;
-    constexpr Duration planPeriod = std::chrono::milliseconds(100);
+    // Bound the time spent on planning preemption, which takes about 100 us each.
+    constexpr uint32_t plansPerPeriod = 1;
+    constexpr Duration planPeriod = std::chrono::milliseconds(5);
+    constexpr uint32_t urgentPlansPerTick = 64;
     // Work that is due once a second: probes, pacing, stuck moves, parked jobs.
     constexpr Duration slowPeriod = std::chrono::seconds(1);
     // A cell with few workers is paced as if it had this many, so that a handful of restarts is never delayed.
@@ -119,8 +120,11 @@
         nextPlans = now + planPeriod;
         plansLeft = plansPerPeriod;
     }
+    urgentPlansLeft = urgentPlansPerTick;
+    teamsOverQuota.clear();
     if (claimsDirty)
         progressClaims();
+    planQueued();
     if (dirty)
         placeWaiting();
 }
--- a/src/decision/tables.cc
+++ b/src/decision/tables.cc
@@ -130,6 +130,8 @@
         worker.backfill += limit;
     if (canBePreempted(at(task.job)))
         worker.preemptible += limit;
+    if (isLasting(at(task.job)))
+        worker.lasting += limit;
 }
 
 void Tables::vacate(TaskIndex index)
@@ -150,6 +152,8 @@
         worker.stopping -= task.limit;
     else if (canBePreempted(at(task.job)))
         worker.preemptible -= task.limit;
+    if (isLasting(at(task.job)))
+        worker.lasting -= task.limit;
     task.worker = WorkerIndex::None;
     task.previous = TaskIndex::None;
     task.next = TaskIndex::None;
--- a/src/decision/tables.h
+++ b/src/decision/tables.h
@@ -67,6 +67,7 @@
     PackedResources backfill; ///< Part of `used` that runs on claimed capacity.
     PackedResources stopping; ///< Part of `used` whose stop was requested.
     PackedResources preemptible; ///< Part of `used` of tasks that might be preempted.
+    PackedResources lasting; ///< Part of `used` that is not expected to end: services and urgent tasks.
     TaskIndex firstTask = TaskIndex::None;
     uint32_t taskCount = 0;
     TimePoint lostDeadline;
@@ -131,6 +132,7 @@
     bool parked : 1 = false;
     bool inQueue : 1 = false;
     bool critical : 1 = false; ///< Waits in the queue of urgent jobs and services below their floor.
+    bool planQueued : 1 = false;
     bool moving : 1 = false; ///< A service with replicas on draining workers.
     bool stopPending : 1 = false; ///< A gang whose tasks all have to stop before it is placed again.
 
@@ -234,4 +236,7 @@
 /// True if tasks of the job may be chosen for preemption at all.
 inline bool canBePreempted(const JobRecord& job) { return job.priority < urgentPriority; }
 
+/// True if tasks of the job are not expected to make room soon.
+inline bool isLasting(const JobRecord& job) { return job.kind == JobKind::Service || job.priority >= urgentPriority; }
+
 } // namespace turmericpier::decision
--- a/src/decision/wait-queue.h
+++ b/src/decision/wait-queue.h
@@ -42,6 +42,15 @@
         m_untried -= it->second.tried ? 0 : 1;
         m_classes.erase(it);
     }
+    /// The job of the class after the given one.
+    std::optional<Entry> following(const ClassKey& key, const Entry& entry) const
+    {
+        const auto it = m_classes.find(key);
+        if (it == m_classes.end())
+            return std::nullopt;
+        const auto next = it->second.entries.upper_bound(entry);
+        return next == it->second.entries.end() ? std::nullopt : std::optional(*next);
+    }
     bool empty() const { return m_classes.empty(); }
     size_t size() const { return m_size; }
     /// True if a class has not been tried since its first job was queued.
--- a/test/decision-engine-test.cc
+++ b/test/decision-engine-test.cc
@@ -308,6 +308,29 @@
     CHECK(explain(engine, "batch")["decisions"].as_array().back().as_object()["what"] == "stop requested");
 }
 
+TEST_CASE("many urgent jobs get room at the same time, not one after the other")
+{
+    Engine engine({});
+    announce(engine, 20);
+    engine.handle(JobSubmitted { makeJob("batch", 1'000, 80) }, at(0));
+    CHECK(tickAndStart(engine, at(0)).size() == 80);
+    for (int i = 0; i < 60; ++i) {
+        auto urgent = makeJob("u" + std::to_string(i), 1'000);
+        urgent.priority = urgentPriority;
+        urgent.team = TeamId("other");
+        engine.handle(JobSubmitted { urgent }, at(1'000));
+    }
+    size_t started = 0;
+    for (int i = 0; i < 5; ++i) {
+        const auto now = at(1'000 + i * 100);
+        const auto actions = engine.tick(now);
+        started += only<PlaceTask>(actions).size();
+        for (const auto& stop : only<StopTask>(actions))
+            engine.handle(TaskEnded { stop.task, stop.epoch, TaskEnd::Stopped }, now);
+    }
+    CHECK(started == 60);
+}
+
 TEST_CASE("a team within its quota reclaims what another has borrowed")
 {
     Engine engine({});
--- a/test/decision-fake-cell.h
+++ b/test/decision-fake-cell.h
@@ -66,7 +66,7 @@
         bool draining = false;
         std::map<TaskId, Run> runs;
         std::set<Epoch> fenced;
-        std::map<TaskId, Epoch> endedByLease; ///< Told with the next announcement.
+        std::map<TaskId, Epoch> untold; ///< Ended tasks; told with the next announcement.
     };
     struct Message {
         TimePoint sent;
@@ -95,7 +95,7 @@
         worker.connected = true;
         worker.known = true;
         handle(WorkerAnnounced { worker.worker, worker.incarnation });
-        for (const auto& [task, epoch] : std::exchange(worker.endedByLease, {}))
+        for (const auto& [task, epoch] : std::exchange(worker.untold, {}))
             tellEnded(task, epoch, TaskEnd::Stopped);
     }
     void restart(const WorkerId& id)
@@ -103,7 +103,7 @@
         auto& worker = workers.at(id);
         worker.runs.clear();
         worker.fenced.clear();
-        worker.endedByLease.clear();
+        worker.untold.clear();
         worker.incarnation = worker.incarnation.next();
         announce(id);
     }
@@ -200,7 +200,7 @@
                     ++it;
                     continue;
                 }
-                worker.endedByLease[it->first] = it->second.epoch;
+                worker.untold[it->first] = it->second.epoch;
                 it = worker.runs.erase(it);
             }
         }
@@ -270,6 +270,8 @@
             worker.runs.erase(it);
         if (random(100) >= lossPercent)
             tellEnded(command.task, command.epoch, TaskEnd::Stopped);
+        else
+            worker.untold[command.task] = command.epoch;
     }
     void receive(FakeWorker& worker, const CheckpointTask& command, TimePoint sent)
     {
