--- a/include/turmericpier/decision/size-estimator.h
+++ b/include/turmericpier/decision/size-estimator.h
@@ -25,7 +25,8 @@
     double margin = 0.05; ///< Safety margin with many samples.
     double firstMargin = 0.5; ///< Added to it for one sample; divided by the number of samples.
     /// A task that uses just its limit may need more. Until enough samples below their limits are known, such samples
-    /// are raised by this factor, so that later tasks get the room to show what they need.
+    /// are raised by this factor, so that later tasks get the room to show what they need. Not done any more once a
+    /// task used more than its limit: limits do not hold tasks back then.
     double cappedFactor = 1.5;
     Duration unknownRunTime = std::chrono::hours(1); ///< Assumed when nothing is declared or learned.
 };
@@ -107,10 +108,13 @@
     Family& touch(const std::string& family);
     int64_t sizeOf(
         const std::vector<detail::SampledAmount>& samples, double quantile, double margin, int64_t declared) const;
+    detail::SampledAmount amountOf(int64_t peak, int64_t limit, int64_t declared, bool& exceeded) const;
 
     SizeEstimatorOptions m_options;
     absl::btree_map<std::string, Family> m_families;
     std::list<std::string> m_recent; ///< Most recently updated first.
+    bool m_cpuExceeded = false; ///< A task was seen above its limit, so that limits do not hold tasks back.
+    bool m_memoryExceeded = false;
 };
 
 /// A task on a worker, as last reported.
--- a/src/decision/size-estimator.cc
+++ b/src/decision/size-estimator.cc
@@ -14,8 +14,10 @@
 
     constexpr size_t samplesPerFamily = 32;
     constexpr size_t cappedPerFamily = 8;
-    // From this share of its limit on a task may be held back by it. Above the limit it evidently is not.
+    // From this share of its limit on a task may be held back by it.
     constexpr double cappedShare = 0.99;
+    // From this share on it evidently is not; a little more than the limit may be an error of measurement.
+    constexpr double exceededShare = 1.05;
     constexpr double cpuQuantile = 0.9;
     // Memory cannot be throttled, so that the largest sample counts.
     constexpr double memoryQuantile = 1;
@@ -25,11 +27,6 @@
 
     uint64_t hashOf(const TaskId& task) { return XXH3_64bits(task.str().data(), task.str().size()); }
 
-    bool isCapped(int64_t peak, int64_t limit)
-    {
-        return limit > 0 && peak <= limit && static_cast<double>(peak) >= cappedShare * static_cast<double>(limit);
-    }
-
     // The value that a share `q` of the sorted values does not exceed.
     int64_t quantile(std::vector<int64_t>& values, double q)
     {
@@ -85,11 +82,9 @@
     if (!sample.finished && sample.running < m_options.settleTime)
         return;
     const uint64_t hash = hashOf(sample.task);
-    const auto amountOf = [](int64_t peak, int64_t limit, int64_t declared) {
-        return detail::SampledAmount { peak, declared, isCapped(peak, limit) };
-    };
-    Sample taken { hash, amountOf(sample.peak.cpu.value, sample.limit.cpu.value, sample.declared.cpu.value),
-        amountOf(sample.peak.memory.value, sample.limit.memory.value, sample.declared.memory.value) };
+    const Resources& peak = sample.peak;
+    Sample taken { hash, amountOf(peak.cpu.value, sample.limit.cpu.value, sample.declared.cpu.value, m_cpuExceeded),
+        amountOf(peak.memory.value, sample.limit.memory.value, sample.declared.memory.value, m_memoryExceeded) };
     Family& state = touch(family);
     for (auto* ring : { &state.usage, &state.capped }) {
         auto it = std::find_if(
@@ -107,6 +102,13 @@
         state.usage.add(taken, samplesPerFamily);
 }
 
+detail::SampledAmount SizeEstimator::amountOf(int64_t peak, int64_t limit, int64_t declared, bool& exceeded) const
+{
+    const double share = limit > 0 ? static_cast<double>(peak) / static_cast<double>(limit) : 0;
+    exceeded = exceeded || share >= exceededShare;
+    return { peak, declared, !exceeded && share >= cappedShare };
+}
+
 template <typename T> void detail::LatestRing<T>::add(const T& item, size_t capacity)
 {
     if (items.size() < capacity) {
@@ -140,7 +142,10 @@
     const int64_t learned = byRatio
         ? std::llround(static_cast<double>(quantile(ratios, q)) / ratioScale * static_cast<double>(declared))
         : quantile(amounts, q);
-    const int64_t size = bounded((1 + margin) * static_cast<double>(learned), declared, m_options.maxFactor);
+    // What was raised has its margin in the factor.
+    const bool raised = static_cast<size_t>(uncapped) < std::min<size_t>(m_options.minSamples, samples.size());
+    const int64_t size
+        = bounded((raised ? 1 : 1 + margin) * static_cast<double>(learned), declared, m_options.maxFactor);
     // Too few samples to take less than declared, or nothing that needed more.
     if (samples.size() < m_options.minSamples)
         return std::max(size, declared);
@@ -162,6 +167,8 @@
             for (const Sample& sample : ring->items) {
                 cpu.push_back(sample.cpu);
                 memory.push_back(sample.memory);
+                cpu.back().capped &= !m_cpuExceeded;
+                memory.back().capped &= !m_memoryExceeded;
             }
         }
     }
--- a/test/decision-size-estimator-test.cc
+++ b/test/decision-size-estimator-test.cc
@@ -77,6 +77,11 @@
         sizes.recordUsage("f", sampleOf(task, declared, limit));
     }
     CHECK(larger <= 5); // While it is not known whether the limit held the tasks back.
+    SizeEstimator loose({});
+    loose.recordUsage("other", sampleOf(1, amounts(300, 300), amounts(200, 200)));
+    for (int task = 0; task < 10; ++task)
+        loose.recordUsage("f", sampleOf(task, declared, declared));
+    CHECK(loose.estimate("f", declared, 0s).size == declared); // Limits are not enforced.
 }
 
 // Guards against one size for all jobs of a family that are declared with different sizes.
