Let a task be preempted once at any age

Cause: at closing time the cell is full of tasks that have just started; the minimum running time of 60 s kept them from being preempted although young tasks lose least. Change: the minimum holds for tasks that were preempted before. Conclusion: repeated preemption stays bounded by the minimum and by the number of preemptions per task.

--- a/include/turmericpier/decision/preemption.h
+++ b/include/turmericpier/decision/preemption.h
@@ -49,7 +49,8 @@
 };
 
 struct PreemptionOptions {
-    /// A task is not preempted before it ran that long, unless for urgent work: restarts would take more than the work.
+    /// A task that was preempted before is not preempted again until it ran that long, unless for urgent work. A first
+    /// preemption is allowed at any age: a young task loses least, and the work that needs the place need not wait.
     Duration minRunning = std::chrono::seconds(60);
     /// Work counted as lost for each stop besides what ran since the checkpoint: fetching data and starting again.
     Duration restartCost = std::chrono::seconds(30);
--- a/src/decision/preemption.cc
+++ b/src/decision/preemption.cc
@@ -122,7 +122,7 @@
     {
         if (task.stopping || task.preemptions >= task.maxPreemptions)
             return false;
-        if (!isUrgent(m_request) && task.running < m_options.minRunning)
+        if (!isUrgent(m_request) && task.preemptions > 0 && task.running < m_options.minRunning)
             return false;
         if (task.kind == JobKind::Service) {
             const uint32_t spare = m_options.spareReplicas ? m_options.spareReplicas(task.job) : 0;
