--- a/test/routing-fault-matrix-test.cc
+++ b/test/routing-fault-matrix-test.cc
@@ -49,6 +49,7 @@
 struct Matrix {
     std::map<std::pair<size_t, size_t>, Cell> cells;
     std::map<std::string, std::array<uint64_t, 3>> outcomes; ///< Of the target, by variant.
+    std::map<std::pair<size_t, size_t>, uint64_t> pairs; ///< Runs by the indexes of the two faults.
     uint64_t runs = 0;
     uint64_t failures = 0;
 
@@ -98,17 +99,37 @@
             run(variant, { first, second, { Step::Claim, Fault::LoseReply, 1, false, true } }, &Cell::twice);
             return;
         }
+        runWithHelper(variant, { first, second }, &Cell::twice);
+    }
+
+    /// Adds a fault that makes the step of the plan come up again.
+    bool runWithHelper(const Variant& variant, std::vector<Injection> plan, uint64_t Cell::*count)
+    {
         const std::map<Step, Injection> helpers { { Step::Submit, { Step::Submit, Fault::CallerResends } },
             { Step::Claim, { Step::Dispatch, Fault::Refuse } },
             { Step::Dispatch, { Step::Dispatch, Fault::WorkerRestarts } },
             { Step::Answer, { Step::Dispatch, Fault::Twice } }, { Step::Query, { Step::Query, Fault::WorkerVanishes } },
             { Step::Outcome, { Step::Outcome, Fault::LedgerDown } },
             { Step::Reply, { Step::Submit, Fault::CallerResends } } };
-        if (const auto found = helpers.find(first.step); found != helpers.end()) {
-            Injection helper = found->second;
-            helper.helper = true;
-            run(variant, { first, second, helper }, &Cell::twice);
-        }
+        const auto found = helpers.find(plan.front().step);
+        if (found == helpers.end())
+            return false;
+        plan.push_back(found->second);
+        plan.back().helper = true;
+        return run(variant, plan, count);
+    }
+
+    bool runPair(const Variant& variant, const Injection& first, Injection second)
+    {
+        if (first.step != second.step)
+            return run(variant, { first, second }, &Cell::pairs);
+        second.occurrence = 2;
+        if (run(variant, { first, second }, &Cell::pairs))
+            return true;
+        if (first.fault < Fault::WorkerRestarts && second.fault < Fault::WorkerRestarts)
+            return runWithHelper(variant, { first, second }, &Cell::pairs);
+        second.occurrence = 1; // A message and a part, or two parts, can fail at the same moment.
+        return run(variant, { first, second }, &Cell::pairs);
     }
 
     void runAll(const Variant& variant)
@@ -119,13 +140,54 @@
             runTwice(variant, all[i]);
             for (size_t j = 0; j < all.size(); ++j) {
                 const bool sameStep = all[i].step == all[j].step;
-                if (i != j && (sameStep || i < j))
-                    run(variant, { all[i], { all[j].step, all[j].fault, sameStep ? 2 : 1 } }, &Cell::pairs);
+                if (i == j || (!sameStep && i > j))
+                    continue;
+                pairs[{ i, j }] += runPair(variant, all[i], all[j]) ? 1 : 0;
             }
         }
     }
 };
 
+std::string nameOf(const Injection& injection)
+{
+    return std::string(stepNames[size_t(injection.step)]) + ": " + faultNames[size_t(injection.fault)];
+}
+
+/// Lists the pairs that came up in no run, by their first fault.
+void writeMissingPairs(const Matrix& matrix, std::ostream& out)
+{
+    const std::vector<Injection> all = allInjections();
+    std::map<size_t, std::map<Step, std::vector<size_t>>> missing;
+    uint64_t count = 0;
+    for (const auto& [pair, runs] : matrix.pairs) {
+        if (runs > 0)
+            continue;
+        ++count;
+        missing[pair.first][all[pair.second].step].push_back(pair.second);
+    }
+    out << "\nOf " << matrix.pairs.size() << " pairs, " << matrix.pairs.size() - count
+        << " came up in at least one run. The others are not covered, because one of the\n"
+           "faults keeps the step of the other from coming up:\n\n";
+    for (const auto& [first, bySteps] : missing) {
+        out << "- " << nameOf(all[first]) << " with";
+        const char* separator = " ";
+        for (const auto& [step, seconds] : bySteps) {
+            const auto atStep
+                = std::count_if(all.begin(), all.end(), [&](const Injection& i) { return i.step == step; });
+            const bool sameStep = step == all[first].step;
+            out << std::exchange(separator, "; ") << stepNames[size_t(step)] << ": ";
+            if (int64_t(seconds.size()) == atStep - (sameStep ? 1 : 0)) {
+                out << "all";
+                continue;
+            }
+            const char* comma = "";
+            for (const size_t second : seconds)
+                out << std::exchange(comma, ", ") << faultNames[size_t(all[second].fault)];
+        }
+        out << '\n';
+    }
+}
+
 void writeTable(const Matrix& matrix, std::ostream& out)
 {
     out << "# Fault matrix of the request path\n\n"
@@ -134,7 +196,8 @@
            "pairs with each other fault at each step. Each run is made for repeatable, hedged, claimed and\n"
            "non-repeatable requests, each also with the first answer lost. `-` means that the combination has no\n"
            "meaning; **0** means not covered. Twice means the first and second occurrence of the step; where it does\n"
-           "not come up again, a further fault makes it, or a fault of a part comes again after 15 ms.\n\n| fault |";
+           "not come up again, a further fault makes it, or a fault of a part comes again after 15 ms. Two faults at\n"
+           "one step come at its first and second occurrence, or else at the same moment.\n\n| fault |";
     for (const char* step : stepNames)
         out << ' ' << step << " |";
     out << "\n|---|";
@@ -152,11 +215,15 @@
                 out << " - |";
         }
     }
-    out << "\n\nOutcomes of the request that the faults aim at, over all runs counted above:\n\n"
+    out << "\n\n"
+        << matrix.runs << " runs, " << matrix.failures
+        << " failed. Outcomes of the request that the faults aim at, over all runs\n"
+           "counted above:\n\n"
            "| request | RAN | NOT_RUN | UNKNOWN |\n|---|---|---|---|\n";
     for (const auto& [name, counts] : matrix.outcomes)
         out << "| " << name << " | " << counts[size_t(Outcome::Ran)] << " | " << counts[size_t(Outcome::NotRun)]
             << " | " << counts[size_t(Outcome::Unknown)] << " |\n";
+    writeMissingPairs(matrix, out);
     out << "\nNot covered:\n\n"
            "- A repeatable request without a claim that is sent again through a second entry (entry crash, lost\n"
            "  reply) or after its reply: no entry knows of the first sending, so two attempts may run at once, and\n"
