--- a/include/turmericpier/ledger/replica.h
+++ b/include/turmericpier/ledger/replica.h
@@ -9,8 +9,13 @@
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
+#include <vector>
 
 /// The ledger role of one instance for one region.
+namespace turmericpier::log {
+class Claim;
+}
+
 namespace turmericpier::ledger {
 
 /// Name of the replicated log of a region's ledger.
@@ -30,6 +35,8 @@
     void receiveConsensus(const InstanceId& from, consensus::Message message);
     void submit(peer::Envelope envelope); ///< A body of type LedgerSubmit; the reply goes to the sender.
     void read(peer::Envelope envelope); ///< A body of type LedgerRead.
+    /// On the leader, claims that have had no outcome for at least `age`; empty on other replicas.
+    std::vector<log::Claim> abandonedClaims(Duration age);
     std::string dump() const; ///< JSON object.
 
 private:
--- a/include/turmericpier/rpc/entry.h
+++ b/include/turmericpier/rpc/entry.h
@@ -8,18 +8,26 @@
 #include <absl/status/status.h>
 #include <functional>
 #include <memory>
+#include <vector>
+
+namespace turmericpier::log {
+class Claim;
+}
 
 namespace turmericpier::rpc {
 class LedgerRecord;
 
+/// Claims whose entry has not recorded an outcome for at least `age`.
+using AbandonedClaims = std::function<std::vector<log::Claim>(Duration age)>;
+
 /// Sends one message to another process; false if its queue is full or the process is unknown.
 using SendFunction = std::function<bool(const InstanceId& to, peer::Envelope envelope)>;
 
 /// The entry role of one instance: gRPC services for callers, operators and workers.
 class Entry {
 public:
-    Entry(const settings::Settings& settings, Incarnation incarnation, SendFunction send, const Clock& clock,
-        Metrics& metrics);
+    Entry(const settings::Settings& settings, Incarnation incarnation, SendFunction send,
+        AbandonedClaims abandonedClaims, const Clock& clock, Metrics& metrics);
     ~Entry();
 
     absl::Status start();
--- a/scripts/lib-cluster.sh
+++ b/scripts/lib-cluster.sh
@@ -61,3 +61,47 @@
     for pid in $(jobs -rp); do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
 }
+
+# start_cluster FOLDER: 5 instances and 8 workers, as in the quick start; sets $entries.
+start_cluster() {
+    local folder=$1 i
+    data_centres=("" vienna graz vienna graz vienna)
+    entries=""
+    for i in 1 2 3 4 5; do entries="$entries${entries:+,}127.0.0.1:$((base_port + i))"; done
+    for i in 1 2 3; do write_settings "$folder" "e$i" "$i" "${data_centres[$i]}" "$region" '"entry", "control", "ledger"'; done
+    for i in 4 5; do write_settings "$folder" "e$i" "$i" "${data_centres[$i]}" "$region" '"entry"'; done
+    for i in 1 2 3 4 5; do start_instance "$folder" "e$i"; done
+    for i in 1 2 3 4 5 6 7 8; do start_worker "$folder" "$i" "${data_centres[$((i % 2 + 1))]}" "$region"; done
+    wait_for "workers: 8" cli status
+}
+
+# cli ARGUMENT...: the command line with this cluster's entries.
+cli() {
+    "$binary" "$@" --entries "$entries"
+}
+
+# fail TEXT: ends the script with the last log lines.
+fail() {
+    echo "failed: $1" >&2
+    tail -n 5 "$folder"/*.log >&2
+    exit 1
+}
+
+# wait_for TEXT COMMAND...: repeats the command until its output contains the text, at most 300 times.
+wait_for() {
+    local text=$1 tries=0
+    shift
+    until "$@" 2>/dev/null | grep -q -- "$text"; do
+        tries=$((tries + 1))
+        [ "$tries" -gt 300 ] && fail "no \"$text\" from: $*"
+        sleep 0.2
+    done
+}
+
+# check_executions FOLDER: fails if a non-repeatable request ran twice, or any request ran in two places at once.
+check_executions() {
+    local found
+    found=$(cat "$1"/w*.executions | sort -n -k5 | awk -f scripts/check-executions.awk)
+    echo "$found"
+    [ "$found" = "non-repeatable requests run twice: 0, requests run in two places at once: 0" ] || fail "a request ran twice"
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -18,33 +18,7 @@
     [ -n "${KEEP_DATA:-}" ] && echo "data kept in $folder" || rm -rf "$folder"
 }
 trap cleanup EXIT
-fail() {
-    echo "quick start failed: $1" >&2
-    tail -n 5 "$folder"/*.log >&2
-    exit 1
-}
-
-entries=""
-for i in 1 2 3 4 5; do entries="$entries${entries:+,}127.0.0.1:$((base_port + i))"; done
-cli() { "$binary" "$@" --entries "$entries"; }
-
-# wait_for TEXT COMMAND...: repeats the command until its output contains the text.
-wait_for() {
-    local text=$1 tries=0
-    shift
-    until "$@" 2>/dev/null | grep -q -- "$text"; do
-        tries=$((tries + 1))
-        [ "$tries" -gt 300 ] && fail "no \"$text\" from: $*"
-        sleep 0.2
-    done
-}
-
-data_centres=("" vienna graz vienna graz vienna)
-for i in 1 2 3; do write_settings "$folder" "e$i" "$i" "${data_centres[$i]}" "$region" '"entry", "control", "ledger"'; done
-for i in 4 5; do write_settings "$folder" "e$i" "$i" "${data_centres[$i]}" "$region" '"entry"'; done
-for i in 1 2 3 4 5; do start_instance "$folder" "e$i"; done
-for i in 1 2 3 4 5 6 7 8; do start_worker "$folder" "$i" "${data_centres[$((i % 2 + 1))]}" "$region"; done
-wait_for "workers: 8" cli status
+start_cluster "$folder"
 echo "started 5 instances and 8 workers; control leader: $(cli status | sed -n 's/^leader: //p')"
 
 cli team put desk --cpu 64000 --memory_mib 131072 > /dev/null || fail "team"
@@ -70,7 +44,5 @@
 wait "$load" || fail "load: $(cat "$folder/load.txt")"
 cat "$folder/load.txt"
 
-executions=$(cat "$folder"/w*.executions | sort -n -k5 | awk -f scripts/check-executions.awk)
-echo "$executions"
-[ "$executions" = "non-repeatable requests run twice: 0, requests run in two places at once: 0" ] || fail "a request ran twice"
+check_executions "$folder"
 cli ledger reconcile "$folder/partner.jsonl" --region "$region" --partner duftwerk
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/app/process.h"
 
+#include "log.pb.h"
 #include "operator.pb.h"
 #include "peer/refusal.h"
 #include "turmericpier/admin/server.h"
@@ -64,13 +65,24 @@
                 return replica.status();
             m_ledgers[ledger::groupOf(region)] = std::move(*replica);
         }
-        m_entry = std::make_unique<rpc::Entry>(m_settings, m_incarnation, send, m_clock, m_metrics);
+        m_entry = std::make_unique<rpc::Entry>(
+            m_settings, m_incarnation, send, [this](Duration age) { return abandonedClaims(age); }, m_clock, m_metrics);
         m_admin = std::make_unique<admin::Server>(
             admin::ServerOptions { m_settings.adminAddress.host, m_settings.adminAddress.port }, adminHooks(),
             m_metrics);
         return absl::OkStatus();
     }
 
+    std::vector<log::Claim> abandonedClaims(Duration age)
+    {
+        std::vector<log::Claim> claims;
+        for (auto& [group, replica] : m_ledgers) {
+            for (auto& claim : replica->abandonedClaims(age))
+                claims.push_back(std::move(claim));
+        }
+        return claims;
+    }
+
     admin::ServerHooks adminHooks()
     {
         admin::ServerHooks hooks;
--- a/src/ledger/replica.cc
+++ b/src/ledger/replica.cc
@@ -8,6 +8,7 @@
 #include "turmericpier/peer/convert.h"
 
 #include <boost/json.hpp>
+#include <map>
 #include <mutex>
 
 namespace turmericpier::ledger {
@@ -15,6 +16,8 @@
 namespace {
     // Keeps a page well under the frame limit of 4 MiB at about 200 bytes a record.
     constexpr size_t recordsPerPage = 2'000;
+    // Claims live for milliseconds unless their entry died, so that more than this are rare and wait for a later scan.
+    constexpr size_t claimsPerScan = 1'000;
 
     std::vector<uint8_t> toBytes(const std::string& text) { return { text.begin(), text.end() }; }
 } // namespace
@@ -22,9 +25,10 @@
 GroupId groupOf(const RegionId& region) { return GroupId("ledger-" + region.str()); }
 
 struct Replica::Impl {
-    Impl(const settings::Settings& settings, const RegionId& region, Send send, Metrics& metrics)
+    Impl(const settings::Settings& settings, const RegionId& region, Send send, const Clock& clock, Metrics& metrics)
         : m_self(settings.instance)
         , m_groupId(groupOf(region))
+        , m_clock(clock)
         , m_send(std::move(send))
         , m_metrics(metrics)
     {
@@ -64,6 +68,7 @@
         hooks.roleChanged = [this](const consensus::RoleChange& change) {
             std::lock_guard lock(m_mutex);
             m_leaderHint = change.leader;
+            m_isLeader = change.isLeader;
             logState("ledger", change.isLeader ? "became leader" : "follows",
                 { { "group", m_groupId.str() }, { "term", std::to_string(change.term.value) },
                     { "leader", change.leader.str() } });
@@ -136,14 +141,43 @@
         return reply;
     }
 
+    std::vector<log::Claim> abandonedClaims(Duration age)
+    {
+        std::lock_guard lock(m_mutex);
+        std::vector<log::Claim> result;
+        std::map<std::string, FirstSeen> seen;
+        if (m_isLeader) {
+            const auto now = m_clock.now();
+            const auto claims = m_state.openClaims(claimsPerScan);
+            for (const auto& open : claims.results()) {
+                const auto before = m_claimsSeen.find(open.claim().key());
+                const bool isSame = before != m_claimsSeen.end() && before->second.attempt == open.claim().attempt();
+                const auto first = isSame ? before->second : FirstSeen { open.claim().attempt(), now };
+                seen.emplace(open.claim().key(), first);
+                if (now - first.at >= age)
+                    result.push_back(open.claim());
+            }
+        }
+        m_claimsSeen = std::move(seen);
+        return result;
+    }
+
+    struct FirstSeen {
+        uint32_t attempt = 0;
+        TimePoint at;
+    };
+
     const InstanceId m_self;
     const GroupId m_groupId;
+    const Clock& m_clock;
     Send m_send;
     Metrics& m_metrics;
     std::unique_ptr<consensus::Group> m_group;
     mutable std::mutex m_mutex; ///< Guards the members below.
     LedgerState m_state;
     InstanceId m_leaderHint;
+    bool m_isLeader = false;
+    std::map<std::string, FirstSeen> m_claimsSeen; ///< Open claims, with the time of the scan that first saw each.
 };
 
 Replica::Replica(std::unique_ptr<Impl> impl)
@@ -156,7 +190,7 @@
 absl::StatusOr<std::unique_ptr<Replica>> Replica::open(
     const settings::Settings& settings, const RegionId& region, Send send, const Clock& clock, Metrics& metrics)
 {
-    auto impl = std::make_unique<Impl>(settings, region, std::move(send), metrics);
+    auto impl = std::make_unique<Impl>(settings, region, std::move(send), clock, metrics);
     auto group = consensus::Group::open(impl->groupOptions(settings, region), impl->groupHooks(), clock, metrics);
     if (!group.ok())
         return group.status();
@@ -177,6 +211,8 @@
 
 void Replica::read(peer::Envelope envelope) { m_impl->read(std::make_shared<peer::Envelope>(std::move(envelope))); }
 
+std::vector<log::Claim> Replica::abandonedClaims(Duration age) { return m_impl->abandonedClaims(age); }
+
 std::string Replica::dump() const
 {
     boost::json::object result;
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -1,6 +1,7 @@
 #include "turmericpier/rpc/entry.h"
 
 #include "peer_generated.h"
+#include "rpc/claim-resolver.h"
 #include "rpc/peer-calls.h"
 #include "rpc/request-driver.h"
 #include "rpc/services.h"
@@ -27,6 +28,9 @@
     constexpr Duration urgentHeartbeat = std::chrono::milliseconds(20);
     // Above all correlations of PeerCalls, so that replies to the ledger client are told apart.
     constexpr uint64_t firstLedgerCorrelation = uint64_t { 1 } << 62U;
+    constexpr Duration claimScanInterval = std::chrono::seconds(1);
+    // After the longest deadline, for an entry that is still resolving the request itself.
+    constexpr Duration claimGrace = std::chrono::seconds(30);
     constexpr Duration recordDeadline = std::chrono::minutes(10);
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
@@ -53,8 +57,8 @@
 } // namespace
 
 struct Entry::Impl {
-    Impl(const settings::Settings& settings, Incarnation incarnation, SendFunction send, const Clock& clock,
-        Metrics& metrics)
+    Impl(const settings::Settings& settings, Incarnation incarnation, SendFunction send,
+        AbandonedClaims abandonedClaims, const Clock& clock, Metrics& metrics)
         : m_settings(settings)
         , m_incarnation(incarnation)
         , m_clock(clock)
@@ -64,8 +68,11 @@
         , m_calls(m_send)
         , m_control(m_calls, settings.controlVoters)
         , m_ledger(ledgerOptions(), ledgerHooks(), metrics)
+        , m_abandonedClaims(std::move(abandonedClaims))
         , m_streams(metrics)
         , m_driver(m_settings, incarnation, driverHooks(), m_loop, clock, metrics)
+        , m_resolver(
+              m_driver.endpoints(), m_loop, [this](LedgerRecord record) { recordOutcome(record); }, metrics)
         , m_callerService(
               [this](const CallRequest& request, CallerService::Done done) { call(request, std::move(done)); })
         , m_operatorService(operatorHandlers())
@@ -235,9 +242,19 @@
             reads->tick(now);
         m_driver.tick();
         heartbeatIfDue(now);
+        resolveClaimsIfDue(now);
         m_isIdle = m_driver.isIdle();
     }
 
+    void resolveClaimsIfDue(TimePoint now)
+    {
+        if (now - m_claimsResolved < claimScanInterval)
+            return;
+        m_claimsResolved = now;
+        for (const auto& claim : m_abandonedClaims(m_settings.entry.maxDeadline + claimGrace))
+            m_resolver.resolve(claim, now);
+    }
+
     /// Requests that wait for a slot make the next heartbeat, which carries the demand, due early.
     void heartbeatIfDue(TimePoint now)
     {
@@ -440,8 +457,11 @@
     LeaderCalls m_control;
     std::map<RegionId, std::unique_ptr<LeaderCalls>> m_ledgerReads;
     ledger::Client m_ledger;
+    AbandonedClaims m_abandonedClaims;
     WorkerStreams m_streams;
     RequestDriver m_driver;
+    ClaimResolver m_resolver;
+    TimePoint m_claimsResolved;
     CallerService m_callerService;
     OperatorService m_operatorService;
     std::unique_ptr<grpc::Server> m_server;
@@ -456,9 +476,9 @@
     std::atomic<bool> m_isReady { false };
 };
 
-Entry::Entry(const settings::Settings& settings, Incarnation incarnation, SendFunction send, const Clock& clock,
-    Metrics& metrics)
-    : m_impl(std::make_unique<Impl>(settings, incarnation, std::move(send), clock, metrics))
+Entry::Entry(const settings::Settings& settings, Incarnation incarnation, SendFunction send,
+    AbandonedClaims abandonedClaims, const Clock& clock, Metrics& metrics)
+    : m_impl(std::make_unique<Impl>(settings, incarnation, std::move(send), std::move(abandonedClaims), clock, metrics))
 {
 }
 
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -1,5 +1,6 @@
 #include "rpc/request-driver.h"
 
+#include "rpc/claim-resolver.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/ledger/state.h"
 
@@ -17,10 +18,6 @@
 
     // Tickets with this bit are of requests that are claimed before their dispatch.
     constexpr uint64_t claimedBit = uint64_t { 1 } << 63U;
-    // At the workers, claimed attempts are numbered apart from unclaimed ones: those of a resent request are fenced as
-    // a whole, while the ledger orders the claimed ones of all entries.
-    constexpr uint32_t firstClaimedAttempt = 1'000;
-
     uint32_t wireAttempt(Ticket ticket, uint32_t attempt)
     {
         return (ticket.value & claimedBit) != 0 ? firstClaimedAttempt + attempt : attempt;
@@ -88,6 +85,21 @@
     return absl::OkStatus();
 }
 
+absl::Status RequestDriver::drainingRefusal(const CallRequest& request) const
+{
+    // Nothing is recorded, so that the caller can send the request through another entry. An earlier attempt of a
+    // resent request may have run.
+    const auto outcome = request.resends() == 0 ? turmericpier::Outcome::NotRun : turmericpier::Outcome::Unknown;
+    return makeError({ absl::StatusCode::kUnavailable, outcome, "DRAINING", "admit", m_settings.instance.str() },
+        "entry is stopping; send the request through another entry");
+}
+
+void RequestDriver::beginDrain()
+{
+    m_isDraining = true;
+    m_router.beginDrain();
+}
+
 void RequestDriver::submit(const CallRequest& request, CallDone done)
 {
     m_metrics.counter("requests_total").increment();
@@ -95,6 +107,8 @@
         m_metrics.counter("requests_invalid_total").increment();
         return done(status, {});
     }
+    if (m_isDraining)
+        return done(drainingRefusal(request), {});
     auto key = keyOf(request);
     if (const auto same = m_byKey.find(key); same != m_byKey.end()) {
         m_metrics.counter("requests_joined_total").increment();
@@ -306,6 +320,7 @@
         claim.code = Code::EndedBefore;
         claim.worker = WorkerId(result->outcome().worker());
         claim.outcome = outcomeOf(result->outcome());
+        claim.attempt = result->outcome().attempts();
         claim.reason = result->outcome().reason();
     } else {
         claim.code = Code::ClaimedBefore;
@@ -328,7 +343,7 @@
     record.set_outcome(static_cast<rpc::Outcome>(action.outcome));
     record.set_reason(action.reason);
     record.set_worker(action.worker.str());
-    record.set_attempts(action.attempts);
+    record.set_attempts(action.answeredAttempt > 0 ? action.answeredAttempt : action.attempts);
     record.set_claim_attempt(action.claimAttempt);
     const auto deadline = std::max(pending.deadline, m_clock.now()) + outcomeGrace;
     m_hooks.commit(RegionId(pending.request.home_region()), std::move(item), deadline,
--- a/src/rpc/request-driver.h
+++ b/src/rpc/request-driver.h
@@ -44,9 +44,11 @@
     void setGrants(const log::GrantChanges& grants, TimePoint sentAt);
     void renewGrants(TimePoint sentAt);
     void tick();
-    void beginDrain() { m_router.beginDrain(); }
+    /// From now on new requests are refused; those in flight end.
+    void beginDrain();
     bool isIdle() const { return m_router.isIdle() && m_byKey.empty(); }
     const routing::Router& router() const { return m_router; }
+    EndpointClient& endpoints() { return m_endpoints; }
 
 private:
     struct Pending {
@@ -62,6 +64,7 @@
     void fenceEarlierAttempts(routing::Ticket ticket);
     void route(routing::Ticket ticket);
     bool isResent(const std::string& key) const;
+    absl::Status drainingRefusal(const CallRequest& request) const;
     absl::Status check(const CallRequest& request) const;
     void run(const routing::Actions& actions);
     void carryOut(const routing::Dispatch& action);
@@ -85,6 +88,7 @@
     EndpointClient m_endpoints;
     ResendFence m_resendFence;
     std::map<ServiceId, std::vector<WorkerId>> m_workersOf;
+    bool m_isDraining = false;
     routing::Ticket m_lastTicket;
     std::unordered_map<uint64_t, Pending> m_pending; ///< By ticket.
     std::unordered_map<std::string, routing::Ticket> m_byKey;
--- a/test/standin/requests.cc
+++ b/test/standin/requests.cc
@@ -63,7 +63,7 @@
         if (auto status = admit(request); !status.ok())
             return status;
         m_attempts[{ request.key(), request.attempt() }]
-            = { State::Running, {}, request.entry(), request.grant_epoch() };
+            = { State::Running, {}, false, request.entry(), request.grant_epoch() };
         ++m_running;
         number = ++m_executed;
         writeLog("begin", request);
@@ -75,6 +75,7 @@
     --m_running;
     auto& attempt = m_attempts[{ request.key(), request.attempt() }];
     attempt.state = State::Done;
+    attempt.hasFailed = isCut || m_options.faults.failAll;
     attempt.answer = request.service() + ": " + request.payload();
     writeLog("end", request);
     if (isCut)
@@ -99,6 +100,13 @@
         auto& fenced = m_fencedAttempts[request.key()];
         fenced = std::max(fenced, request.attempt());
         reply.set_state(rpc::QueryReply::NOT_SEEN);
+        const auto end = m_attempts.lower_bound({ request.key(), request.attempt() });
+        for (auto it = m_attempts.lower_bound({ request.key(), 0 }); it != end; ++it) {
+            if (it->second.state != State::Done || it->second.hasFailed)
+                continue;
+            reply.set_state(rpc::QueryReply::DONE);
+            reply.set_answer(it->second.answer);
+        }
     } else if (found->second.state == State::Running) {
         reply.set_state(rpc::QueryReply::RUNNING);
     } else {
--- a/test/standin/worker.h
+++ b/test/standin/worker.h
@@ -64,6 +64,7 @@
     struct Attempt {
         State state = State::Running;
         std::string answer;
+        bool hasFailed = false;
         std::string entry;
         uint64_t grantEpoch = 0;
     };
