Notice the loss of a disk behind a late acknowledgement

Cause: an acknowledgement that a peer sent before it lost its disk could reach the leader after the loss was noted. Change: a rejection by a recovering peer with a last index below the acknowledged one resets what the leader knows. The random test has its faults from the first election on. A directed test covers the case. Conclusion: the fault cost no entry, but kept a replaced peer from voting.

--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -210,7 +210,10 @@
 void Core::noteIncarnation(Progress& progress, const Message& message)
 {
     progress.recovering = message.context != 0;
-    if (message.context == 0 || message.context == progress.incarnation)
+    // A late acknowledgement from before the loss can have moved `match` after the loss was noted.
+    const bool lost
+        = message.context != progress.incarnation || (message.reject && message.rejectHint < progress.match);
+    if (message.context == 0 || !lost)
         return;
     // The peer lost its disk: what it acknowledged before is gone.
     progress = Progress { .next = Index { 1 },
--- a/test/consensus-core-test.cc
+++ b/test/consensus-core-test.cc
@@ -107,7 +107,6 @@
         const std::vector ids { a, b, c, d, e };
         network.start(d);
         network.start(e);
-        network.commitEntries(1); // an empty group needs all its voters for the first election
         network.faults = { .drop = 0.05, .duplicate = 0.05, .maxDelay = 60ms, .crash = 0.0005 };
         for (int round = 0; round < 2'000; ++round) {
             disturb(network, ids);
@@ -219,6 +218,31 @@
     }
 }
 
+// Guards against a peer that is never repaired because an acknowledgement from before its loss arrives after it.
+TEST_CASE("a late acknowledgement does not hide the loss of a disk", "[consensus]")
+{
+    TimePoint now { 3s };
+    Core core({ .self = a },
+        { .hardState = { Term { 1 } }, .entries = { { Term { 1 }, Index { 1 } } }, .voters = three }, TimePoint {});
+    core.tick(now);
+    for (const auto type : { MessageType::PreVoteReply, MessageType::VoteReply })
+        core.step(b, { .type = type, .term = Term { 2 } }, now);
+    REQUIRE(core.takeReady().entries.size() == 1);
+    const Message acknowledged { .type = MessageType::AppendReply, .term = Term { 2 }, .logIndex = Index { 2 } };
+    Message lost { .type = MessageType::AppendReply, .term = Term { 2 }, .logIndex = Index { 2 }, .reject = true };
+    lost.context = 7;
+    for (int round = 0; round < 2; ++round) {
+        core.step(b, acknowledged, now);
+        core.step(b, lost, now);
+        const auto messages = core.takeReady().messages;
+        const auto append = std::ranges::find_if(
+            messages, [](const Outgoing& out) { return out.to == b && out.message.type == MessageType::Append; });
+        REQUIRE(append != messages.end());
+        CHECK(append->message.logIndex == Index {});
+        CHECK(append->message.context == 7);
+    }
+}
+
 // Guards against a repair that leaves the group dependent on the replica that is lost next.
 TEST_CASE("a second loss right after a repair stops nothing", "[consensus]")
 {
