Test the recovery rules one by one

Change: a directed test for each; the group tests check that no message exceeds 256 KiB of data. Conclusion: the core needed no change.

--- a/test/consensus-core-test.cc
+++ b/test/consensus-core-test.cc
@@ -118,7 +118,7 @@
         committed += network.lastCommitted().value;
     }
     // The run exercised what it is meant to check.
-    WARN("reads " << reads << ", snapshots " << snapshots << ", committed " << committed);
+    INFO("reads " << reads << ", snapshots " << snapshots << ", committed " << committed);
     CHECK(reads > 1'000);
     CHECK(snapshots > 20);
     CHECK(committed > 10'000);
@@ -243,6 +243,37 @@
     }
 }
 
+// Guards against a replica that takes a message from before the loss of its disk for the state of the leader.
+TEST_CASE("only an answer to its present life ends the recovery of a replica", "[consensus]")
+{
+    StoredState empty { .hardState = { .recovering = true }, .voters = three };
+    Core core({ .self = a, .incarnation = 7 }, empty, TimePoint {});
+    Message append { .type = MessageType::Append, .term = Term { 2 } };
+    append.context = 5;
+    core.step(b, append, TimePoint { 3s });
+    std::ignore = core.takeReady();
+    core.tick(TimePoint { 4s });
+    CHECK(core.recovering());
+    append.context = 7;
+    core.step(b, append, TimePoint { 4s });
+    core.tick(TimePoint { 4s });
+    CHECK_FALSE(core.recovering());
+}
+
+// Guards against a group that stays without a leader because the only replica that can lead waits for its removal.
+TEST_CASE("a replica may campaign until its removal is committed", "[consensus]")
+{
+    StoredState stored { .hardState = { .term = Term { 1 }, .commit = Index { 1 } }, .voters = { a, b } };
+    stored.entries = { { Term { 1 }, Index { 1 } }, { Term { 1 }, Index { 2 }, EntryKind::Membership, "b" } };
+    Core core({ .self = a }, stored, TimePoint {});
+    core.tick(TimePoint { 3s });
+    CHECK(core.role() == Role::PreCandidate);
+    stored.hardState.commit = Index { 2 };
+    Core removed({ .self = a }, stored, TimePoint {});
+    removed.tick(TimePoint { 3s });
+    CHECK(removed.role() == Role::Follower);
+}
+
 // Guards against a repair that leaves the group dependent on the replica that is lost next.
 TEST_CASE("a second loss right after a repair stops nothing", "[consensus]")
 {
--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -62,6 +62,11 @@
         options.snapshotBytes = m_snapshotBytes;
         GroupHooks hooks;
         hooks.send = [this, id](const InstanceId& to, Message message) {
+            size_t bytes = message.snapshot ? message.snapshot->data.size() : 0;
+            for (const auto& entry : message.entries)
+                bytes += entry.data.size();
+            if (bytes > 256 * 1024) // far below the frame limit of 4 MiB
+                oversized = true;
             std::shared_lock lock(m_mutex);
             const auto found = m_running.find(to);
             if (found != m_running.end() && !m_cut.contains(id) && !m_cut.contains(to))
@@ -161,6 +166,7 @@
 
     Counter& counter(std::string_view name) { return m_metrics.counter(name); }
     std::function<void()> onApply;
+    std::atomic<bool> oversized = false;
 
     Group& group(const InstanceId& id) { return *m_replicas.at(id).group; }
     boost::json::value field(const InstanceId& id, std::string_view name)
@@ -287,6 +293,7 @@
     groups.open(behind);
     REQUIRE(groups.until([&] { return groups.caughtUp(behind, leader); }));
     CHECK(groups.number(behind, "snapshot") > 500);
+    CHECK_FALSE(groups.oversized);
     groups.stop(behind);
     groups.open(behind); // from its own snapshot
     REQUIRE(groups.until([&] { return groups.caughtUp(behind, leader); }));
