Let higher priority take the place of lower priority within a team's own quota

Cause: a team that had used up its quota was refused by admission before preemption was looked at, so that its important jobs waited for its unimportant ones. Change: jobs refused by admission may stop lower priorities of their own team and of borrowers, as long as usage does not grow; planning goes by priority; a finished claim no longer causes a full round.

--- a/bench/decision-bench.cc
+++ b/bench/decision-bench.cc
@@ -241,7 +241,7 @@
         cell.reset();
         state.ResumeTiming();
     }
-    state.counters["us_per_job"] = benchmark::Counter(static_cast<double>(wave) * state.iterations() * 1e-6,
+    state.counters["per_job"] = benchmark::Counter(static_cast<double>(wave) * static_cast<double>(state.iterations()),
         benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 
--- a/src/decision/engine-claims.cc
+++ b/src/decision/engine-claims.cc
@@ -60,7 +60,7 @@
     }
     if (tables.at(claim.job).claim == id)
         tables.at(claim.job).claim = 0;
-    retryAll();
+    dirty = true; // refreshWorker() has noted where room was given back
 }
 
 TeamTotals& Engine::Impl::totalsOf(uint32_t team)
--- a/src/decision/engine-impl.h
+++ b/src/decision/engine-impl.h
@@ -185,7 +185,9 @@
     bool mayBePreempted(const TaskRecord& task, const JobRecord& by, bool withinQuota) const;
     void claimFor(JobIndex job, FairShare::Admission admission);
     bool planVictims(JobIndex job);
-    bool planGangVictims(JobIndex job, bool withinQuota);
+    bool planGangVictims(JobIndex job, FairShare::Admission admission);
+    bool replacesUsage(const JobRecord& job, uint32_t count, FairShare::Admission admission,
+        std::span<const PreemptionPlan> plans) const;
     std::vector<ReservationOption> reservationOptions(const JobRecord& job, uint32_t needed) const;
     bool mayBorrowMore(const JobRecord& job, uint32_t count) const;
     void reserve(JobIndex job, FairShare::Admission admission);
@@ -276,7 +278,8 @@
     uint32_t budget = 0;
     uint32_t plansLeft = 0;
     uint32_t urgentPlansLeft = 0;
-    std::deque<std::pair<uint64_t, JobIndex>> planQueue; ///< Jobs to plan for, by order of submission and index.
+    /// Jobs to plan for, by inverse priority, order of submission and index.
+    absl::btree_set<std::tuple<uint32_t, uint64_t, JobIndex>> planQueue;
     std::vector<bool> teamsOverQuota; ///< By team; filled by the first search of a tick.
     uint32_t candidateCursor = 0;
     uint32_t backfillCursor = 0;
--- a/src/decision/engine-placement.cc
+++ b/src/decision/engine-placement.cc
@@ -103,7 +103,7 @@
     std::vector<uint32_t> exhausted;
     std::vector<uint32_t> possible;
     for (uint32_t number = 1; number < queues.size(); ++number) {
-        if (mayHaveRoom(queues[number]) && isAdmitted(number))
+        if (mayHaveRoom(queues[number]) && (fullRound || isAdmitted(number)))
             possible.push_back(number);
     }
     bool complete = true;
@@ -124,7 +124,7 @@
                         std::erase_if(possible, [this](uint32_t n) { return !mayHaveRoom(queues[n]); });
                     continue;
                 }
-                if (tables.at(entry->job).waitReason != WaitReason::OverQuota || isAdmitted(number))
+                if (fullRound || tables.at(entry->job).waitReason != WaitReason::OverQuota || isAdmitted(number))
                     continue;
             }
             possible.erase(it);
@@ -162,7 +162,7 @@
         const auto admission = admissionOf(job, 1);
         if (!urgent && admission == FairShare::Admission::Refused) {
             blocked(index, WaitReason::OverQuota);
-            reserve(index, admission);
+            claimFor(index, admission);
             return Attempt::Blocked;
         }
         const auto task = nextQueued(job);
@@ -184,7 +184,7 @@
     const auto admission = admissionOf(job, job.queuedTasks);
     if (job.priority < urgentPriority && admission == FairShare::Admission::Refused) {
         blocked(index, WaitReason::OverQuota);
-        reserve(index, admission);
+        claimFor(index, admission);
         return Attempt::Blocked;
     }
     std::vector<TaskIndex> placed;
--- a/src/decision/engine-preemption.cc
+++ b/src/decision/engine-preemption.cc
@@ -35,8 +35,8 @@
     return tasks >= std::min(job.queuedTasks, maxTasksPerClaim);
 }
 
-/// Called when a job found no room. Urgent jobs and those within their team's quota get victims; others that have
-/// waited for long get a reservation.
+/// Called when a job found no room or was not admitted. Urgent jobs and those within their team's quota get victims,
+/// others only among lower priorities of their own team and of borrowers. What has waited for long gets a reservation.
 void Engine::Impl::claimFor(JobIndex index, FairShare::Admission admission)
 {
     auto& job = tables.at(index);
@@ -48,8 +48,7 @@
             return;
         }
         --plans;
-        const bool found = job.kind == JobKind::Gang ? planGangVictims(index, admission == FairShare::Admission::Quota)
-                                                     : planVictims(index);
+        const bool found = job.kind == JobKind::Gang ? planGangVictims(index, admission) : planVictims(index);
         if (!found)
             job.nextTry = now + (urgent ? urgentRetry : retry);
     }
@@ -65,24 +64,22 @@
         dirty = true; // urgent jobs are all tried again with the next tick
     } else if (!job.planQueued && planQueue.size() < maxPlanQueue) {
         job.planQueued = true;
-        planQueue.emplace_back(job.order, index);
+        planQueue.emplace(~job.priority, job.order, index);
     }
 }
 
 void Engine::Impl::planQueued()
 {
     while (plansLeft > 0 && !planQueue.empty()) {
-        const auto [order, index] = planQueue.front();
-        planQueue.pop_front();
+        const auto [rank, order, index] = *planQueue.begin();
+        planQueue.erase(planQueue.begin());
         auto& job = tables.at(index);
         if (!job.live || job.order != order)
             continue;
         job.planQueued = false;
         if (!job.inQueue)
             continue;
-        const auto admission = admissionOf(job, job.kind == JobKind::Gang ? job.queuedTasks : 1);
-        if (admission != FairShare::Admission::Refused)
-            claimFor(index, admission);
+        claimFor(index, admissionOf(job, job.kind == JobKind::Gang ? job.queuedTasks : 1));
         // The next job of the class was not tried, because this one was in vain.
         if (job.claim != 0 && isCovered(job)) {
             if (const auto following = queue(job.queue()).following(job.key(), { job.order, index }))
@@ -185,11 +182,12 @@
 bool Engine::Impl::planVictims(JobIndex index)
 {
     auto& job = tables.at(index);
-    const bool withinQuota = admissionOf(job, 1) == FairShare::Admission::Quota;
+    const auto admission = admissionOf(job, 1);
+    const bool withinQuota = admission == FairShare::Admission::Quota;
     const PreemptionRequest request { tables.teams[job.team], job.effective.unpack(), job.priority, withinQuota };
     const auto candidates = candidatesFor(job, withinQuota, candidatesPerPlan);
     const auto plan = planPreemption(request, candidates, preemptionOptions());
-    if (!plan)
+    if (!plan || !replacesUsage(job, 1, admission, std::span(&*plan, 1)))
         return false;
     auto& claim = job.claim != 0 ? claims.at(job.claim) : addClaim(index);
     claim.preempting = true;
@@ -199,14 +197,29 @@
     return true;
 }
 
-bool Engine::Impl::planGangVictims(JobIndex index, bool withinQuota)
+/// A job that is refused by admission only takes the place of the victims, so that usage does not grow.
+bool Engine::Impl::replacesUsage(
+    const JobRecord& job, uint32_t count, FairShare::Admission admission, std::span<const PreemptionPlan> plans) const
+{
+    if (admission != FairShare::Admission::Refused || job.priority >= urgentPriority)
+        return true;
+    Resources released;
+    for (const auto& plan : plans) {
+        for (const auto& victim : plan.victims)
+            released += tables.at(tables.findTask(victim.task)).limit.unpack();
+    }
+    return fits(times(job.effective, count).unpack(), released);
+}
+
+bool Engine::Impl::planGangVictims(JobIndex index, FairShare::Admission admission)
 {
     auto& job = tables.at(index);
+    const bool withinQuota = admission == FairShare::Admission::Quota;
     const PreemptionRequest request { tables.teams[job.team], job.effective.unpack(), job.priority, withinQuota };
     const auto limit = std::clamp<size_t>(2 * size_t { job.queuedTasks }, candidatesPerPlan, maxGangCandidates);
     const auto candidates = candidatesFor(job, withinQuota, limit);
     const auto plans = planGangPreemption(request, job.queuedTasks, candidates, preemptionOptions());
-    if (plans.empty())
+    if (plans.empty() || !replacesUsage(job, job.queuedTasks, admission, plans))
         return false;
     auto& claim = addClaim(index);
     claim.preempting = true;
--- a/test/decision-engine-test.cc
+++ b/test/decision-engine-test.cc
@@ -331,6 +331,32 @@
     CHECK(started == 60);
 }
 
+TEST_CASE("higher priority takes the place of lower priority in a team that has used up its quota, and no more")
+{
+    Engine engine({});
+    announce(engine, 2);
+    engine.handle(TeamChanged { { TeamId("team"), { { 4'000 }, { 8'192 }, { 0 } } } }, at(0));
+    engine.handle(TeamChanged { { TeamId("idle"), { { 4'000 }, { 8'192 }, { 0 } } } }, at(0));
+    engine.handle(JobSubmitted { makeJob("low", 1'000, 8) }, at(0));
+    CHECK(tickAndStart(engine, at(0)).size() == 8);
+    auto high = makeJob("high", 1'000, 10);
+    high.priority = 500;
+    engine.handle(JobSubmitted { high }, at(100'000));
+    size_t placed = 0;
+    for (int second = 100; second < 150; ++second) {
+        const auto actions = engine.tick(at(second * 1'000));
+        for (const auto& stop : only<StopTask>(actions)) {
+            CHECK(jobOf(stop.task) == JobId("low"));
+            engine.handle(TaskEnded { stop.task, stop.epoch, TaskEnd::Stopped }, at(second * 1'000));
+        }
+        for (const auto& place : only<PlaceTask>(actions)) {
+            placed += jobOf(place.placement.task) == JobId("high") ? 1 : 0;
+            engine.handle(TaskStarted { place.placement.task, place.placement.epoch }, at(second * 1'000));
+        }
+    }
+    CHECK(placed == 8);
+}
+
 TEST_CASE("a team within its quota reclaims what another has borrowed")
 {
     Engine engine({});
