--- a/scripts/lib-cluster.sh
+++ b/scripts/lib-cluster.sh
@@ -38,7 +38,7 @@
     shift 4
     "$standin" --id "w$number" --address "127.0.0.1:$((base_port + 300 + number))" --entries "$entries" \
         --data_centre "$data_centre" --region "$region" --rack "rack$(((number - 1) / 8))" --services till \
-        --execution_log "$folder/w$number.executions" "$@" >> "$folder/w$number.log" 2>&1 &
+        --execution_log "$folder/w$number.executions" ${worker_flags:-} "$@" >> "$folder/w$number.log" 2>&1 &
     eval "pid_w$number=$!"
 }
 
--- a/src/app/load.cc
+++ b/src/app/load.cc
@@ -64,10 +64,11 @@
             const auto status = rpc::fromGrpc(stub->Call(&context, request, &reply), "call", "entry");
             if (status.ok())
                 return { reply, sent };
-            // An entry that is draining or not reached leaves no outcome in the ledger, so that the request may be sent
-            // again.
+            // An entry that is stopping, starting or not reached leaves no outcome in the ledger, so that the request
+            // may be sent again.
             const auto details = detailsOf(status);
-            const bool isFinal = details.outcome != Outcome::Unknown && details.reason != "DRAINING";
+            const bool isFinal
+                = details.outcome != Outcome::Unknown && details.reason != "DRAINING" && details.reason != "NOT_READY";
             if (isFinal || Steady::now() + resendDelay >= end)
                 return { status, sent };
             std::this_thread::sleep_for(resendDelay);
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -85,13 +85,13 @@
     return absl::OkStatus();
 }
 
-absl::Status RequestDriver::drainingRefusal(const CallRequest& request) const
+absl::Status RequestDriver::unrecordedRefusal(
+    const CallRequest& request, const std::string& reason, const std::string& message) const
 {
     // Nothing is recorded, so that the caller can send the request through another entry. An earlier attempt of a
     // resent request may have run.
     const auto outcome = request.resends() == 0 ? turmericpier::Outcome::NotRun : turmericpier::Outcome::Unknown;
-    return makeError({ absl::StatusCode::kUnavailable, outcome, "DRAINING", "admit", m_settings.instance.str() },
-        "entry is stopping; send the request through another entry");
+    return makeError({ absl::StatusCode::kUnavailable, outcome, reason, "admit", m_settings.instance.str() }, message);
 }
 
 void RequestDriver::beginDrain()
@@ -108,7 +108,11 @@
         return done(status, {});
     }
     if (m_isDraining)
-        return done(drainingRefusal(request), {});
+        return done(
+            unrecordedRefusal(request, "DRAINING", "entry is stopping; send the request through another entry"), {});
+    // A service is unknown for certain only once the state of the control leader has arrived.
+    if (!m_hasState)
+        return done(unrecordedRefusal(request, "NOT_READY", "entry has not heard from the control leader yet"), {});
     auto key = keyOf(request);
     if (const auto same = m_byKey.find(key); same != m_byKey.end()) {
         m_metrics.counter("requests_joined_total").increment();
@@ -171,6 +175,7 @@
 
 void RequestDriver::setState(const log::ControlSnapshot& state)
 {
+    m_hasState = true;
     std::vector<routing::ServiceInfo> services;
     for (const auto& service : state.services()) {
         routing::ServiceInfo info { ServiceId(service.name()) };
--- a/src/rpc/request-driver.h
+++ b/src/rpc/request-driver.h
@@ -64,7 +64,9 @@
     void fenceEarlierAttempts(routing::Ticket ticket);
     void route(routing::Ticket ticket);
     bool isResent(const std::string& key) const;
-    absl::Status drainingRefusal(const CallRequest& request) const;
+    /// Refuses without a record in the ledger, so that the caller can send the request through another entry.
+    absl::Status unrecordedRefusal(
+        const CallRequest& request, const std::string& reason, const std::string& message) const;
     absl::Status check(const CallRequest& request) const;
     void run(const routing::Actions& actions);
     void carryOut(const routing::Dispatch& action);
@@ -89,6 +91,7 @@
     ResendFence m_resendFence;
     std::map<ServiceId, std::vector<WorkerId>> m_workersOf;
     bool m_isDraining = false;
+    bool m_hasState = false;
     routing::Ticket m_lastTicket;
     std::unordered_map<uint64_t, Pending> m_pending; ///< By ticket.
     std::unordered_map<std::string, routing::Ticket> m_byKey;
