--- a/bench/control-bench.cc
+++ b/bench/control-bench.cc
@@ -426,6 +426,20 @@
     bench.counters["heartbeat_bytes"] = static_cast<double>(size);
 }
 
+/// The part of a heartbeat that an entry sends for each worker whose stream it holds.
+void streamFrame(benchmark::State& bench)
+{
+    peer::wire::EnvelopeT envelope;
+    peer::wire::EntryHeartbeatT heartbeat;
+    for (int64_t i = 0; i < bench.range(0); ++i)
+        heartbeat.streams.push_back(workerName(static_cast<uint64_t>(i)));
+    envelope.body.Set(std::move(heartbeat));
+    size_t size = 0;
+    for (auto _ : bench)
+        size = peer::encodeFrame(envelope)->size();
+    bench.counters["heartbeat_bytes"] = static_cast<double>(size);
+}
+
 /// Planning of grants once nothing changes any more: each entry serves the workers of its data centre.
 void grantPlan(benchmark::State& bench)
 {
@@ -505,6 +519,7 @@
 BENCHMARK(heartbeatGrants)->Arg(8'500)->Arg(17'000)->Arg(34'000)->Arg(68'000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(heartbeatState)->Arg(500)->Arg(2'000)->Arg(8'500)->Unit(benchmark::kMicrosecond);
 BENCHMARK(heldGrantFrame)->Arg(10)->Arg(100)->Arg(1'000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(streamFrame)->Arg(10)->Arg(100)->Arg(1'000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(grantPlan)->ArgsProduct({ { 500, 2'000, 8'500 }, { 28, 84 } })->Unit(benchmark::kMillisecond);
 BENCHMARK(leaderTick)->Arg(500)->Arg(2'000)->Arg(8'500)->Iterations(1'000)->Unit(benchmark::kMicrosecond);
 BENCHMARK(leaderStart)->Arg(500)->Arg(2'000)->Arg(8'500)->Iterations(3)->Unit(benchmark::kMillisecond);
