Tell which failures count against a job

Change: WorkerHealth::countsAgainstJob() is false for workers on which other jobs failed as well and none has succeeded since.

--- a/include/turmericpier/decision/worker-health.h
+++ b/include/turmericpier/decision/worker-health.h
@@ -69,6 +69,9 @@
     double suspicion(const WorkerId& worker, TimePoint now) const;
     /// The job failed on several distinct workers which run other jobs well.
     bool isSuspect(const JobId& job) const;
+    /// Whether a failure of the job on the worker says something about the job: not if the worker is quarantined, or if
+    /// other jobs failed there as well and none has succeeded since.
+    bool countsAgainstJob(const WorkerId& worker, const JobId& job, TimePoint now) const;
     /// Distinct workers on which the job failed, up to the number remembered (8).
     size_t failedWorkers(const JobId& job) const;
     size_t quarantinedWorkers() const { return m_quarantined.size(); }
--- a/src/decision/worker-health.cc
+++ b/src/decision/worker-health.cc
@@ -145,6 +145,19 @@
     return static_cast<size_t>(failed) >= m_options.suspectWorkers + failuresPerSuccess * state.succeededOn.size();
 }
 
+bool WorkerHealth::countsAgainstJob(const WorkerId& worker, const JobId& job, TimePoint now) const
+{
+    auto it = m_workers.find(worker);
+    if (it == m_workers.end() || it->second.quarantined)
+        return false;
+    const WorkerState& state = it->second;
+    const TimePoint lastSuccess = state.successes.empty() ? TimePoint { Duration::min() } : state.successes.back().at;
+    return std::none_of(state.failures.begin(), state.failures.end(), [&](const Failure& failure) {
+        return failure.job != job && failure.at > lastSuccess && now - failure.at <= m_options.window
+            && !isSuspect(failure.job);
+    });
+}
+
 size_t WorkerHealth::failedWorkers(const JobId& job) const
 {
     auto it = m_jobs.find(job);
--- a/test/decision-worker-health-test.cc
+++ b/test/decision-worker-health-test.cc
@@ -97,6 +97,23 @@
     CHECK(cell.health.suspicion(Cell::workerOf(0), cell.now) == 0);
 }
 
+// Guards against ending a job because of workers that fail everything, before these are quarantined.
+TEST_CASE("failures on a worker that fails other jobs too do not count against a job", "[decision]")
+{
+    WorkerHealth health({});
+    const WorkerId worker("w");
+    const JobId a("a"), b("b");
+    health.addWorker(worker);
+    health.taskFailed(worker, a, TimePoint { 1s });
+    CHECK(health.countsAgainstJob(worker, a, TimePoint { 1s }));
+    health.taskFailed(worker, b, TimePoint { 2s });
+    CHECK_FALSE(health.countsAgainstJob(worker, a, TimePoint { 2s }));
+    CHECK_FALSE(health.countsAgainstJob(worker, b, TimePoint { 2s }));
+    health.taskSucceeded(worker, JobId("c"), TimePoint { 3s });
+    CHECK(health.countsAgainstJob(worker, a, TimePoint { 3s }));
+    CHECK(health.countsAgainstJob(worker, b, TimePoint { 3s }));
+}
+
 // Guards against a bad network or a common fault that quarantines the whole cell.
 TEST_CASE("the share of workers in quarantine is bounded", "[decision]")
 {
