--- a/test/decision-fake-cell.h
+++ b/test/decision-fake-cell.h
@@ -45,6 +45,26 @@
 
 inline JobId jobOf(const TaskId& task) { return JobId(task.str().substr(0, task.str().rfind('.'))); }
 
+/// Ticks, confirms all starts and returns the placements.
+inline std::vector<Placement> tickAndStart(Engine& engine, TimePoint now)
+{
+    std::vector<Placement> out;
+    for (const auto& place : only<PlaceTask>(engine.tick(now))) {
+        engine.handle(TaskStarted { place.placement.task, place.placement.epoch }, now);
+        out.push_back(place.placement);
+    }
+    return out;
+}
+
+inline void announce(Engine& engine, uint32_t count, int64_t cpu = 4'000)
+{
+    for (uint32_t i = 0; i < count; ++i)
+        engine.handle(WorkerAnnounced { makeWorker("w" + std::to_string(i), cpu, 8'192, "r" + std::to_string(i / 2),
+                                            "dc" + std::to_string(i % 2)),
+                          { 1 } },
+            at(0));
+}
+
 class FakeCell {
 public:
     explicit FakeCell(uint32_t seed)
