Forget recorded jobs and send the shared state only when it changes

Change: only services, workers, drain marks and configuration raise the shared version; a job whose outcome is in the ledger is marked and forgotten once 10,000 newer ones are.

--- a/include/turmericpier/control/service.h
+++ b/include/turmericpier/control/service.h
@@ -20,7 +20,8 @@
 struct ServiceHooks {
     std::function<bool(const InstanceId& to, peer::Envelope envelope)> send;
     /// Hands the outcome of a job to the ledger. May be called again with the same record.
-    std::function<void(rpc::LedgerRecord record)> recordJob;
+    /// `done` runs once the record is in the ledger.
+    std::function<void(rpc::LedgerRecord record, std::function<void()> done)> recordJob;
 };
 
 /// Handles messages of entries and replicas; all methods may be called from any thread.
--- a/include/turmericpier/rpc/entry.h
+++ b/include/turmericpier/rpc/entry.h
@@ -37,8 +37,9 @@
 
     /// Takes in a reply, a refusal or a heartbeat reply. Callable from any thread.
     void receive(peer::Envelope envelope);
-    /// Commits an outcome to the ledger of its home region, retried until it is committed. Callable from any thread.
-    void recordOutcome(LedgerRecord record);
+    /// Commits an outcome to the ledger of its home region, retried until it is committed; then `done` runs. Callable
+    /// from any thread.
+    void recordOutcome(LedgerRecord record, std::function<void()> done);
     bool isReady() const; ///< A control leader answered and the state was taken over.
     std::string dump() const; ///< JSON object.
 
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -51,7 +51,9 @@
         if (hasRole(settings::Role::Control)) {
             control::ServiceHooks hooks;
             hooks.send = send;
-            hooks.recordJob = [this](rpc::LedgerRecord record) { m_entry->recordOutcome(std::move(record)); };
+            hooks.recordJob = [this](rpc::LedgerRecord record, std::function<void()> done) {
+                m_entry->recordOutcome(std::move(record), std::move(done));
+            };
             auto control = control::Service::open(m_settings, std::move(hooks), m_clock, m_metrics);
             if (!control.ok())
                 return control.status();
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -67,7 +67,7 @@
 {
     rebuildEngine(state, now);
     for (const auto& [id, job] : state.jobs()) {
-        if (job.hasEnded)
+        if (job.hasEnded && !job.isRecorded)
             m_hooks.recordJob(job);
     }
 }
@@ -199,6 +199,8 @@
         m_grantsProposed = false;
         m_grantsApplied = index;
         break;
+    case log::ControlCommand::kRecordedJobs:
+        break;
     case log::ControlCommand::kJobEnds:
         for (const auto& end : command.job_ends().ends())
             m_hooks.recordJob(state.jobs().at(JobId(end.job())));
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -206,7 +206,8 @@
         record.set_outcome(job.outcome);
         record.set_reason(job.reason);
         record.set_job(true);
-        m_hooks.recordJob(std::move(record));
+        m_hooks.recordJob(std::move(record),
+            [this, name = job.job.name()] { m_loop.post([this, name] { *m_recordedJobs.add_jobs() = name; }); });
     }
 
     void applied(Index index, const std::string& data, const std::string& result)
@@ -234,6 +235,13 @@
             return;
         }
         m_leader->tick(m_state, m_clock.now());
+        if (m_recordedJobs.jobs_size() > 0) {
+            log::ControlCommand command;
+            command.mutable_recorded_jobs()->Swap(&m_recordedJobs);
+            m_recordedJobs.Clear();
+            // If this fails, the next leader records the jobs again, which changes nothing in the ledger.
+            propose(command, [](const absl::Status&) {});
+        }
     }
 
     void refuse(const peer::Envelope& request, const absl::Status& status)
@@ -363,6 +371,7 @@
 
     // On the loop's thread alone.
     InstanceId m_leaderHint;
+    log::RecordedJobs m_recordedJobs; ///< Not yet proposed.
     Term m_term;
     Index m_leaderFrom; ///< The state the leader was built from; older applied commands are skipped.
     uint64_t m_generation = 0;
--- a/src/control/state.cc
+++ b/src/control/state.cc
@@ -10,8 +10,11 @@
 namespace turmericpier::control {
 
 namespace {
-    // A resend after this many later commands is taken as a new command; at 6,600 commands a day it covers two weeks.
+    // A resend after this many later commands is taken as a new command. With 99,000 jobs and 6,600 configuration
+    // changes a day that is after most of a day.
     constexpr size_t maxKeptReplies = 100'000;
+    // Ended jobs that operators can still list and explain; the ledger keeps their outcomes.
+    constexpr size_t maxRecordedJobs = 10'000;
     constexpr uint32_t maxTasksPerJob = 100'000;
 
     log::KeptReply accepted(uint64_t version)
@@ -39,6 +42,14 @@
         return resources.milli_cpu() >= 0 && resources.memory_mib() >= 0 && resources.accelerators() >= 0;
     }
 
+    /// True if every entry needs to know; jobs, teams and policies concern the control leader alone.
+    bool changesSharedState(const rpc::OperateRequest& request)
+    {
+        return request.has_put_service() || request.command_case() == rpc::OperateRequest::kRemoveService
+            || request.command_case() == rpc::OperateRequest::kDrainWorker
+            || request.command_case() == rpc::OperateRequest::kUndrainWorker || request.has_put_config();
+    }
+
     uint64_t digestOf(const rpc::OperateRequest& request)
     {
         const auto bytes = request.SerializeAsString();
@@ -76,7 +87,10 @@
         m_sharedVersion = index;
         break;
     case log::ControlCommand::kJobEnds:
-        applyJobEnds(command.job_ends());
+        applyJobEnds(index, command.job_ends());
+        break;
+    case log::ControlCommand::kRecordedJobs:
+        applyRecordedJobs(command.recorded_jobs());
         break;
     case log::ControlCommand::COMMAND_NOT_SET:
         break;
@@ -95,7 +109,8 @@
         return refused("REQUEST_ID_REUSED", "request id " + request.request_id() + " was used for another command");
     }
     auto reply = carryOut(index, request);
-    m_sharedVersion = index;
+    if (reply.ok() && changesSharedState(request))
+        m_sharedVersion = index;
     reply.set_request_id(request.request_id());
     reply.set_digest(digest);
     keepReply(reply);
@@ -295,7 +310,7 @@
     }
 }
 
-void ControlState::applyJobEnds(const log::JobEnds& ends)
+void ControlState::applyJobEnds(Index index, const log::JobEnds& ends)
 {
     for (const auto& end : ends.ends()) {
         const auto job = m_jobs.find(JobId(end.job()));
@@ -304,12 +319,33 @@
         job->second.hasEnded = true;
         job->second.outcome = end.outcome();
         job->second.reason = end.reason();
+        job->second.endIndex = index;
         const TaskId first(end.job() + ".");
         for (auto it = m_placements.lower_bound(first); it != m_placements.end() && jobOf(it->first) == job->first;)
             unplace((it++)->first);
     }
 }
 
+void ControlState::applyRecordedJobs(const log::RecordedJobs& recorded)
+{
+    for (const auto& name : recorded.jobs()) {
+        const auto job = m_jobs.find(JobId(name));
+        if (job == m_jobs.end() || !job->second.hasEnded || job->second.isRecorded)
+            continue;
+        job->second.isRecorded = true;
+        m_recordedJobs[job->second.endIndex].insert(job->first);
+        ++m_recordedCount;
+    }
+    while (m_recordedCount > maxRecordedJobs) {
+        auto& oldest = m_recordedJobs.begin()->second;
+        m_jobs.erase(*oldest.begin());
+        oldest.erase(oldest.begin());
+        --m_recordedCount;
+        if (oldest.empty())
+            m_recordedJobs.erase(m_recordedJobs.begin());
+    }
+}
+
 void ControlState::keepReply(const log::KeptReply& reply)
 {
     m_replies[reply.request_id()] = reply;
@@ -337,6 +373,8 @@
         job.set_ended(record.hasEnded);
         job.set_outcome(record.outcome);
         job.set_reason(record.reason);
+        job.set_recorded(record.isRecorded);
+        job.set_end_index(record.endIndex.value);
         copyValues(record.endedTasks, *job.mutable_ended_tasks());
     }
     for (const auto& worker : m_drained)
@@ -373,8 +411,18 @@
         m_workers[WorkerId(worker.worker())] = worker;
     for (const auto& job : snapshot.jobs()) {
         auto& record = m_jobs[JobId(job.job().name())];
-        record = JobRecord { job.job(), Index { job.sequence() }, job.cancelled(), job.ended(), job.outcome(),
-            job.reason(), {} };
+        record.job = job.job();
+        record.sequence = Index { job.sequence() };
+        record.isCancelled = job.cancelled();
+        record.hasEnded = job.ended();
+        record.outcome = job.outcome();
+        record.reason = job.reason();
+        record.isRecorded = job.recorded();
+        record.endIndex = Index { job.end_index() };
+        if (record.isRecorded) {
+            m_recordedJobs[record.endIndex].insert(JobId(job.job().name()));
+            ++m_recordedCount;
+        }
         for (const auto& end : job.ended_tasks())
             record.endedTasks[TaskId(end.task())] = end;
     }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -20,6 +20,8 @@
     bool hasEnded = false;
     rpc::Outcome outcome = rpc::UNKNOWN;
     std::string reason;
+    bool isRecorded = false; ///< The outcome is in the ledger.
+    Index endIndex; ///< Log index of the end.
     std::map<TaskId, log::TaskEnd> endedTasks; ///< Finished tasks; they do not run again.
 };
 
@@ -65,7 +67,8 @@
     void applyTaskEnds(const log::TaskEnds& ends);
     void applyGrants(Index index, const log::GrantChanges& changes);
     void applyWorkers(const log::WorkerFacts& facts);
-    void applyJobEnds(const log::JobEnds& ends);
+    void applyJobEnds(Index index, const log::JobEnds& ends);
+    void applyRecordedJobs(const log::RecordedJobs& recorded);
     void place(const log::Placement& placement);
     void unplace(const TaskId& task);
     bool exceedsWorker(const log::Grant& grant) const;
@@ -75,6 +78,8 @@
     std::map<PolicyId, rpc::Policy> m_policies;
     std::map<ServiceId, rpc::Service> m_services;
     std::map<JobId, JobRecord> m_jobs;
+    std::map<Index, std::set<JobId>> m_recordedJobs; ///< By the index of their end; derived from m_jobs.
+    size_t m_recordedCount = 0;
     std::map<TaskId, log::Placement> m_placements;
     std::map<WorkerId, std::set<TaskId>> m_tasksByWorker; ///< Derived from m_placements.
     std::map<GrantKey, log::Grant> m_grants;
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -72,7 +72,8 @@
         , m_streams(metrics)
         , m_driver(m_settings, incarnation, driverHooks(), m_loop, clock, metrics)
         , m_resolver(
-              m_driver.endpoints(), m_loop, [this](LedgerRecord record) { recordOutcome(record); }, metrics)
+              m_driver.endpoints(), m_loop, [this](const LedgerRecord& record) { recordOutcome(record, [] {}); },
+              metrics)
         , m_callerService(
               [this](const CallRequest& request, CallerService::Done done) { call(request, std::move(done)); })
         , m_operatorService(operatorHandlers())
@@ -366,7 +367,7 @@
         }
     }
 
-    void recordOutcome(const LedgerRecord& record)
+    void recordOutcome(const LedgerRecord& record, const std::function<void()>& done)
     {
         log::LedgerItem item;
         *item.mutable_outcome() = record;
@@ -378,9 +379,11 @@
         const auto now = m_clock.now();
         m_ledger.submit(
             ledger::groupOf(region), std::move(item), now + recordDeadline,
-            [this, record](const absl::StatusOr<log::LedgerResult>& result) {
-                if (!result.ok())
-                    m_loop.post([this, record] { recordOutcome(record); });
+            [this, record, done](const absl::StatusOr<log::LedgerResult>& result) {
+                if (result.ok())
+                    done();
+                else
+                    m_loop.post([this, record, done] { recordOutcome(record, done); });
             },
             now);
     }
@@ -497,9 +500,10 @@
         m_impl->m_metrics.counter("entry_dropped_total").increment();
 }
 
-void Entry::recordOutcome(LedgerRecord record)
+void Entry::recordOutcome(LedgerRecord record, std::function<void()> done)
 {
-    m_impl->m_loop.post([this, record = std::move(record)] { m_impl->recordOutcome(record); });
+    m_impl->m_loop.post(
+        [this, record = std::move(record), done = std::move(done)] { m_impl->recordOutcome(record, done); });
 }
 
 bool Entry::isReady() const { return m_impl->m_isReady; }
--- a/test/control-state-test.cc
+++ b/test/control-state-test.cc
@@ -160,3 +160,49 @@
     ControlState state;
     CHECK(state.restore("\xff\xff\xff").code() == absl::StatusCode::kDataLoss);
 }
+
+// Guards against ended jobs that pile up for ever, and against forgetting a job whose outcome is not in the ledger.
+TEST_CASE("only recorded jobs are forgotten, the oldest first", "[control]")
+{
+    auto state = stateWithJob();
+    constexpr uint32_t kept = 10'000;
+    uint64_t index = 10;
+    const auto apply
+        = [&](const log::ControlCommand& command) { state.apply(Index { ++index }, command.SerializeAsString()); };
+    log::ControlCommand recorded;
+    for (uint32_t i = 0; i <= kept; ++i) {
+        log::ControlCommand submit;
+        submit.mutable_operate()->set_request_id("submit" + std::to_string(i));
+        auto& job = *submit.mutable_operate()->mutable_submit_job();
+        job.set_name("job" + std::to_string(i));
+        job.set_team("desk");
+        job.set_partner("office");
+        job.set_tasks(1);
+        apply(submit);
+        log::ControlCommand ended;
+        ended.mutable_job_ends()->add_ends()->set_job(job.name());
+        apply(ended);
+        if (i > 0)
+            recorded.mutable_recorded_jobs()->add_jobs(job.name());
+    }
+    apply(recorded);
+    CHECK(state.jobs().size() == kept + 2); // all of them, and the job that has not ended
+    recorded.mutable_recorded_jobs()->add_jobs("job0");
+    apply(recorded);
+    CHECK(state.jobs().size() == kept + 1);
+    CHECK_FALSE(state.jobs().count(JobId("job0")));
+    ControlState copy;
+    REQUIRE(copy.restore(state.snapshot()).ok());
+    CHECK(copy.snapshot() == state.snapshot());
+}
+
+// Guards against sending the whole shared state to every entry for each submitted job.
+TEST_CASE("only services, workers, drain marks and configuration change the shared state", "[control]")
+{
+    auto state = stateWithJob();
+    CHECK(state.sharedVersion() == Index {});
+    operate(state, 7, putConfig("a", 0, "{}"));
+    CHECK(state.sharedVersion() == Index { 7 });
+    operate(state, 8, putConfig("b", 0, "{}"));
+    CHECK(state.sharedVersion() == Index { 7 });
+}
