Keep the old lease of tasks that are being stopped

Cause: the engine counts the lease of a task from the last renewal before its stop, but renewals went on until the stop was confirmed. Change: renewals name the tasks that keep their old lease; the stand-in refuses a start whose epoch was stopped before, and says so. Conclusion: the worker's contract now matches what the engine assumes.

--- a/test/standin/tasks.cc
+++ b/test/standin/tasks.cc
@@ -28,8 +28,7 @@
     if (command.has_start()) {
         start(command.start());
     } else if (command.has_stop()) {
-        if (auto* task = current(command.stop().task(), command.stop().epoch()))
-            task->state = rpc::TASK_STOPPED;
+        stop(command.stop(), current(command.stop().task(), command.stop().epoch()));
     } else if (command.has_checkpoint()) {
         if (auto* task = current(command.checkpoint().task(), command.checkpoint().epoch())) {
             ++task->checkpoint;
@@ -60,12 +59,33 @@
     m_tasks[start.task()] = std::move(task);
 }
 
+void TaskTable::stop(const rpc::StopTask& stop, Task* running)
+{
+    auto& newest = m_newestEpoch[stop.task()];
+    if (running) {
+        running->state = rpc::TASK_STOPPED;
+    } else if (stop.epoch() > newest) {
+        newest = stop.epoch();
+        Task task;
+        task.start.set_task(stop.task());
+        task.start.set_epoch(stop.epoch());
+        task.state = rpc::TASK_STOPPED;
+        m_tasks[stop.task()] = std::move(task);
+    }
+}
+
 void TaskTable::renew(const rpc::RenewLeases& renew)
 {
     const auto sent = m_sentAt.find(renew.sequence());
     if (sent != m_sentAt.end()) {
-        for (auto& [name, task] : m_tasks)
+        std::set<std::pair<std::string, uint64_t>> notRenewed;
+        for (const auto& task : renew.not_renewed())
+            notRenewed.emplace(task.task(), task.epoch());
+        for (auto& [name, task] : m_tasks) {
+            if (notRenewed.count({ name, task.start.epoch() }))
+                continue;
             task.leaseEnds = std::max(task.leaseEnds, sent->second + std::chrono::milliseconds(renew.lease_ms()));
+        }
         m_sentAt.erase(m_sentAt.begin(), std::next(sent));
     }
     for (const auto& ended : renew.ended()) {
--- a/test/standin/worker.h
+++ b/test/standin/worker.h
@@ -108,6 +108,7 @@
     };
 
     void start(const rpc::StartTask& start);
+    void stop(const rpc::StopTask& stop, Task* running);
     void renew(const rpc::RenewLeases& renew);
     void advance();
 
