--- a/src/control/grants.cc
+++ b/src/control/grants.cc
@@ -22,12 +22,18 @@
         m_renewed[key] = now;
 }
 
-void GrantManager::renewed(const InstanceId& entry, const ControlState& state, TimePoint now)
+bool GrantManager::renewed(const InstanceId& entry, const ControlState& state, TimePoint now)
 {
+    for (const auto& [key, epoch] : m_expiring) {
+        const auto grant = state.grants().find(key);
+        if (key.second == entry && grant != state.grants().end() && grant->second.epoch() == epoch)
+            return false;
+    }
     for (const auto& [key, grant] : state.grants()) {
         if (key.second == entry)
             m_renewed[key] = now;
     }
+    return true;
 }
 
 std::vector<log::Grant> GrantManager::confirmed(
@@ -63,10 +69,14 @@
 std::vector<log::Grant> GrantManager::expired(const ControlState& state, TimePoint now)
 {
     std::vector<log::Grant> changes;
+    const auto isGone = [&](const auto& item) { return !state.grants().count(item.first); };
+    std::erase_if(m_renewed, isGone); // A later grant of the same entry must not start with an old time.
+    std::erase_if(m_expiring, isGone);
     for (const auto& [key, grant] : state.grants()) {
         m_renewed.try_emplace(key, now);
         if (!hasExpired(grant, now))
             continue;
+        m_expiring[key] = grant.epoch();
         changes.push_back(grant);
         changes.back().set_slots(0);
         changes.back().set_connections(0);
--- a/src/control/grants.h
+++ b/src/control/grants.h
@@ -40,8 +40,9 @@
     /// Grants in the state count as renewed at `now`, because a former leader may just have done so.
     GrantManager(GrantOptions options, const ControlState& state, TimePoint now);
 
-    /// The entry's grants are renewed by the reply to a heartbeat received at `now`.
-    void renewed(const InstanceId& entry, const ControlState& state, TimePoint now);
+    /// The entry's grants are renewed by the reply to a heartbeat received at `now`, unless the result is false: the
+    /// removal of an expired grant of the entry is on its way.
+    bool renewed(const InstanceId& entry, const ControlState& state, TimePoint now);
     /// Reductions that the entry confirms with this heartbeat.
     std::vector<log::Grant> confirmed(
         const peer::wire::EntryHeartbeatT& heartbeat, const ControlState& state, Index appliedVersion) const;
@@ -59,6 +60,7 @@
     GrantOptions m_options;
     decision::GrantPolicy m_policy;
     std::map<GrantKey, TimePoint> m_renewed;
+    std::map<GrantKey, uint64_t> m_expiring; ///< Epochs of expired grants whose removal was proposed.
     Epoch m_nextEpoch;
 };
 
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -98,7 +98,7 @@
             restored.endedTasks.push_back(task);
     }
     for (const auto& [index, job] : byArrival)
-        run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->job) }, now));
+        run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->job), true }, now));
     for (const auto& [task, placement] : state.placements()) {
         const auto worker = state.workers().find(WorkerId(placement.worker()));
         const auto job = state.jobs().find(jobOf(task));
@@ -169,6 +169,8 @@
         log::ControlCommand command;
         command.mutable_placements()->Swap(&m_newPlacements);
         m_newPlacements.Clear();
+        for (const auto& placement : command.placements().placements())
+            m_placementsProposed.emplace(TaskId(placement.task()), Epoch { placement.epoch() });
         m_hooks.propose(std::move(command), [this](const absl::Status&) { m_needsRebuild = true; });
     }
     if (m_newJobEnds.ends_size() > 0) {
@@ -239,6 +241,25 @@
     }
 }
 
+rpc::WorkerCommand Leader::stopCommand(const log::Placement& placement) const
+{
+    rpc::WorkerCommand command;
+    command.mutable_stop()->set_task(placement.task());
+    command.mutable_stop()->set_epoch(placement.epoch());
+    return command;
+}
+
+bool Leader::mayStart(const ControlState& state, const log::Placement& placement) const
+{
+    const TaskId task(placement.task());
+    const auto job = state.jobs().find(jobOf(task));
+    const auto wanted = m_wantedCommands.find({ task, Epoch { placement.epoch() } });
+    const bool isStopWanted
+        = wanted != m_wantedCommands.end() && (wanted->second.has_stop() || wanted->second.has_checkpoint());
+    return !isStopWanted && job != state.jobs().end() && !job->second.isCancelled && !job->second.hasEnded
+        && state.takesTasks(WorkerId(placement.worker()));
+}
+
 rpc::WorkerCommand Leader::startCommand(const ControlState& state, const log::Placement& placement) const
 {
     rpc::WorkerCommand command;
@@ -258,6 +279,13 @@
 void Leader::appliedPlacements(
     const ControlState& state, const log::Placements& proposed, const std::string& result, TimePoint now)
 {
+    for (const auto& placement : proposed.placements()) {
+        // Left by an earlier leader: the engine does not know it and could place the task a second time.
+        if (m_placementsProposed.erase({ TaskId(placement.task()), Epoch { placement.epoch() } }) == 0)
+            m_needsRebuild = true;
+    }
+    if (m_needsRebuild)
+        return;
     log::Placements accepted;
     accepted.ParseFromString(result);
     std::set<std::pair<std::string, uint64_t>> acceptedKeys;
@@ -268,7 +296,7 @@
             m_wantedCommands.lower_bound({ task, Epoch { placement.epoch() } }));
         acceptedKeys.emplace(placement.task(), placement.epoch());
         const auto worker = m_workers.find(WorkerId(placement.worker()));
-        if (worker == m_workers.end() || worker->second.entry.empty())
+        if (worker == m_workers.end() || worker->second.entry.empty() || !mayStart(state, placement))
             continue;
         starts[worker->second.entry][worker->first].push_back(startCommand(state, placement));
     }
@@ -300,17 +328,16 @@
         m_factsProposed.erase(id);
         const auto& standing = state.workers().at(id);
         auto& info = m_workers[id];
+        if (info.incarnation != standing.incarnation())
+            info.sequence = 0; // A restarted worker counts its reports from the start.
         info.incarnation = standing.incarnation();
         info.lastReport = now;
         info.isLost = false;
         run(state,
             m_engine.handle(
                 decision::WorkerAnnounced { workerFromRpc(standing), Incarnation { standing.incarnation() } }, now));
-        if (standing.leaving() != info.isLeaving || standing.leaving()) {
-            info.isLeaving = standing.leaving();
-            run(state,
-                m_engine.handle(decision::WorkerDraining { id, info.isLeaving || state.drained().count(id) > 0 }, now));
-        }
+        info.isLeaving = standing.leaving();
+        run(state, m_engine.handle(decision::WorkerDraining { id, !state.takesTasks(id) }, now));
     }
 }
 
@@ -350,9 +377,8 @@
             reply.commands.push_back(std::move(sent));
         }
     }
-    m_grants.renewed(id, state, now);
     reply.term = m_options.term.value;
-    reply.renewed = true;
+    reply.renewed = m_grants.renewed(id, state, now);
     reply.grants_version = state.grantsVersion().value;
     if (heartbeat.grants_version != reply.grants_version) {
         log::GrantChanges grants;
@@ -487,20 +513,21 @@
         }
         const auto wanted = m_wantedCommands.find({ TaskId(task.task()), Epoch { task.epoch() } });
         if (!isCurrent) {
-            rpc::WorkerCommand stop;
-            stop.mutable_stop()->set_task(task.task());
-            stop.mutable_stop()->set_epoch(task.epoch());
-            commands.push_back(std::move(stop));
+            log::Placement former;
+            former.set_task(task.task());
+            former.set_epoch(task.epoch());
+            commands.push_back(stopCommand(former));
         } else if (wanted != m_wantedCommands.end()) {
             commands.push_back(wanted->second);
         }
     }
-    // A start may have been lost on its way. The worker ignores a start whose epoch it has seen.
+    // A start may have been lost on its way. The worker ignores a start whose epoch it has seen. A task that must not
+    // start any more is stopped instead, which fences its epoch and has the worker confirm the end.
     for (const auto& task : state.tasksOn(WorkerId(report.worker()))) {
         const auto& placement = state.placements().at(task);
         if (!reported.count({ task.str(), placement.epoch() })
             && placement.worker_incarnation() == report.incarnation())
-            commands.push_back(startCommand(state, placement));
+            commands.push_back(mayStart(state, placement) ? startCommand(state, placement) : stopCommand(placement));
     }
     fenceCommands(state, WorkerId(report.worker()), commands);
     commands.push_back(std::move(renew));
@@ -553,15 +580,30 @@
 void Leader::loseSilentWorkers(const ControlState& state, TimePoint now)
 {
     for (auto& [id, info] : m_workers) {
+        if (info.isLost && !info.isAbandoned && now - info.lostAt >= m_options.taskLease)
+            abandonTasks(state, id);
         if (info.isLost || now - info.lastReport < m_options.workerLost)
             continue;
         info.isLost = true;
+        info.isAbandoned = false;
+        info.lostAt = now;
         info.entry = InstanceId();
         logState("control", "worker is lost", { { "worker", id.str() } });
         run(state, m_engine.handle(decision::WorkerLost { id }, now));
     }
 }
 
+/// The engine gives up the tasks of a worker that is lost for longer than their leases. If the worker returns before
+/// they are placed anew, it must not be given the former starts.
+void Leader::abandonTasks(const ControlState& state, const WorkerId& worker)
+{
+    m_workers[worker].isAbandoned = true;
+    for (const auto& task : state.tasksOn(worker)) {
+        const auto& placement = state.placements().at(task);
+        m_wantedCommands[{ task, Epoch { placement.epoch() } }] = stopCommand(placement);
+    }
+}
+
 void Leader::tick(const ControlState& state, TimePoint now)
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -65,6 +65,8 @@
         uint64_t sequence = 0; ///< Of the last report.
         TimePoint lastReport;
         bool isLost = false;
+        TimePoint lostAt;
+        bool isAbandoned = false; ///< Lost for longer than the leases of its tasks.
         bool isLeaving = false;
         InstanceId entry; ///< That holds the worker's stream.
         std::set<std::pair<TaskId, Epoch>> running; ///< Last reported.
@@ -89,6 +91,9 @@
     void loseSilentWorkers(const ControlState& state, TimePoint now);
     void proposeGrants(std::vector<log::Grant> changes);
     void fillState(const ControlState& state, peer::wire::EntryHeartbeatReplyT& reply) const;
+    void abandonTasks(const ControlState& state, const WorkerId& worker);
+    bool mayStart(const ControlState& state, const log::Placement& placement) const;
+    rpc::WorkerCommand stopCommand(const log::Placement& placement) const;
     rpc::WorkerCommand startCommand(const ControlState& state, const log::Placement& placement) const;
 
     LeaderOptions m_options;
@@ -103,6 +108,7 @@
         m_wantedCommands; ///< Stop, checkpoint, throttle; resent until done.
     std::set<std::pair<TaskId, Epoch>> m_endsProposed;
     log::Placements m_newPlacements;
+    std::set<std::pair<TaskId, Epoch>> m_placementsProposed; ///< Not applied yet.
     log::JobEnds m_newJobEnds;
     std::set<WorkerId> m_factsProposed;
     bool m_grantsProposed = false;
--- a/src/control/state.cc
+++ b/src/control/state.cc
@@ -198,6 +198,12 @@
     return found == m_tasksByWorker.end() ? none : found->second;
 }
 
+bool ControlState::takesTasks(const WorkerId& worker) const
+{
+    const auto known = m_workers.find(worker);
+    return !m_drained.count(worker) && (known == m_workers.end() || !known->second.leaving());
+}
+
 void ControlState::place(const log::Placement& placement)
 {
     const TaskId task(placement.task());
@@ -231,7 +237,13 @@
         const auto standing = m_placements.find(task);
         if (standing != m_placements.end() && standing->second.epoch() >= placement.epoch())
             continue;
+        const WorkerId id(placement.worker());
+        const auto worker = m_workers.find(id);
+        if (!takesTasks(id)
+            || (worker != m_workers.end() && worker->second.incarnation() != placement.worker_incarnation()))
+            continue;
         place(placement);
+        job->second.wasPlaced = true;
         *result.add_placements() = placement;
     }
     return result;
@@ -246,6 +258,8 @@
             continue;
         unplace(task);
         const auto job = m_jobs.find(jobOf(task));
+        if (job != m_jobs.end() && end.state() != rpc::TASK_STOPPED)
+            job->second.hasRun = true;
         if (job != m_jobs.end() && end.state() == rpc::TASK_FINISHED)
             job->second.endedTasks[task] = end;
     }
@@ -303,6 +317,9 @@
             continue;
         job->second.hasEnded = true;
         job->second.outcome = end.outcome();
+        // A leader that took over does not know of starts that ended before.
+        if (job->second.wasPlaced && end.outcome() == rpc::NOT_RUN)
+            job->second.outcome = job->second.hasRun ? rpc::RAN : rpc::UNKNOWN;
         job->second.reason = end.reason();
         const TaskId first(end.job() + ".");
         for (auto it = m_placements.lower_bound(first); it != m_placements.end() && jobOf(it->first) == job->first;)
@@ -334,6 +351,8 @@
         *job.mutable_job() = record.job;
         job.set_sequence(record.sequence.value);
         job.set_cancelled(record.isCancelled);
+        job.set_placed(record.wasPlaced);
+        job.set_ran(record.hasRun);
         job.set_ended(record.hasEnded);
         job.set_outcome(record.outcome);
         job.set_reason(record.reason);
@@ -373,8 +392,14 @@
         m_workers[WorkerId(worker.worker())] = worker;
     for (const auto& job : snapshot.jobs()) {
         auto& record = m_jobs[JobId(job.job().name())];
-        record = JobRecord { job.job(), Index { job.sequence() }, job.cancelled(), job.ended(), job.outcome(),
-            job.reason(), {} };
+        record.job = job.job();
+        record.sequence = Index { job.sequence() };
+        record.isCancelled = job.cancelled();
+        record.hasEnded = job.ended();
+        record.outcome = job.outcome();
+        record.reason = job.reason();
+        record.wasPlaced = job.placed();
+        record.hasRun = job.ran();
         for (const auto& end : job.ended_tasks())
             record.endedTasks[TaskId(end.task())] = end;
     }
--- a/src/control/state.h
+++ b/src/control/state.h
@@ -18,6 +18,8 @@
     Index sequence; ///< Log index of the submission; the order of arrival.
     bool isCancelled = false;
     bool hasEnded = false;
+    bool wasPlaced = false; ///< A task was placed at least once and may have run.
+    bool hasRun = false; ///< The end of a run was recorded.
     rpc::Outcome outcome = rpc::UNKNOWN;
     std::string reason;
     std::map<TaskId, log::TaskEnd> endedTasks; ///< Finished tasks; they do not run again.
@@ -47,6 +49,8 @@
     const std::map<GrantKey, log::Grant>& grants() const { return m_grants; }
     const std::map<WorkerId, rpc::WorkerReport>& workers() const { return m_workers; }
     const std::set<WorkerId>& drained() const { return m_drained; }
+    /// False for a drained or leaving worker.
+    bool takesTasks(const WorkerId& worker) const;
     uint64_t configVersion() const { return m_configVersion; }
     const std::string& config() const { return m_config; }
     Epoch nextEpoch() const { return m_nextEpoch; }
--- a/test/control-leader-test.cc
+++ b/test/control-leader-test.cc
@@ -1,4 +1,4 @@
-#include "control-fakes.h"
+#include "control-fake-world.h"
 
 #include <catch2/catch.hpp>
 
