Anchor the leases of starts and do not renew expiring grants

Cause: a start held up on its way (a paused worker or entry) began its lease at its receipt, after control had given up the task, so that the task ran on two workers or after the end of its cancelled job.

--- a/src/control/grants.cc
+++ b/src/control/grants.cc
@@ -36,6 +36,12 @@
     return true;
 }
 
+bool GrantManager::isExpiring(const log::Grant& grant) const
+{
+    const auto found = m_expiring.find({ WorkerId(grant.worker()), InstanceId(grant.entry()) });
+    return found != m_expiring.end() && found->second == grant.epoch();
+}
+
 std::vector<log::Grant> GrantManager::confirmed(
     const peer::wire::EntryHeartbeatT& heartbeat, const ControlState& state, Index appliedVersion) const
 {
--- a/src/control/grants.h
+++ b/src/control/grants.h
@@ -43,6 +43,8 @@
     /// The entry's grants are renewed by the reply to a heartbeat received at `now`, unless the result is false: the
     /// removal of an expired grant of the entry is on its way.
     bool renewed(const InstanceId& entry, const ControlState& state, TimePoint now);
+    /// The grant has expired and its removal was proposed: the entry must not take it up again.
+    bool isExpiring(const log::Grant& grant) const;
     /// Reductions that the entry confirms with this heartbeat.
     std::vector<log::Grant> confirmed(
         const peer::wire::EntryHeartbeatT& heartbeat, const ControlState& state, Index appliedVersion) const;
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -270,6 +270,8 @@
     start.set_lease_ms(static_cast<uint32_t>(m_options.taskLease.count()));
     start.set_checkpoint(placement.checkpoint());
     start.set_worker_incarnation(placement.worker_incarnation());
+    const auto worker = m_workers.find(WorkerId(placement.worker()));
+    start.set_sequence(worker == m_workers.end() ? 0 : worker->second.sequence);
     const auto job = state.jobs().find(jobOf(TaskId(placement.task())));
     if (job != state.jobs().end())
         start.set_command(job->second.job.command());
@@ -383,7 +385,7 @@
     if (heartbeat.grants_version != reply.grants_version) {
         log::GrantChanges grants;
         for (const auto& [key, grant] : state.grants()) {
-            if (key.second == id && grant.slots() > 0)
+            if (key.second == id && grant.slots() > 0 && !m_grants.isExpiring(grant))
                 *grants.add_grants() = grant;
         }
         reply.grants = toBytes(grants);
