--- a/src/control/convert.cc
+++ b/src/control/convert.cc
@@ -60,7 +60,7 @@
 decision::Placement placementFromLog(const log::Placement& placement)
 {
     return { TaskId(placement.task()), WorkerId(placement.worker()), Epoch { placement.epoch() },
-        fromRpc(placement.limit()) };
+        fromRpc(placement.limit()), Incarnation { placement.worker_incarnation() } };
 }
 
 rpc::Outcome toRpc(Outcome outcome) { return static_cast<rpc::Outcome>(outcome); }
--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -75,16 +75,15 @@
 void Leader::rebuildEngine(const ControlState& state, TimePoint now)
 {
     for (const auto& [id, team] : state.teams())
-        run(state, m_engine.handle(decision::TeamChanged { teamFromRpc(team) }, now));
+        run(m_engine.handle(decision::TeamChanged { teamFromRpc(team) }, now));
     for (const auto& [id, policy] : state.policies())
-        run(state, m_engine.handle(decision::PolicyChanged { policyFromRpc(policy) }, now));
+        run(m_engine.handle(decision::PolicyChanged { policyFromRpc(policy) }, now));
     for (const auto& [id, worker] : state.workers()) {
         m_workers[id] = { .incarnation = worker.incarnation(), .lastReport = now, .isLeaving = worker.leaving() };
-        run(state,
-            m_engine.handle(
-                decision::WorkerAnnounced { workerFromRpc(worker), Incarnation { worker.incarnation() } }, now));
+        run(m_engine.handle(
+            decision::WorkerAnnounced { workerFromRpc(worker), Incarnation { worker.incarnation() } }, now));
         if (worker.leaving() || state.drained().count(id))
-            run(state, m_engine.handle(decision::WorkerDraining { id, true }, now));
+            run(m_engine.handle(decision::WorkerDraining { id, true }, now));
     }
     std::map<Index, const JobRecord*> byArrival;
     decision::Restored restored;
@@ -98,30 +97,27 @@
             restored.endedTasks.push_back(task);
     }
     for (const auto& [index, job] : byArrival)
-        run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->job) }, now));
+        run(m_engine.handle(decision::JobSubmitted { jobFromRpc(job->job), true }, now));
     for (const auto& [task, placement] : state.placements()) {
-        const auto worker = state.workers().find(WorkerId(placement.worker()));
         const auto job = state.jobs().find(jobOf(task));
-        const bool mayRun
-            = worker != state.workers().end() && worker->second.incarnation() == placement.worker_incarnation();
-        if (mayRun && job != state.jobs().end() && !job->second.hasEnded)
+        if (job != state.jobs().end() && !job->second.hasEnded)
             restored.placements.push_back(placementFromLog(placement));
     }
-    run(state, m_engine.handle(restored, now));
+    run(m_engine.handle(restored, now));
     for (const auto& [index, job] : byArrival) {
         if (job->isCancelled)
-            run(state, m_engine.handle(decision::JobCancelled { JobId(job->job.name()) }, now));
+            run(m_engine.handle(decision::JobCancelled { JobId(job->job.name()) }, now));
     }
-    flush(state);
+    flush();
 }
 
-void Leader::run(const ControlState& state, const decision::Actions& actions)
+void Leader::run(const decision::Actions& actions)
 {
     for (const auto& action : actions)
-        carryOut(state, action);
+        carryOut(action);
 }
 
-void Leader::carryOut(const ControlState& state, const decision::Action& action)
+void Leader::carryOut(const decision::Action& action)
 {
     if (const auto* place = std::get_if<decision::PlaceTask>(&action)) {
         auto& placement = *m_newPlacements.add_placements();
@@ -130,8 +126,7 @@
         placement.set_epoch(place->placement.epoch.value);
         *placement.mutable_limit() = toRpc(place->placement.limit);
         placement.set_checkpoint(place->checkpoint);
-        const auto worker = state.workers().find(place->placement.worker);
-        placement.set_worker_incarnation(worker == state.workers().end() ? 0 : worker->second.incarnation());
+        placement.set_worker_incarnation(place->placement.incarnation.value);
     } else if (const auto* stop = std::get_if<decision::StopTask>(&action)) {
         auto& command = m_wantedCommands[{ stop->task, stop->epoch }];
         command.mutable_stop()->set_task(stop->task.str());
@@ -163,12 +158,14 @@
     }
 }
 
-void Leader::flush(const ControlState&)
+void Leader::flush()
 {
     if (m_newPlacements.placements_size() > 0) {
         log::ControlCommand command;
         command.mutable_placements()->Swap(&m_newPlacements);
         m_newPlacements.Clear();
+        for (const auto& placement : command.placements().placements())
+            m_placementsProposed.emplace(TaskId(placement.task()), Epoch { placement.epoch() });
         m_hooks.propose(std::move(command), [this](const absl::Status&) { m_needsRebuild = true; });
     }
     if (m_newJobEnds.ends_size() > 0) {
@@ -190,7 +187,7 @@
         appliedPlacements(state, command.placements(), result, now);
         break;
     case log::ControlCommand::kTaskEnds:
-        appliedTaskEnds(state, command.task_ends(), now);
+        appliedTaskEnds(command.task_ends(), now);
         break;
     case log::ControlCommand::kWorkers:
         appliedWorkers(state, command.workers(), now);
@@ -208,7 +205,7 @@
     case log::ControlCommand::COMMAND_NOT_SET:
         break;
     }
-    flush(state);
+    flush();
 }
 
 void Leader::appliedOperate(const ControlState& state, const rpc::OperateRequest& request, TimePoint now)
@@ -217,19 +214,19 @@
     if (request.has_put_team()) {
         const auto team = state.teams().find(TeamId(request.put_team().name()));
         if (team != state.teams().end())
-            run(state, m_engine.handle(decision::TeamChanged { teamFromRpc(team->second) }, now));
+            run(m_engine.handle(decision::TeamChanged { teamFromRpc(team->second) }, now));
     } else if (request.has_put_policy()) {
         const auto policy = state.policies().find(PolicyId(request.put_policy().name()));
         if (policy != state.policies().end())
-            run(state, m_engine.handle(decision::PolicyChanged { policyFromRpc(policy->second) }, now));
+            run(m_engine.handle(decision::PolicyChanged { policyFromRpc(policy->second) }, now));
     } else if (request.has_submit_job()) {
         const auto job = state.jobs().find(JobId(request.submit_job().name()));
         if (job != state.jobs().end() && m_knownJobs.insert(job->first).second)
-            run(state, m_engine.handle(decision::JobSubmitted { jobFromRpc(job->second.job) }, now));
+            run(m_engine.handle(decision::JobSubmitted { jobFromRpc(job->second.job) }, now));
     } else if (request.command_case() == rpc::OperateRequest::kCancelJob) {
         const auto job = state.jobs().find(JobId(request.cancel_job()));
         if (job != state.jobs().end() && job->second.isCancelled && !job->second.hasEnded)
-            run(state, m_engine.handle(decision::JobCancelled { job->first }, now));
+            run(m_engine.handle(decision::JobCancelled { job->first }, now));
     } else if (request.command_case() == rpc::OperateRequest::kDrainWorker
         || request.command_case() == rpc::OperateRequest::kUndrainWorker) {
         const bool isDrain = request.command_case() == rpc::OperateRequest::kDrainWorker;
@@ -237,10 +234,29 @@
         const auto known = state.workers().find(worker);
         const bool draining
             = state.drained().count(worker) || (known != state.workers().end() && known->second.leaving());
-        run(state, m_engine.handle(decision::WorkerDraining { worker, draining }, now));
+        run(m_engine.handle(decision::WorkerDraining { worker, draining }, now));
     }
 }
 
+rpc::WorkerCommand Leader::stopCommand(const log::Placement& placement) const
+{
+    rpc::WorkerCommand command;
+    command.mutable_stop()->set_task(placement.task());
+    command.mutable_stop()->set_epoch(placement.epoch());
+    return command;
+}
+
+bool Leader::mayStart(const ControlState& state, const log::Placement& placement) const
+{
+    const TaskId task(placement.task());
+    const auto job = state.jobs().find(jobOf(task));
+    const auto wanted = m_wantedCommands.find({ task, Epoch { placement.epoch() } });
+    const bool isStopWanted
+        = wanted != m_wantedCommands.end() && (wanted->second.has_stop() || wanted->second.has_checkpoint());
+    return !isStopWanted && job != state.jobs().end() && !job->second.isCancelled && !job->second.hasEnded
+        && state.takesTasks(WorkerId(placement.worker()));
+}
+
 rpc::WorkerCommand Leader::startCommand(const ControlState& state, const log::Placement& placement) const
 {
     rpc::WorkerCommand command;
@@ -251,6 +267,8 @@
     start.set_lease_ms(static_cast<uint32_t>(m_options.taskLease.count()));
     start.set_checkpoint(placement.checkpoint());
     start.set_worker_incarnation(placement.worker_incarnation());
+    const auto worker = m_workers.find(WorkerId(placement.worker()));
+    start.set_sequence(worker == m_workers.end() ? 0 : worker->second.sequence);
     const auto job = state.jobs().find(jobOf(TaskId(placement.task())));
     if (job != state.jobs().end())
         start.set_command(job->second.job.command());
@@ -260,6 +278,13 @@
 void Leader::appliedPlacements(
     const ControlState& state, const log::Placements& proposed, const std::string& result, TimePoint now)
 {
+    for (const auto& placement : proposed.placements()) {
+        // Left by an earlier leader: the engine does not know it and could place the task a second time.
+        if (m_placementsProposed.erase({ TaskId(placement.task()), Epoch { placement.epoch() } }) == 0)
+            m_needsRebuild = true;
+    }
+    if (m_needsRebuild)
+        return;
     log::Placements accepted;
     accepted.ParseFromString(result);
     std::set<std::pair<std::string, uint64_t>> acceptedKeys;
@@ -270,28 +295,26 @@
             m_wantedCommands.lower_bound({ task, Epoch { placement.epoch() } }));
         acceptedKeys.emplace(placement.task(), placement.epoch());
         const auto worker = m_workers.find(WorkerId(placement.worker()));
-        if (worker == m_workers.end() || worker->second.entry.empty())
+        if (worker == m_workers.end() || worker->second.entry.empty() || !mayStart(state, placement))
             continue;
         starts[worker->second.entry][worker->first].push_back(startCommand(state, placement));
     }
     for (const auto& placement : proposed.placements()) {
         if (!acceptedKeys.count({ placement.task(), placement.epoch() }))
-            run(state,
-                m_engine.handle(
-                    decision::PlacementRefused { TaskId(placement.task()), Epoch { placement.epoch() } }, now));
+            run(m_engine.handle(
+                decision::PlacementRefused { TaskId(placement.task()), Epoch { placement.epoch() } }, now));
     }
     for (auto& [entry, commands] : starts)
         m_hooks.push(entry, std::move(commands));
 }
 
-void Leader::appliedTaskEnds(const ControlState& state, const log::TaskEnds& ends, TimePoint now)
+void Leader::appliedTaskEnds(const log::TaskEnds& ends, TimePoint now)
 {
     for (const auto& end : ends.ends()) {
         const std::pair key { TaskId(end.task()), Epoch { end.epoch() } };
         m_endsProposed.erase(key);
         m_wantedCommands.erase(key);
-        run(state,
-            m_engine.handle(decision::TaskEnded { key.first, key.second, endOf(end.state()), end.reason() }, now));
+        run(m_engine.handle(decision::TaskEnded { key.first, key.second, endOf(end.state()), end.reason() }, now));
     }
 }
 
@@ -302,17 +325,15 @@
         m_factsProposed.erase(id);
         const auto& standing = state.workers().at(id);
         auto& info = m_workers[id];
+        if (info.incarnation != standing.incarnation())
+            info.sequence = 0; // A restarted worker counts its reports from the start.
         info.incarnation = standing.incarnation();
         info.lastReport = now;
         info.isLost = false;
-        run(state,
-            m_engine.handle(
-                decision::WorkerAnnounced { workerFromRpc(standing), Incarnation { standing.incarnation() } }, now));
-        if (standing.leaving() != info.isLeaving || standing.leaving()) {
-            info.isLeaving = standing.leaving();
-            run(state,
-                m_engine.handle(decision::WorkerDraining { id, info.isLeaving || state.drained().count(id) > 0 }, now));
-        }
+        run(m_engine.handle(
+            decision::WorkerAnnounced { workerFromRpc(standing), Incarnation { standing.incarnation() } }, now));
+        info.isLeaving = standing.leaving();
+        run(m_engine.handle(decision::WorkerDraining { id, !state.takesTasks(id) }, now));
     }
 }
 
@@ -352,14 +373,13 @@
             reply.commands.push_back(std::move(sent));
         }
     }
-    m_grants.renewed(id, state, now);
     reply.term = m_options.term.value;
-    reply.renewed = true;
+    reply.renewed = m_grants.renewed(id, state, now);
     reply.grants_version = state.grantsVersion().value;
     if (heartbeat.grants_version != reply.grants_version) {
         log::GrantChanges grants;
         for (const auto& [key, grant] : state.grants()) {
-            if (key.second == id && grant.slots() > 0)
+            if (key.second == id && grant.slots() > 0 && !m_grants.isExpiring(grant))
                 *grants.add_grants() = grant;
         }
         reply.grants = toBytes(grants);
@@ -367,7 +387,7 @@
     reply.state_version = state.sharedVersion().value;
     if (heartbeat.state_version != reply.state_version)
         fillState(state, reply);
-    flush(state);
+    flush();
 }
 
 void Leader::fillState(const ControlState& state, peer::wire::EntryHeartbeatReplyT& reply) const
@@ -404,11 +424,10 @@
     if (info.isLost) {
         info.isLost = false;
         logState("control", "worker is heard again", { { "worker", id.str() } });
-        run(state,
-            m_engine.handle(
-                decision::WorkerAnnounced { workerFromRpc(facts->second), Incarnation { report.incarnation() } }, now));
+        run(m_engine.handle(
+            decision::WorkerAnnounced { workerFromRpc(facts->second), Incarnation { report.incarnation() } }, now));
         if (facts->second.leaving() || state.drained().count(id))
-            run(state, m_engine.handle(decision::WorkerDraining { id, true }, now));
+            run(m_engine.handle(decision::WorkerDraining { id, true }, now));
     }
     confirmFences(state, report);
     reportTasks(state, report, now);
@@ -442,10 +461,9 @@
             if (!isCurrent)
                 continue;
             usage.usage.push_back({ key.first, key.second, fromRpc(task.usage()) });
-            run(state, m_engine.handle(decision::TaskStarted { key.first, key.second }, now));
+            run(m_engine.handle(decision::TaskStarted { key.first, key.second }, now));
             if (task.checkpoint() > 0)
-                run(state,
-                    m_engine.handle(decision::TaskCheckpointed { key.first, key.second, task.checkpoint() }, now));
+                run(m_engine.handle(decision::TaskCheckpointed { key.first, key.second, task.checkpoint() }, now));
         } else if (isCurrent && m_endsProposed.insert(key).second) {
             auto& end = *command.mutable_task_ends()->add_ends();
             end.set_task(task.task());
@@ -455,7 +473,7 @@
             end.set_checkpoint(task.checkpoint());
         }
     }
-    run(state, m_engine.handle(usage, now));
+    run(m_engine.handle(usage, now));
     if (command.task_ends().ends_size() > 0) {
         const auto ends = command.task_ends();
         m_hooks.propose(std::move(command), [this, ends](const absl::Status&) {
@@ -489,20 +507,27 @@
         }
         const auto wanted = m_wantedCommands.find({ TaskId(task.task()), Epoch { task.epoch() } });
         if (!isCurrent) {
-            rpc::WorkerCommand stop;
-            stop.mutable_stop()->set_task(task.task());
-            stop.mutable_stop()->set_epoch(task.epoch());
-            commands.push_back(std::move(stop));
+            log::Placement former;
+            former.set_task(task.task());
+            former.set_epoch(task.epoch());
+            commands.push_back(stopCommand(former));
         } else if (wanted != m_wantedCommands.end()) {
             commands.push_back(wanted->second);
         }
+        // The engine counts the lease of a task that it stops from the last renewal before.
+        if (!isCurrent || (wanted != m_wantedCommands.end() && !wanted->second.has_throttle())) {
+            auto& stopping = *renew.mutable_renew()->add_not_renewed();
+            stopping.set_task(task.task());
+            stopping.set_epoch(task.epoch());
+        }
     }
-    // A start may have been lost on its way. The worker ignores a start whose epoch it has seen.
+    // A start may have been lost on its way. The worker ignores a start whose epoch it has seen. A task that must not
+    // start any more is stopped instead, which fences its epoch and has the worker confirm the end.
     for (const auto& task : state.tasksOn(WorkerId(report.worker()))) {
         const auto& placement = state.placements().at(task);
         if (!reported.count({ task.str(), placement.epoch() })
             && placement.worker_incarnation() == report.incarnation())
-            commands.push_back(startCommand(state, placement));
+            commands.push_back(mayStart(state, placement) ? startCommand(state, placement) : stopCommand(placement));
     }
     fenceCommands(state, WorkerId(report.worker()), commands);
     commands.push_back(std::move(renew));
@@ -555,12 +580,27 @@
 void Leader::loseSilentWorkers(const ControlState& state, TimePoint now)
 {
     for (auto& [id, info] : m_workers) {
+        if (info.isLost && !info.isAbandoned && now - info.lostAt >= m_options.taskLease)
+            abandonTasks(state, id);
         if (info.isLost || now - info.lastReport < m_options.workerLost)
             continue;
         info.isLost = true;
+        info.isAbandoned = false;
+        info.lostAt = now;
         info.entry = InstanceId();
         logState("control", "worker is lost", { { "worker", id.str() } });
-        run(state, m_engine.handle(decision::WorkerLost { id }, now));
+        run(m_engine.handle(decision::WorkerLost { id }, now));
+    }
+}
+
+/// The engine gives up the tasks of a worker that is lost for longer than their leases. If the worker returns before
+/// they are placed anew, it must not be given the former starts.
+void Leader::abandonTasks(const ControlState& state, const WorkerId& worker)
+{
+    m_workers[worker].isAbandoned = true;
+    for (const auto& task : state.tasksOn(worker)) {
+        const auto& placement = state.placements().at(task);
+        m_wantedCommands[{ task, Epoch { placement.epoch() } }] = stopCommand(placement);
     }
 }
 
@@ -575,14 +615,14 @@
         }
     }
     loseSilentWorkers(state, now);
-    run(state, m_engine.tick(now));
+    run(m_engine.tick(now));
     // A new leader hears from the entries first; otherwise it would take the grants of all of them for abandoned.
     const bool hasHeardEntries = now - m_startedAt > m_options.grants.entryLost || state.grants().empty();
     if (!m_grantsProposed && hasHeardEntries && now - m_grantsPlanned >= grantPlanInterval) {
         m_grantsPlanned = now;
         proposeGrants(m_grants.plan(state, m_entries, now));
     }
-    flush(state);
+    flush();
 }
 
 bool Leader::isLost(const WorkerId& worker) const
--- a/src/control/leader.h
+++ b/src/control/leader.h
@@ -65,19 +65,21 @@
         uint64_t sequence = 0; ///< Of the last report.
         TimePoint lastReport;
         bool isLost = false;
+        TimePoint lostAt;
+        bool isAbandoned = false; ///< Lost for longer than the leases of its tasks.
         bool isLeaving = false;
         InstanceId entry; ///< That holds the worker's stream.
         std::set<std::pair<TaskId, Epoch>> running; ///< Last reported.
     };
 
     void rebuildEngine(const ControlState& state, TimePoint now);
-    void run(const ControlState& state, const decision::Actions& actions);
-    void carryOut(const ControlState& state, const decision::Action& action);
-    void flush(const ControlState& state);
+    void run(const decision::Actions& actions);
+    void carryOut(const decision::Action& action);
+    void flush();
     void appliedOperate(const ControlState& state, const rpc::OperateRequest& request, TimePoint now);
     void appliedPlacements(
         const ControlState& state, const log::Placements& proposed, const std::string& result, TimePoint now);
-    void appliedTaskEnds(const ControlState& state, const log::TaskEnds& ends, TimePoint now);
+    void appliedTaskEnds(const log::TaskEnds& ends, TimePoint now);
     void appliedWorkers(const ControlState& state, const log::WorkerFacts& facts, TimePoint now);
     void report(const ControlState& state, const InstanceId& entry, const rpc::WorkerReport& report, TimePoint now);
     void noteFacts(const ControlState& state, const rpc::WorkerReport& report);
@@ -89,6 +91,9 @@
     void loseSilentWorkers(const ControlState& state, TimePoint now);
     void proposeGrants(std::vector<log::Grant> changes);
     void fillState(const ControlState& state, peer::wire::EntryHeartbeatReplyT& reply) const;
+    void abandonTasks(const ControlState& state, const WorkerId& worker);
+    bool mayStart(const ControlState& state, const log::Placement& placement) const;
+    rpc::WorkerCommand stopCommand(const log::Placement& placement) const;
     rpc::WorkerCommand startCommand(const ControlState& state, const log::Placement& placement) const;
 
     LeaderOptions m_options;
@@ -103,6 +108,7 @@
         m_wantedCommands; ///< Stop, checkpoint, throttle; resent until done.
     std::set<std::pair<TaskId, Epoch>> m_endsProposed;
     log::Placements m_newPlacements;
+    std::set<std::pair<TaskId, Epoch>> m_placementsProposed; ///< Not applied yet.
     log::JobEnds m_newJobEnds;
     std::set<WorkerId> m_factsProposed;
     bool m_grantsProposed = false;
