--- a/test/control-fake-world.h
+++ b/test/control-fake-world.h
@@ -152,7 +152,8 @@
     rpc::OperateRequest lastRequest;
     std::multimap<TimePoint, std::function<void()>> timers;
     std::vector<std::function<void()>> due; ///< Faults, run when no part is in the middle of a call.
-    int loseCommands = 0, lateCommands = 0, loseReports = 0, repeatReports = 0, loseProposals = 0, loseReplies = 0, commitUnknown = 0;
+    int loseCommands = 0, lateCommands = 0, loseReports = 0, repeatReports = 0, loseProposals = 0, loseReplies = 0,
+        commitUnknown = 0;
     int starts = 0;
 
 private:
--- a/test/control-fakes.h
+++ b/test/control-fakes.h
@@ -12,7 +12,22 @@
 
 using std::chrono::milliseconds;
 
-enum class Step { Announce, Place, Commit, Start, Report, TaskEnd, Stop, GrantNew, Grow, Shrink, Confirm, Release, Fence, JobEnd };
+enum class Step {
+    Announce,
+    Place,
+    Commit,
+    Start,
+    Report,
+    TaskEnd,
+    Stop,
+    GrantNew,
+    Grow,
+    Shrink,
+    Confirm,
+    Release,
+    Fence,
+    JobEnd
+};
 
 /// A worker as schema/worker.proto describes it.
 struct FakeWorker {
--- a/test/control-fault-matrix-test.cc
+++ b/test/control-fault-matrix-test.cc
@@ -45,10 +45,7 @@
     world.timers.emplace(world.now + span, std::move(action));
 }
 
-void pauseEntry(World& world, Duration span)
-{
-    world.entries[0].pausedUntil = world.now + span;
-}
+void pauseEntry(World& world, Duration span) { world.entries[0].pausedUntil = world.now + span; }
 
 void killEntry(World& world, Duration span)
 {
@@ -256,8 +253,8 @@
             const auto& b = steps[random() % steps.size()];
             const std::vector<Planned> plan { { a.step, 1 + int(random() % 4), &first },
                 { b.step, 1 + int(random() % 4), &second } };
-            tally.add(first.name + " at " + a.name + ", " + second.name + " at " + b.name + ", seed "
-                    + std::to_string(seed),
+            tally.add(
+                first.name + " at " + a.name + ", " + second.name + " at " + b.name + ", seed " + std::to_string(seed),
                 runCell(seed, plan));
         }
     }
