--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,7 @@
 cd "$(dirname "$0")/.."
 folder=${1:-build}
 shift || true
+scripts/install-packages.sh || exit 1
 scripts/build.sh "$folder" "$@" || exit 1
 known=""
 if [ -f KNOWN-RED.txt ]; then
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -58,8 +58,7 @@
     consensus::GroupHooks groupHooks()
     {
         consensus::GroupHooks hooks;
-        hooks.send
-            = [this](const InstanceId& to, consensus::Message message) { sendConsensus(to, std::move(message)); };
+        hooks.send = [this](const InstanceId& to, const consensus::Message& message) { sendConsensus(to, message); };
         hooks.apply = [this](Index index, std::string_view data) { return apply(index, data); };
         hooks.snapshot = [this] {
             std::lock_guard lock(m_mutex);
--- a/src/decision/engine-usage.cc
+++ b/src/decision/engine-usage.cc
@@ -85,11 +85,14 @@
         loads.push_back(loadOf(tables.at(task)));
     for (const auto& relief : planRelief(worker.capacity.unpack(), loads, bounds)) {
         const auto task = tables.findTask(relief.task);
-        if (relief.kind == Relief::Kind::Throttle)
+        if (relief.kind == Relief::Kind::Throttle) {
             throttle(task, relief.cpu);
-        else
-            requestStop(task, relief.reason,
-                tables.at(task).checkpoint > 0 ? preemptionOptions().checkpointTime : Duration { 0 });
+            continue;
+        }
+        // Counted like a preemption: a task that needs more than any worker has would be moved for ever.
+        ++tables.at(task).preemptions;
+        requestStop(
+            task, relief.reason, tables.at(task).checkpoint > 0 ? preemptionOptions().checkpointTime : Duration { 0 });
     }
 }
 
@@ -99,7 +102,8 @@
     TaskLoad out { tables.idOf(task), PackedResources(task.usedCpu, task.usedMemory, 0).unpack(), task.limit.unpack(),
         { task.memoryGrowth }, job.priority };
     out.canResume = task.checkpoint > 0;
-    out.movable = !task.stopping && (job.kind != JobKind::Service || spareReplicas(job) > 0);
+    out.movable = !task.stopping && task.preemptions < policies[job.policy].policy.maxPreemptions
+        && (job.kind != JobKind::Service || spareReplicas(job) > 0);
     return out;
 }
 
--- a/test/control-fault-matrix-test.cc
+++ b/test/control-fault-matrix-test.cc
@@ -241,6 +241,18 @@
     CHECK(tally.rows.empty());
 }
 
+// Guards against a task that is moved from worker to worker for ever because it needs more than any of them has.
+TEST_CASE("a task that needs more memory than any worker has still ends its job")
+{
+    const NamedFault fault { "sizes beyond every worker", [](World& w) { w.workerWithTask()->sizeFactor = 1.4; } };
+    Tally tally;
+    for (const auto& step : steps)
+        tally.add(fault.name + " at " + step.name, runCell(7, { { step.step, 1, &fault } }));
+    append(summary("Sizes beyond every worker (seed 7)", tally));
+    INFO(summary("failures", tally));
+    CHECK(tally.rows.empty());
+}
+
 TEST_CASE("pairs of faults break no invariant")
 {
     // All pairs at all pairs of steps are 112,896 cells; each pair of faults runs at steps drawn from a fixed seed.
