--- a/include/turmericpier/ledger/replica.h
+++ b/include/turmericpier/ledger/replica.h
@@ -35,6 +35,10 @@
     void receiveConsensus(const InstanceId& from, consensus::Message message);
     void submit(peer::Envelope envelope); ///< A body of type LedgerSubmit; the reply goes to the sender.
     void read(peer::Envelope envelope); ///< A body of type LedgerRead.
+    /// To be called about every second: asks another replica for outcomes that a snapshot named and that are missing
+    /// here.
+    void fillMissing();
+    void filled(const peer::Envelope& envelope); ///< A body of type LedgerReadReply that answers fillMissing().
     /// On the leader, claims that have had no outcome for at least `age`; empty on other replicas.
     std::vector<log::Claim> abandonedClaims(Duration age);
     std::string dump() const; ///< JSON object.
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -79,6 +79,7 @@
     {
         std::vector<log::Claim> claims;
         for (auto& [group, replica] : m_ledgers) {
+            replica->fillMissing();
             for (auto& claim : replica->abandonedClaims(age))
                 claims.push_back(std::move(claim));
         }
@@ -125,9 +126,11 @@
         case Body::Refusal:
         case Body::EntryHeartbeatReply:
         case Body::LedgerReply:
-        case Body::LedgerReadReply:
             m_entry->receive(std::move(envelope));
             break;
+        case Body::LedgerReadReply:
+            receiveLedgerPage(std::move(envelope));
+            break;
         case Body::NONE:
             m_metrics.counter("envelopes_without_body_total").increment();
             break;
@@ -165,6 +168,16 @@
             ledger->second->read(std::move(envelope));
     }
 
+    void receiveLedgerPage(peer::Envelope envelope)
+    {
+        const auto* body = envelope.body.AsLedgerReadReply();
+        const auto ledger = m_ledgers.find(GroupId(body->group));
+        if (!body->fills_replica)
+            m_entry->receive(std::move(envelope));
+        else if (ledger != m_ledgers.end())
+            ledger->second->filled(envelope);
+    }
+
     void refuse(const peer::Envelope& request)
     {
         const auto status = makeError(
--- a/src/ledger/replica.cc
+++ b/src/ledger/replica.cc
@@ -31,6 +31,8 @@
         , m_clock(clock)
         , m_send(std::move(send))
         , m_metrics(metrics)
+        , m_voters(settings.ledgerVoters.at(region))
+        , m_state(LedgerOptions { .folder = settings.dataFolder / (m_groupId.str() + "-records") })
     {
     }
 
@@ -118,9 +120,18 @@
 
     void read(const std::shared_ptr<peer::Envelope>& envelope)
     {
+        if (envelope->body.AsLedgerRead()->fills_replica) {
+            m_send(InstanceId(envelope->from), peer::replyTo(*envelope, page(*envelope->body.AsLedgerRead())));
+            return;
+        }
         m_group->read([this, envelope](const absl::Status& status) {
             if (!status.ok())
                 return refuse(*envelope, status);
+            if (isIncomplete())
+                return refuse(*envelope,
+                    makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "LEDGER_INCOMPLETE", "export",
+                                  m_self.str() },
+                        "this replica is still fetching older outcomes from another one"));
             m_send(InstanceId(envelope->from), peer::replyTo(*envelope, page(*envelope->body.AsLedgerRead())));
         });
     }
@@ -138,9 +149,59 @@
                 reply.next_index = results.results(results.results_size() - 1).outcome().index();
         }
         reply.results = toBytes(results.SerializeAsString());
+        reply.group = m_groupId.str();
+        reply.fills_replica = request.fills_replica;
         return reply;
     }
 
+    bool isIncomplete() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_state.missingAfter().has_value();
+    }
+
+    void fillMissing()
+    {
+        peer::wire::LedgerReadT request;
+        InstanceId source;
+        {
+            std::lock_guard lock(m_mutex);
+            const auto after = m_state.missingAfter();
+            if (!after || m_voters.size() < 2)
+                return;
+            do {
+                source = m_voters[m_nextSource++ % m_voters.size()];
+            } while (source == m_self);
+            request.from_index = after->value;
+        }
+        request.group = m_groupId.str();
+        request.fills_replica = true;
+        m_metrics.counter("ledger_fill_requests_total").increment();
+        peer::wire::EnvelopeT envelope;
+        envelope.body.Set(std::move(request));
+        m_send(source, std::move(envelope));
+    }
+
+    void filled(const peer::Envelope& envelope)
+    {
+        const auto* reply = envelope.body.AsLedgerReadReply();
+        log::LedgerResults results;
+        if (!results.ParseFromArray(reply->results.data(), static_cast<int>(reply->results.size())))
+            return;
+        bool isProgress = false;
+        {
+            std::lock_guard lock(m_mutex);
+            const auto before = m_state.missingAfter();
+            if (const auto status = m_state.fillMissing(results); !status.ok())
+                logError("ledger", "missing outcomes cannot be filled",
+                    { { "group", m_groupId.str() }, { "error", std::string(status.message()) } });
+            isProgress = m_state.missingAfter() != before;
+        }
+        // The next page at once; without progress the next call of the timer asks another replica.
+        if (isProgress)
+            fillMissing();
+    }
+
     std::vector<log::Claim> abandonedClaims(Duration age)
     {
         std::lock_guard lock(m_mutex);
@@ -174,6 +235,8 @@
     Metrics& m_metrics;
     std::unique_ptr<consensus::Group> m_group;
     mutable std::mutex m_mutex; ///< Guards the members below.
+    const std::vector<InstanceId> m_voters;
+    size_t m_nextSource = 0; ///< Voter that is asked for missing outcomes next.
     LedgerState m_state;
     InstanceId m_leaderHint;
     bool m_isLeader = false;
@@ -211,6 +274,10 @@
 
 void Replica::read(peer::Envelope envelope) { m_impl->read(std::make_shared<peer::Envelope>(std::move(envelope))); }
 
+void Replica::fillMissing() { m_impl->fillMissing(); }
+
+void Replica::filled(const peer::Envelope& envelope) { m_impl->filled(envelope); }
+
 std::vector<log::Claim> Replica::abandonedClaims(Duration age) { return m_impl->abandonedClaims(age); }
 
 std::string Replica::dump() const
