Hand leadership over at a planned stop

Cause: the stop of a control or ledger leader left its group without a leader until an election, although the interface promised a hand-over. Conclusion: a planned stop no longer costs an election.

--- a/include/turmericpier/ledger/replica.h
+++ b/include/turmericpier/ledger/replica.h
@@ -31,6 +31,7 @@
     ~Replica();
 
     void start();
+    /// Hands leadership over if there is another voter, then stops.
     void stop();
     void receiveConsensus(const InstanceId& from, consensus::Message message);
     void submit(peer::Envelope envelope); ///< A body of type LedgerSubmit; the reply goes to the sender.
--- a/scripts/rolling-restart.sh
+++ b/scripts/rolling-restart.sh
@@ -16,6 +16,7 @@
 trap cleanup EXIT
 start_cluster "$folder"
 cli service put till --partner duftwerk > /dev/null || fail "service"
+sleep 2 # until every entry knows the service; before that it is refused as unknown
 timeout 300 "$binary" request load --entries "$entries" --service till --partner duftwerk --region "$region" \
     --count "${REQUESTS:-15000}" --rate 500 --callers 16 --deadline_ms 5000 --record "$folder/partner.jsonl" > "$folder/load.txt" &
 load=$!
--- /dev/null
+++ b/src/consensus/hand-over.cc
@@ -0,0 +1,27 @@
+#include "turmericpier/consensus/hand-over.h"
+
+#include "turmericpier/consensus/group.h"
+
+#include <thread>
+
+namespace turmericpier::consensus {
+
+namespace {
+    // A transfer takes a vote, which is a few round trips and syncs; a replica that is down never answers.
+    constexpr int pollsPerReplica = 25;
+    constexpr auto pollInterval = std::chrono::milliseconds(20);
+} // namespace
+
+bool handOverLeadership(Group& group, const std::vector<InstanceId>& others, const std::function<bool()>& isLeader)
+{
+    for (const auto& other : others) {
+        if (!isLeader())
+            return true;
+        group.transferLeadership(other);
+        for (int poll = 0; poll < pollsPerReplica && isLeader(); ++poll)
+            std::this_thread::sleep_for(pollInterval);
+    }
+    return !isLeader();
+}
+
+} // namespace turmericpier::consensus
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -7,6 +7,7 @@
 #include "peer/refusal.h"
 #include "turmericpier/base/event-loop.h"
 #include "turmericpier/base/log.h"
+#include "turmericpier/consensus/hand-over.h"
 #include "turmericpier/peer/convert.h"
 
 #include <boost/json.hpp>
@@ -403,6 +404,9 @@
 
 void Service::stop()
 {
+    auto others = m_impl->m_settings.controlVoters;
+    std::erase(others, m_impl->m_settings.instance);
+    consensus::handOverLeadership(*m_impl->m_group, others, [this] { return m_impl->m_isLeader.load(); });
     m_impl->m_group->stop();
     m_impl->m_loop.stop();
 }
--- a/src/ledger/replica.cc
+++ b/src/ledger/replica.cc
@@ -4,6 +4,7 @@
 #include "peer/refusal.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/log.h"
+#include "turmericpier/consensus/hand-over.h"
 #include "turmericpier/ledger/state.h"
 #include "turmericpier/peer/convert.h"
 
@@ -154,6 +155,12 @@
         return reply;
     }
 
+    bool isLeader() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_isLeader;
+    }
+
     bool isIncomplete() const
     {
         std::lock_guard lock(m_mutex);
@@ -263,7 +270,13 @@
 
 void Replica::start() { m_impl->m_group->start(); }
 
-void Replica::stop() { m_impl->m_group->stop(); }
+void Replica::stop()
+{
+    auto others = m_impl->m_voters;
+    std::erase(others, m_impl->m_self);
+    consensus::handOverLeadership(*m_impl->m_group, others, [this] { return m_impl->isLeader(); });
+    m_impl->m_group->stop();
+}
 
 void Replica::receiveConsensus(const InstanceId& from, consensus::Message message)
 {
