Measure configuration in force and the drain of a worker

Change: the quick start prints when the drained worker got its last request; scripts/bench-entry.sh times a configuration until all entries show it.

--- a/scripts/bench-entry.sh
+++ b/scripts/bench-entry.sh
@@ -32,6 +32,13 @@
 for i in 1 2 3 4 5; do
     echo "memory of e$i: $(awk '/VmRSS/ { print $2 }' "/proc/$(pid_of "e$i")/status") kB"
 done
+echo '{"round": 1}' > "$folder/config.json"
+for version in 0 1 2; do
+    cli config put "$folder/config.json" --expected_version "$version" > /dev/null || fail "config"
+    start=$(date +%s%N)
+    until [ "$(cli status --json | grep -o "\"e[1-5]\":$((version + 1))" | wc -l)" -eq 5 ]; do :; done
+    echo "configuration $((version + 1)) seen in force on all 5 entries after $((($(date +%s%N) - start) / 1000000)) ms"
+done
 for round in 1 2 3; do
     leader=$(cli status | sed -n 's/^leader: //p')
     kill -KILL "$(pid_of "$leader")"
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -40,9 +40,12 @@
 kill -KILL "$(pid_of "$leader")" "$(pid_of "$victim")"
 echo "killed the control leader $leader and the entry $victim"
 wait_for accepted cli worker drain w8
+drained_at=$(cut -d " " -f 1 /proc/uptime)
 echo "drained worker w8; control leader: $(cli status | sed -n 's/^leader: //p')"
 wait "$load" || fail "load: $(cat "$folder/load.txt")"
 cat "$folder/load.txt"
 
 check_executions "$folder"
+awk -v drained="$drained_at" '$1 == "begin" { last = $5 / 1e9 } END { printf "last request on the drained worker: %.2f s after the drain was accepted (negative: before)\n", last - drained }' \
+    "$folder/w8.executions"
 cli ledger reconcile "$folder/partner.jsonl" --region "$region" --partner duftwerk
