Serialize message bodies in one place

Cause: three files held the same function. Change: src/peer/bytes.h serves the control service, the leader and the entry.

--- a/src/control/leader.cc
+++ b/src/control/leader.cc
@@ -1,6 +1,7 @@
 #include "control/leader.h"
 
 #include "control/convert.h"
+#include "peer/bytes.h"
 #include "peer_generated.h"
 #include "turmericpier/base/log.h"
 
@@ -10,6 +11,8 @@
 namespace turmericpier::control {
 
 namespace {
+    using peer::toBytes;
+
     // Planning costs time in proportion to workers and entries, so that it does not run at each tick.
     constexpr Duration grantPlanInterval = std::chrono::milliseconds(50);
 
@@ -25,12 +28,6 @@
         }
     }
 
-    std::vector<uint8_t> toBytes(const google::protobuf::MessageLite& message)
-    {
-        std::vector<uint8_t> bytes(message.ByteSizeLong());
-        message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
-        return bytes;
-    }
 } // namespace
 
 Leader::Leader(LeaderOptions options, LeaderHooks hooks, const ControlState& state, TimePoint now)
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -4,6 +4,7 @@
 #include "control/leader.h"
 #include "control/read.h"
 #include "control/state.h"
+#include "peer/bytes.h"
 #include "peer/refusal.h"
 #include "turmericpier/base/event-loop.h"
 #include "turmericpier/base/log.h"
@@ -15,14 +16,9 @@
 namespace turmericpier::control {
 
 namespace {
-    constexpr Duration tickInterval = std::chrono::milliseconds(20);
+    using peer::toBytes;
 
-    std::vector<uint8_t> toBytes(const google::protobuf::MessageLite& message)
-    {
-        std::vector<uint8_t> bytes(message.ByteSizeLong());
-        message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
-        return bytes;
-    }
+    constexpr Duration tickInterval = std::chrono::milliseconds(20);
 
     absl::Status statusOf(const rpc::Failure& failure)
     {
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/rpc/entry.h"
 
+#include "peer/bytes.h"
 #include "peer_generated.h"
 #include "rpc/claim-resolver.h"
 #include "rpc/peer-calls.h"
@@ -21,6 +22,8 @@
 namespace turmericpier::rpc {
 
 namespace {
+    using peer::toBytes;
+
     constexpr Duration tickInterval = std::chrono::milliseconds(5);
     constexpr Duration operatorDeadline = std::chrono::seconds(10);
     constexpr Duration heartbeatTimeout = std::chrono::milliseconds(600);
@@ -34,13 +37,6 @@
     constexpr Duration recordDeadline = std::chrono::minutes(10);
     constexpr auto drainPollInterval = std::chrono::milliseconds(20);
 
-    std::vector<uint8_t> toBytes(const google::protobuf::MessageLite& message)
-    {
-        std::vector<uint8_t> bytes(message.ByteSizeLong());
-        message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
-        return bytes;
-    }
-
     template <typename Message>
     absl::StatusOr<Message> parseReply(const absl::StatusOr<peer::wire::EnvelopeT>& reply, const std::string& self)
     {
