--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -423,6 +423,8 @@
     void stop()
     {
         m_streams.closeAll();
+        // The server waits for the end of every call, also of those that wait for a ledger without a majority.
+        m_loop.post([this] { m_driver.abandon(); });
         if (m_server)
             m_server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
         m_loop.stop();
--- a/src/rpc/request-driver.cc
+++ b/src/rpc/request-driver.cc
@@ -223,12 +223,30 @@
 
 void RequestDriver::tick()
 {
+    if (m_isAbandoned)
+        return;
     m_resendFence.tick(m_clock.now());
     run(m_router.tick(m_clock.now()));
 }
 
+void RequestDriver::abandon()
+{
+    m_isDraining = true;
+    m_isAbandoned = true;
+    m_byKey.clear();
+    for (const auto& [ticket, pending] : std::exchange(m_pending, {})) {
+        for (const auto& waiter : pending.waiters)
+            waiter(makeError({ absl::StatusCode::kUnavailable, turmericpier::Outcome::Unknown, "STOPPED", "stop",
+                                 m_settings.instance.str() },
+                       "entry stopped before the request ended"),
+                {});
+    }
+}
+
 void RequestDriver::run(const routing::Actions& actions)
 {
+    if (m_isAbandoned)
+        return;
     for (const auto& action : actions)
         std::visit([this](const auto& typed) { carryOut(typed); }, action);
 }
--- a/src/rpc/request-driver.h
+++ b/src/rpc/request-driver.h
@@ -46,6 +46,9 @@
     void tick();
     /// From now on new requests are refused; those in flight end.
     void beginDrain();
+    /// Ends all calls with an unknown outcome, for a stop that cannot wait any longer. Nothing else is done from then
+    /// on.
+    void abandon();
     bool isIdle() const { return m_router.isIdle() && m_byKey.empty(); }
     const routing::Router& router() const { return m_router; }
     EndpointClient& endpoints() { return m_endpoints; }
@@ -92,6 +95,7 @@
     std::map<ServiceId, std::vector<WorkerId>> m_workersOf;
     bool m_isDraining = false;
     bool m_hasState = false;
+    bool m_isAbandoned = false;
     routing::Ticket m_lastTicket;
     std::unordered_map<uint64_t, Pending> m_pending; ///< By ticket.
     std::unordered_map<std::string, routing::Ticket> m_byKey;
