Remove repeated code found in the read-through

Change: one noEntries(); groupOf() in the export; Service::isLeader() removed; the function is named maintainLedgers(). Behaviour is unchanged.

--- a/include/turmericpier/control/service.h
+++ b/include/turmericpier/control/service.h
@@ -38,7 +38,6 @@
     void receiveConsensus(const InstanceId& from, consensus::Message message);
     void forward(peer::Envelope envelope); ///< A body of type Forward; the reply goes to the sender.
     void heartbeat(peer::Envelope envelope); ///< A body of type EntryHeartbeat.
-    bool isLeader() const;
     std::string dump() const; ///< JSON object.
 
 private:
--- a/src/app/load.cc
+++ b/src/app/load.cc
@@ -1,5 +1,6 @@
 #include "app/load.h"
 
+#include "app/operator-client.h"
 #include "rpc/status.h"
 #include "turmericpier/base/error.h"
 
@@ -171,16 +172,14 @@
     rpc::CallRequest request, const std::vector<std::string>& entries, std::chrono::milliseconds giveUp)
 {
     if (entries.empty())
-        return makeError({ absl::StatusCode::kInvalidArgument, Outcome::NotRun, "NO_ENTRIES", "connect", "" },
-            "--entries names no address");
+        return noEntries();
     return callUntilKnown(std::move(request), connect(entries), 0, giveUp).reply;
 }
 
 absl::StatusOr<LoadResult> runLoad(const LoadOptions& options)
 {
     if (options.entries.empty())
-        return makeError({ absl::StatusCode::kInvalidArgument, Outcome::NotRun, "NO_ENTRIES", "connect", "" },
-            "--entries names no address");
+        return noEntries();
     Load load(options);
     const auto result = load.run();
     if (options.recordFile.empty())
--- a/src/app/operator-client.cc
+++ b/src/app/operator-client.cc
@@ -17,12 +17,6 @@
         return std::chrono::system_clock::now() + std::chrono::milliseconds(FLAGS_timeout_ms);
     }
 
-    absl::Status noEntries()
-    {
-        return makeError({ absl::StatusCode::kInvalidArgument, Outcome::NotRun, "NO_ENTRIES", "connect", "" },
-            "--entries names no address");
-    }
-
     /// Calls `attempt` for each entry until one answers with anything but UNAVAILABLE.
     template <typename Reply, typename Attempt> absl::StatusOr<Reply> tryEntries(const char* step, Attempt attempt)
     {
@@ -43,6 +37,12 @@
     }
 } // namespace
 
+absl::Status noEntries()
+{
+    return makeError({ absl::StatusCode::kInvalidArgument, Outcome::NotRun, "NO_ENTRIES", "connect", "" },
+        "--entries names no address");
+}
+
 std::vector<std::string> entryAddresses() { return absl::StrSplit(FLAGS_entries, ',', absl::SkipEmpty()); }
 
 std::string newRequestId() { return boost::uuids::to_string(boost::uuids::random_generator()()); }
--- a/src/app/operator-client.h
+++ b/src/app/operator-client.h
@@ -10,6 +10,7 @@
 namespace turmericpier::app {
 
 std::vector<std::string> entryAddresses();
+absl::Status noEntries(); ///< The error for an empty --entries.
 std::string newRequestId();
 
 /// Sends the command to one entry after the other with the same request id until one answers.
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -68,14 +68,15 @@
             m_ledgers[ledger::groupOf(region)] = std::move(*replica);
         }
         m_entry = std::make_unique<rpc::Entry>(
-            m_settings, m_incarnation, send, [this](Duration age) { return abandonedClaims(age); }, m_clock, m_metrics);
+            m_settings, m_incarnation, send, [this](Duration age) { return maintainLedgers(age); }, m_clock, m_metrics);
         m_admin = std::make_unique<admin::Server>(
             admin::ServerOptions { m_settings.adminAddress.host, m_settings.adminAddress.port }, adminHooks(),
             m_metrics);
         return absl::OkStatus();
     }
 
-    std::vector<log::Claim> abandonedClaims(Duration age)
+    /// Has every ledger fetch what it lacks; returns the claims that are to be resolved.
+    std::vector<log::Claim> maintainLedgers(Duration age)
     {
         std::vector<log::Claim> claims;
         for (auto& [group, replica] : m_ledgers) {
--- a/src/control/service.cc
+++ b/src/control/service.cc
@@ -426,8 +426,6 @@
         m_impl->m_metrics.counter("control_dropped_total").increment();
 }
 
-bool Service::isLeader() const { return m_impl->m_isLeader; }
-
 std::string Service::dump() const { return m_impl->dump(); }
 
 } // namespace turmericpier::control
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -181,7 +181,7 @@
             ledger->second->call(
                 [request, after] {
                     peer::wire::LedgerReadT body;
-                    body.group = "ledger-" + request.region();
+                    body.group = ledger::groupOf(RegionId(request.region())).str();
                     body.from_index = after;
                     body.partner = request.partner();
                     peer::wire::EnvelopeT envelope;
