--- a/include/turmericpier/base/clock.h
+++ b/include/turmericpier/base/clock.h
@@ -36,6 +36,13 @@
     }
 };
 
+/// A monotonic clock that also counts the time for which the machine was suspended. Leases need it: after a suspension
+/// a steady clock would still show them as valid.
+class BootClock final : public Clock {
+public:
+    TimePoint now() const override;
+};
+
 /// A clock that stands still until a test advances it.
 class ManualClock final : public Clock {
 public:
--- /dev/null
+++ b/include/turmericpier/cell/leader.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "turmericpier/base/clock.h"
+#include "turmericpier/base/metrics.h"
+#include "turmericpier/cell/orders.h"
+#include "turmericpier/cell/state.h"
+#include "turmericpier/cell/tickets.h"
+
+#include <absl/status/statusor.h>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+/// The leader's part of the cell: answers calls, plans starts, gives orders to workers, and takes in what they report.
+/// One thread; no I/O and no clock of its own.
+namespace turmericpier::cell {
+
+struct LeaderOptions {
+    std::chrono::milliseconds lease { 5'000 }; ///< Given to a worker; at most what workers accept.
+    /// Longest lease that workers accept; a former leader may have given it.
+    std::chrono::milliseconds longestLease { 10'000 };
+    std::chrono::milliseconds beatInterval { 1'500 }; ///< Of the heartbeats of workers.
+    std::chrono::milliseconds keepEnded { 240'000 }; ///< State of ended jobs; twice what callers are promised.
+    std::chrono::milliseconds drainNotice { 2'500 }; ///< A worker serves at least this long after its drain notice.
+};
+
+/// How the leader reaches the world. All callbacks run on the leader's thread.
+struct LeaderHooks {
+    using Proposed = std::function<void(absl::Status status)>;
+    /// Appends to the log; the callback runs after the command is applied. Its error says NotRun or Unknown.
+    std::function<void(const record::CommandT& command, Proposed done)> propose;
+    /// True while no other replica can lead.
+    std::function<bool()> holdsLease;
+    std::function<void(const WorkerAddress&, const StartOrder&, std::function<void(OrderAnswer)>)> start;
+    std::function<void(const WorkerAddress&, const StopOrder&, std::function<void(OrderAnswer)>)> stop;
+    std::function<void(const WorkerAddress&, const LookOrder&, std::function<void(LookAnswer)>)> look;
+    /// Asks the advisor from the helper; the answer's tickets are by worker id.
+    std::function<void(const std::string& helper, const StepKey& step, const std::vector<std::string>& workers,
+        std::function<void(AdviceAnswer)>)>
+        advise;
+    std::function<int64_t()> wallMs; ///< Unix time; used for schedules only.
+    /// Runs the function later on the leader's thread.
+    std::function<void(Duration delay, std::function<void()>)> after;
+};
+
+class Leader {
+public:
+    using Answer = std::function<void(record::ReplyT)>;
+
+    Leader(LeaderOptions options, LeaderHooks hooks, State& state, const Clock& clock, Metrics& metrics);
+    ~Leader();
+
+    /// This replica leads in `term` and has applied all that was committed before.
+    void activate(uint64_t term);
+    void deactivate();
+    bool isActive() const { return m_active; }
+
+    /// A command was applied to the state. To be called in the order of the log while this replica leads.
+    void applied(const record::CommandT& command);
+    /// Answers a call of a client, operator or worker.
+    void handle(std::unique_ptr<record::CallT> call, Answer answer);
+    /// A process that can ask the advisor is connected.
+    void helperSeen(const std::string& helper);
+    /// To be called about every 50 ms.
+    void tick();
+
+    std::string dump() const; ///< JSON object.
+
+private:
+    /// What is known about an order to start a run.
+    enum class RunPhase {
+        Inherited, ///< Committed by a former leader; the first look tells.
+        Ordered, ///< The order is on its way.
+        Running, ///< The worker has accepted or listed it.
+        InDoubt, ///< The order got no answer.
+        Rejecting, ///< A stop is on its way, so that the run can not start any more.
+        Rejected, ///< The stop was answered; the next look shows whether the run has ended or never started.
+    };
+    struct Run {
+        uint32_t number = 0;
+        RunPhase phase = RunPhase::Inherited;
+        TimePoint phaseSince;
+        bool stopWanted = false;
+        bool stopInFlight = false;
+        TimePoint stopSentAt;
+        bool endProposed = false;
+        std::string checkpoint;
+        uint32_t progress = 0;
+        TimePoint progressSince; ///< When the progress last changed.
+        TimePoint startedAt;
+    };
+    struct ClockReading {
+        int64_t clockMs = 0;
+        TimePoint sentAt;
+        TimePoint receivedAt;
+    };
+    struct Link {
+        uint32_t serial = 0;
+        uint64_t generation = 0;
+        bool synced = false; ///< A look with this leader's token was answered.
+        bool lookInFlight = false;
+        TimePoint lookSentAt;
+        TimePoint lookDue;
+        std::optional<ClockReading> clock;
+        TimePoint leaseEnd; ///< By then every lease given to the worker has certainly ended.
+        TimePoint leaseGivenUntil; ///< Earliest end of the lease by the leader's clock.
+        uint64_t endsSeen = 0;
+        uint64_t endsTaken = 0;
+        uint64_t endsAcknowledged = 0;
+        bool leaving = false;
+        bool goneProposed = false;
+        uint32_t silentLooks = 0;
+        TimePoint heardAt;
+        TimePoint avoidUntil;
+        double failures = 0; ///< Recent failures of runs; decays.
+        TimePoint failuresAt;
+        std::map<TaskKey, Run> runs;
+    };
+    struct Helper {
+        bool busy = false;
+        TimePoint seenAt;
+        uint64_t call = 0;
+    };
+
+    // Calls (leader-calls.cc).
+    void submit(std::unique_ptr<record::CallT> call, Answer answer);
+    void status(const record::CallT& call, const Answer& answer) const;
+    void cancel(const record::CallT& call, Answer answer);
+    void waiting(const record::CallT& call, const Answer& answer) const;
+    void putConfig(std::unique_ptr<record::CallT> call, Answer answer);
+    void beat(std::unique_ptr<record::CallT> call, Answer answer);
+    void leave(const record::CallT& call, const Answer& answer);
+    void proposeFor(record::CommandT command, Answer answer, std::string what, std::string id);
+
+    // Workers (leader-workers.cc).
+    void refreshLinks();
+    void adoptRuns(Link& link, const WorkerRecord& worker);
+    void look(Link& link);
+    void onLook(uint32_t serial, uint64_t generation, TimePoint sentAt, LookAnswer answer);
+    void onSilence(Link& link, const LookAnswer& answer);
+    void readEnded(Link& link, const std::vector<EndedRow>& rows);
+    void readRunning(Link& link, const LookAnswer& answer, TimePoint sentAt);
+    void settleMissing(Link& link, const std::set<TaskKey>& listed, TimePoint sentAt);
+    void sendStart(Link& link, const TaskKey& task, Run& run);
+    void onStart(uint32_t serial, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer);
+    void neverStarted(Link& link, const TaskKey& task, Run& run);
+    void stopRun(Link& link, const TaskKey& task, Run& run);
+    void sendStop(Link& link, const TaskKey& task, uint32_t number);
+    void proposeEnds(uint32_t serial, record::CommandT command, uint64_t endsTaken);
+    void proposeGone(Link& link);
+    void fenced(const Link& link);
+    void noteClock(Link& link, int64_t clockMs, TimePoint sentAt);
+    std::optional<int64_t> leaseUntil(Link& link);
+    double failuresOf(const Link& link) const;
+    void noteFailure(Link& link, double weight);
+    void checkRuns(Link& link);
+    bool isUsable(const Link& link) const;
+    WorkerAddress addressOf(const Link& link) const;
+    record::EndT endOf(
+        const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
+
+    // Planning (leader.cc).
+    void wantPlan();
+    void planNow();
+    void askAdvisor(const std::vector<struct AdviceRequest>& requests);
+    void stopClosedJobs(const record::CommandT& command);
+    void stopJob(const record::JobT& job);
+    void breakGang(const record::EndT& end);
+    void forgetOldJobs();
+    void decide(std::string_view what, std::string_view id, std::string_view outcome, std::string detail = "") const;
+
+    const LeaderOptions m_options;
+    const LeaderHooks m_hooks;
+    State& m_state;
+    const Clock& m_clock;
+    Counter& m_starts;
+    Counter& m_startsRefused;
+    Counter& m_looks;
+    Counter& m_adviceCalls;
+    Counter& m_plans;
+    Counter& m_callsHandled;
+    Latency& m_planLatency;
+
+    bool m_active = false;
+    uint64_t m_term = 0;
+    uint64_t m_generation = 0; ///< Changes with each leadership; answers to earlier orders are ignored.
+    TimePoint m_activeSince;
+    bool m_fenced = false; ///< A worker has seen a higher token: no orders any more.
+    bool m_planWanted = false;
+    bool m_planScheduled = false;
+    bool m_startsProposed = false;
+    TicketBook m_tickets;
+    std::set<StepKey> m_adviceInFlight;
+    std::map<StepKey, TimePoint> m_adviceRetryAt;
+    std::map<std::string, Helper> m_helpers;
+    uint64_t m_nextAdvice = 1;
+    std::map<uint32_t, Link> m_links;
+    std::map<std::string, std::vector<Answer>> m_submitting; ///< Answers waiting for the commit of a job, by its id.
+    std::map<std::string, TimePoint> m_endedSince; ///< Ended jobs, since when this leader knows it.
+    int64_t m_nextDueMs = 0;
+};
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/include/turmericpier/cell/relay.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "turmericpier/base/clock.h"
+#include "turmericpier/cell/links.h"
+
+#include <chrono>
+#include <functional>
+#include <set>
+#include <string>
+
+/// Finds the leader of the cell and hands calls to it, from an entry or a replica that does not lead.
+namespace turmericpier::cell {
+
+struct RelayOptions {
+    std::set<std::string> seeds; ///< Addresses of processes that may know the leader.
+    std::chrono::milliseconds attempt { 700 }; ///< Of one call to the leader; a commit takes tens of milliseconds.
+    std::chrono::milliseconds locateEvery { 250 }; ///< While no leader is known.
+    std::chrono::milliseconds confirmEvery { 1'000 }; ///< While one is known.
+    /// A call that certainly no leader has taken is refused after this time, with a time to come back.
+    std::chrono::milliseconds patience { 1'800 };
+};
+
+class Relay {
+public:
+    using Answer = Links::Answer;
+
+    Relay(boost::asio::io_context& io, RelayOptions options, Links& links, const Clock& clock, Metrics& metrics);
+
+    void start();
+    void stop() { m_stopped = true; }
+
+    /// Answers with the leader's reply; with NotRun if it is certain that no leader took the call, and with Unknown if
+    /// that is in doubt at the deadline. A call is sent again to the next leader: all calls are idempotent.
+    void handle(std::unique_ptr<record::CallT> call, std::chrono::milliseconds deadline, Answer answer);
+
+    const std::string& leader() const { return m_leader; }
+    /// True if a leader has answered lately.
+    bool isConnected() const;
+    void setLeader(const std::string& leader);
+    void addSeeds(const std::set<std::string>& addresses);
+    /// What this process says of itself when it looks for the leader.
+    void setLocateCall(std::function<record::CallT()> make) { m_makeLocate = std::move(make); }
+
+private:
+    struct Waiting {
+        std::shared_ptr<record::CallT> call;
+        Answer answer;
+        TimePoint deadline;
+        TimePoint refuseAt;
+        bool inDoubt = false; ///< An attempt was sent and not answered.
+    };
+
+    void locate();
+    void onLocated(const std::optional<record::ReplyT>& reply);
+    void attempt(const std::shared_ptr<Waiting>& waiting);
+    void retry(const std::shared_ptr<Waiting>& waiting);
+    void finish(const std::shared_ptr<Waiting>& waiting, record::ReplyT reply);
+
+    boost::asio::io_context& m_io;
+    const RelayOptions m_options;
+    Links& m_links;
+    const Clock& m_clock;
+    Counter& m_retries;
+    Counter& m_refused;
+    Counter& m_unknown;
+    boost::asio::steady_timer m_timer;
+    std::set<std::string> m_addresses; ///< Of processes that may know the leader.
+    std::string m_leader; ///< Identity; empty if unknown.
+    TimePoint m_leaderHeard;
+    std::function<record::CallT()> m_makeLocate;
+    bool m_stopped = false;
+};
+
+} // namespace turmericpier::cell
--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -80,6 +80,14 @@
     /// Removes one voter; refused while another change is in progress.
     void removeVoter(InstanceId voter, Done done);
     void transferLeadership(InstanceId to);
+    /// True while no other replica can lead; from any thread, without waiting for the replica.
+    bool holdsLease() const;
+    /// Voters of the log as known to this replica. `silentFor` is known to the leader only.
+    struct Voter {
+        InstanceId id;
+        Duration silentFor { 0 };
+    };
+    std::vector<Voter> voters() const;
     /// State of the replica as a JSON object.
     std::string dump() const;
 
--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -4,6 +4,7 @@
 #include "turmericpier/base/metrics.h"
 
 #include <absl/status/status.h>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
     std::map<InstanceId, Address> peers;
     size_t queuePerPeer = 4'096; ///< Messages waiting for one peer; more are dropped and counted.
     size_t queueBytesPerPeer = 16U << 20U; ///< No message is queued behind this many bytes.
+    /// After which a connection whose data is not acknowledged is closed. The default is longer than an election (3 s),
+    /// so that a short pause of a peer does not cost a reconnect.
+    std::chrono::milliseconds userTimeout { 5'000 };
     size_t maxIncoming = 256; ///< Incoming connections; more are closed and counted.
 };
 
--- a/src/app/cli.cc
+++ b/src/app/cli.cc
@@ -2,6 +2,7 @@
 
 #include "app/command.h"
 #include "app/flags.h"
+#include "platform/command.h"
 #include "turmericpier/base/error.h"
 
 #include <algorithm>
@@ -24,7 +25,8 @@
     {
         return { runCommand(), checkSettingsCommand(), statusCommand(), teamCommand(), policyCommand(),
             serviceCommand(), jobCommand(), gangCommand(), workerCommand(), drainCommand(), configCommand(),
-            requestCommand(), ledgerCommand(), dumpCommand() };
+            requestCommand(), ledgerCommand(), dumpCommand(), platform::cellEntryCommand(),
+            platform::cellControlCommand() };
     }
 
     void printUsage(const std::vector<Command>& commands)
--- a/src/app/command-run.cc
+++ b/src/app/command-run.cc
@@ -1,4 +1,5 @@
 #include "app/command.h"
+#include "platform/command.h"
 #include "turmericpier/app/process.h"
 #include "turmericpier/base/log.h"
 #include "turmericpier/settings/settings.h"
@@ -55,6 +56,8 @@
         const auto file = fileOf(arguments);
         if (file.empty())
             return usageError("check-settings", "the file is missing");
+        if (file.ends_with(".toml"))
+            return platform::checkNodeSettings(file);
         const auto settings = settings::loadSettings(file);
         if (!settings.ok()) {
             report(settings.status());
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -132,6 +132,10 @@
         case Body::LedgerReadReply:
             receiveLedgerPage(std::move(envelope));
             break;
+        case Body::CellCall: // The processes of a cell are started by commands of their own.
+        case Body::CellReply:
+            m_metrics.counter("envelopes_unexpected_total").increment();
+            break;
         case Body::NONE:
             m_metrics.counter("envelopes_without_body_total").increment();
             break;
--- /dev/null
+++ b/src/cell/leader-calls.cc
@@ -0,0 +1,226 @@
+#include "turmericpier/cell/leader.h"
+
+#include "turmericpier/base/error.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+/// Calls of clients, operators and workers.
+namespace turmericpier::cell {
+
+using record::CallKind;
+using record::Verdict;
+
+namespace {
+    // Clients that were refused because of a lack of leadership find a leader after an election, which takes about 1 s.
+    constexpr uint32_t retryAfterMs = 1'000;
+    constexpr size_t jobIdLength = 16; // Hexadecimal digits.
+
+    record::ReplyT replyWith(Verdict verdict, std::string message = {})
+    {
+        record::ReplyT reply;
+        reply.verdict = verdict;
+        reply.message = std::move(message);
+        if (verdict == Verdict::NotRun)
+            reply.retry_after_ms = retryAfterMs;
+        return reply;
+    }
+
+    bool isJobId(std::string_view id)
+    {
+        return id.size() == jobIdLength
+            && std::ranges::all_of(id, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+    }
+
+    Verdict verdictOf(const absl::Status& status)
+    {
+        if (status.ok())
+            return Verdict::Ok;
+        return detailsOf(status).outcome == Outcome::NotRun ? Verdict::NotRun : Verdict::Unknown;
+    }
+} // namespace
+
+void Leader::handle(std::unique_ptr<record::CallT> call, Answer answer)
+{
+    m_callsHandled.increment();
+    // Also for reads: an answer that something does not exist is a claim about the newest state.
+    if (!m_active || !m_hooks.holdsLease())
+        return answer(replyWith(Verdict::NotLeader, "this replica does not lead"));
+    switch (call->kind) {
+    case CallKind::Submit:
+        return submit(std::move(call), std::move(answer));
+    case CallKind::Status:
+        return status(*call, answer);
+    case CallKind::Cancel:
+        return cancel(*call, std::move(answer));
+    case CallKind::Waiting:
+        return waiting(*call, answer);
+    case CallKind::PutConfig:
+        return putConfig(std::move(call), std::move(answer));
+    case CallKind::GetConfig: {
+        auto reply = replyWith(m_state.config() ? Verdict::Ok : Verdict::NotRun, "there is no configuration yet");
+        if (m_state.config())
+            reply.config = std::make_unique<record::ConfigT>(*m_state.config());
+        return answer(std::move(reply));
+    }
+    case CallKind::Beat:
+        return beat(std::move(call), std::move(answer));
+    case CallKind::Leave:
+        return leave(*call, answer);
+    case CallKind::Advise:
+    case CallKind::Locate:
+    case CallKind::Join:
+        break;
+    }
+    answer(replyWith(Verdict::Invalid, "not a call for the leader"));
+}
+
+void Leader::proposeFor(record::CommandT command, Answer answer, std::string what, std::string id)
+{
+    m_hooks.propose(
+        command, [this, answer = std::move(answer), what = std::move(what), id = std::move(id)](absl::Status status) {
+            const auto verdict = verdictOf(status);
+            decide(what, id,
+                verdict == Verdict::Ok           ? "committed"
+                    : verdict == Verdict::NotRun ? "refused"
+                                                 : "unknown",
+                std::string(status.message()));
+            answer(replyWith(verdict, std::string(status.message())));
+        });
+}
+
+void Leader::submit(std::unique_ptr<record::CallT> call, Answer answer)
+{
+    if (!m_state.config())
+        return answer(replyWith(Verdict::NotRun, "there is no configuration yet"));
+    const auto* queue = m_state.matchQueue(call->host, call->path);
+    if (!queue)
+        return answer(replyWith(Verdict::NoSuchQueue, absl::StrCat("no queue at ", call->host, call->path)));
+    auto& job = *call->job;
+    job.id = call->path.substr(queue->prefix.size());
+    if (!isJobId(job.id))
+        return answer(replyWith(Verdict::NoSuchQueue, absl::StrCat("no job id follows the prefix of the queue")));
+    if (m_state.findJob(job.id))
+        return answer(replyWith(Verdict::Ok));
+    auto& waiters = m_submitting[job.id];
+    waiters.push_back(std::move(answer));
+    if (waiters.size() > 1)
+        return;
+    job.queue = queueKey(queue->host, queue->prefix);
+    job.accepted_ms = m_hooks.wallMs();
+    const auto id = job.id;
+    record::CommandT command;
+    command.submit.push_back(std::move(call->job));
+    proposeFor(
+        std::move(command),
+        [this, id, generation = m_generation](const record::ReplyT& reply) {
+            if (generation != m_generation)
+                return;
+            auto answers = m_submitting.extract(id);
+            if (answers.empty())
+                return;
+            for (const auto& waiter : answers.mapped())
+                waiter(reply);
+        },
+        "submit", id);
+}
+
+void Leader::status(const record::CallT& call, const Answer& answer) const
+{
+    const auto* queue = m_state.matchQueue(call.host, call.path);
+    if (!queue)
+        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+    const auto id = call.path.substr(queue->prefix.size());
+    const auto* job = m_state.findJob(id);
+    if (!job || job->queue != queueKey(queue->host, queue->prefix))
+        return answer(replyWith(Verdict::NoSuchJob));
+    auto reply = replyWith(Verdict::Ok);
+    reply.state = job->state;
+    reply.started = job->started;
+    answer(std::move(reply));
+}
+
+void Leader::cancel(const record::CallT& call, Answer answer)
+{
+    const auto* queue = m_state.matchQueue(call.host, call.path);
+    if (!queue)
+        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+    const auto id = call.path.substr(queue->prefix.size());
+    const auto* job = m_state.findJob(id);
+    if (!job && !m_submitting.contains(id))
+        return answer(replyWith(Verdict::NoSuchJob));
+    if (job && job->state != record::JobState::Open)
+        return answer(replyWith(Verdict::Ok));
+    record::CommandT command;
+    command.cancel.push_back(id);
+    proposeFor(std::move(command), std::move(answer), "cancel", id);
+}
+
+void Leader::waiting(const record::CallT& call, const Answer& answer) const
+{
+    const auto* queue = m_state.matchQueue(call.host, call.path);
+    if (!queue)
+        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+    auto reply = replyWith(Verdict::Ok);
+    reply.waiting = m_state.waitingJobs(queueKey(queue->host, queue->prefix));
+    answer(std::move(reply));
+}
+
+void Leader::putConfig(std::unique_ptr<record::CallT> call, Answer answer)
+{
+    const auto version = call->config->version;
+    if (m_state.config() && version <= m_state.config()->version)
+        return answer(replyWith(Verdict::Ok));
+    record::CommandT command;
+    command.config = std::move(call->config);
+    proposeFor(std::move(command), std::move(answer), "configuration", absl::StrCat(version));
+}
+
+void Leader::beat(std::unique_ptr<record::CallT> call, Answer answer)
+{
+    auto& worker = *call->worker;
+    if (m_state.config() && !m_state.findService(worker.service))
+        return answer(replyWith(Verdict::Ok, "no such service")); // It names no worker to use.
+    const auto* known = m_state.findWorkerById(worker.id);
+    if (known && known->worker.born_ms > worker.born_ms)
+        return answer(replyWith(Verdict::Ok)); // A late heartbeat of an earlier life.
+    if (known && known->worker.born_ms == worker.born_ms) {
+        const auto link = m_links.find(known->worker.serial);
+        if (link != m_links.end()) {
+            link->second.heardAt = m_clock.now();
+            link->second.leaving = false;
+        }
+        // A life that drains does not become ready again: such a heartbeat is a late one.
+        worker.draining |= known->worker.draining;
+        const auto& old = known->worker;
+        if (old.address == worker.address && old.draining == worker.draining && old.service == worker.service
+            && old.cpu == worker.cpu && old.memory == worker.memory && old.accelerators == worker.accelerators
+            && old.labels == worker.labels)
+            return answer(replyWith(Verdict::Ok));
+    }
+    const auto* atAddress = m_state.findWorkerAt(worker.address);
+    if (!known && atAddress && atAddress->worker.born_ms > worker.born_ms)
+        return answer(replyWith(Verdict::Ok)); // A later life has registered at the address.
+    const auto id = absl::StrCat(worker.id, worker.draining ? " draining" : " ready");
+    record::CommandT command;
+    command.workers.push_back(std::move(call->worker));
+    proposeFor(std::move(command), std::move(answer), "worker", id);
+}
+
+void Leader::leave(const record::CallT& call, const Answer& answer)
+{
+    const auto* known = m_state.findWorkerById(call.worker->id);
+    if (known) {
+        // Not taken as the end of this life: the call may be a late one of an earlier life under the same id. The
+        // lease is not renewed any more, and the address is looked at until it refuses connections.
+        const auto link = m_links.find(known->worker.serial);
+        if (link != m_links.end()) {
+            link->second.leaving = true;
+            link->second.lookDue = m_clock.now();
+            decide("worker", known->worker.id, "leaving");
+        }
+    }
+    answer(replyWith(Verdict::Ok));
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/leader.cc
@@ -0,0 +1,357 @@
+#include "turmericpier/cell/leader.h"
+
+#include "turmericpier/base/log.h"
+#include "turmericpier/cell/planner.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json.hpp>
+
+namespace turmericpier::cell {
+
+using record::EndKind;
+using record::JobState;
+using record::Verdict;
+using std::chrono::milliseconds;
+
+namespace {
+    // Room for a call to the advisor beside its announced time: queues at the advisor and a slow link.
+    constexpr milliseconds adviceSlack { 600 };
+    // A step whose call failed is not asked about again at once, as the advisor may be overloaded.
+    constexpr milliseconds adviceRetry { 150 };
+    // A ticket is used only if it stays valid for the commit of the start and the order.
+    constexpr milliseconds ticketMargin { 250 };
+    // A worker on which nothing runs is forgotten after so many heartbeat intervals of silence.
+    constexpr int workerForgotten = 6;
+    // Helpers announce themselves every second.
+    constexpr milliseconds helperLost { 3'000 };
+} // namespace
+
+std::string_view toString(OrderResult result)
+{
+    switch (result) {
+    case OrderResult::Accepted:
+        return "accepted";
+    case OrderResult::Fenced:
+        return "fenced";
+    case OrderResult::Superseded:
+        return "superseded";
+    case OrderResult::TooLate:
+        return "too late";
+    case OrderResult::NoRoom:
+        return "no room";
+    case OrderResult::BadTicket:
+        return "bad ticket";
+    case OrderResult::Invalid:
+        return "invalid";
+    case OrderResult::Unhealthy:
+        return "unhealthy";
+    case OrderResult::OtherLife:
+        return "other life";
+    case OrderResult::ConnectionRefused:
+        return "connection refused";
+    case OrderResult::NoAnswer:
+        break;
+    }
+    return "no answer";
+}
+
+Leader::Leader(LeaderOptions options, LeaderHooks hooks, State& state, const Clock& clock, Metrics& metrics)
+    : m_options(options)
+    , m_hooks(std::move(hooks))
+    , m_state(state)
+    , m_clock(clock)
+    , m_starts(metrics.counter("cell_starts_total"))
+    , m_startsRefused(metrics.counter("cell_starts_refused_total"))
+    , m_looks(metrics.counter("cell_looks_total"))
+    , m_adviceCalls(metrics.counter("cell_advice_calls_total"))
+    , m_plans(metrics.counter("cell_plans_total"))
+    , m_callsHandled(metrics.counter("cell_calls_total"))
+    , m_planLatency(metrics.latency("cell_plan_seconds"))
+{
+}
+
+Leader::~Leader() = default;
+
+void Leader::activate(uint64_t term)
+{
+    deactivate();
+    m_active = true;
+    m_term = term;
+    m_activeSince = m_clock.now();
+    refreshLinks();
+    for (auto& [serial, link] : m_links)
+        look(link);
+    decide("leadership", absl::StrCat(term), "active",
+        absl::StrCat("workers=", m_links.size(), " open_jobs=", m_state.openJobs().size()));
+    wantPlan();
+}
+
+void Leader::deactivate()
+{
+    if (m_active)
+        decide("leadership", absl::StrCat(m_term), "lost");
+    m_active = false;
+    m_fenced = false;
+    ++m_generation;
+    m_links.clear();
+    m_tickets = {};
+    m_adviceInFlight.clear();
+    m_adviceRetryAt.clear();
+    for (auto& [name, helper] : m_helpers)
+        helper.busy = false;
+    m_startsProposed = false;
+    m_submitting.clear();
+    m_endedSince.clear();
+    m_nextDueMs = 0;
+}
+
+void Leader::decide(std::string_view what, std::string_view id, std::string_view outcome, std::string detail) const
+{
+    logDecision("cell", what, id, outcome, { { "term", absl::StrCat(m_term) }, { "inputs", std::move(detail) } });
+}
+
+void Leader::applied(const record::CommandT& command)
+{
+    if (!m_active)
+        return;
+    if (!command.workers.empty() || !command.gone.empty())
+        refreshLinks();
+    for (const auto& end : command.ends) {
+        const auto link = m_links.find(end->worker);
+        if (link == m_links.end())
+            continue;
+        const auto run = link->second.runs.find({ end->job, end->occurrence, end->step, end->index });
+        if (run != link->second.runs.end() && run->second.number == end->run)
+            link->second.runs.erase(run);
+        if (end->how == EndKind::Failed)
+            noteFailure(link->second, 1);
+        else if (end->how == EndKind::Done)
+            link->second.failures /= 2; // Tasks that fail on sound workers must not exclude all of them.
+    }
+    for (const auto& end : command.ends)
+        breakGang(*end);
+    stopClosedJobs(command);
+    for (const auto& start : command.starts) {
+        const auto link = m_links.find(start->worker);
+        const TaskKey key { start->job, start->occurrence, start->step, start->index };
+        const auto* task = m_state.findTask(key);
+        if (link == m_links.end() || !task || task->state != record::TaskState::Placed || task->run != start->run
+            || task->worker != start->worker)
+            continue;
+        auto& run = link->second.runs[key];
+        run = { .number = start->run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
+        run.startedAt = run.progressSince = m_clock.now();
+        run.checkpoint = task->saved;
+        sendStart(link->second, key, run);
+    }
+    wantPlan();
+}
+
+void Leader::stopJob(const record::JobT& job)
+{
+    m_tickets.forgetJob(job.id);
+    m_endedSince.emplace(job.id, m_clock.now());
+    for (auto& [serial, link] : m_links) {
+        for (auto it = link.runs.lower_bound({ job.id, 0, 0, 0 }); it != link.runs.end() && it->first.job == job.id;
+             ++it)
+            stopRun(link, it->first, it->second);
+    }
+}
+
+void Leader::stopClosedJobs(const record::CommandT& command)
+{
+    std::set<std::string> touched(command.cancel.begin(), command.cancel.end());
+    for (const auto& end : command.ends)
+        touched.insert(end->job);
+    for (const auto& id : touched) {
+        const auto* job = m_state.findJob(id);
+        if (!job || job->state == JobState::Open || m_endedSince.contains(id))
+            continue;
+        decide("job", id,
+            job->state == JobState::Done         ? "done"
+                : job->state == JobState::Failed ? "failed"
+                                                 : "cancelled");
+        stopJob(*job);
+    }
+}
+
+/// The members of a gang work only together: when one has ended without success, the others are stopped, so that the
+/// gang can start again under one run number.
+void Leader::breakGang(const record::EndT& end)
+{
+    const auto* job = m_state.findJob(end.job);
+    if (end.how == EndKind::Done || !job || !job->steps[end.step]->gang)
+        return;
+    for (auto& [serial, link] : m_links) {
+        const TaskKey first { end.job, end.occurrence, end.step, 0 };
+        for (auto it = link.runs.lower_bound(first); it != link.runs.end() && stepOf(it->first) == first; ++it) {
+            if (it->second.number == end.run)
+                stopRun(link, it->first, it->second);
+        }
+    }
+}
+
+void Leader::wantPlan()
+{
+    m_planWanted = true;
+    if (m_planScheduled || m_startsProposed || !m_active)
+        return;
+    m_planScheduled = true;
+    m_hooks.after(Duration::zero(), [this] {
+        m_planScheduled = false;
+        planNow();
+    });
+}
+
+void Leader::planNow()
+{
+    if (!m_active || m_fenced || m_startsProposed || !m_planWanted || !m_hooks.holdsLease())
+        return;
+    m_planWanted = false;
+    m_plans.increment();
+    const auto now = m_clock.now();
+    const PlannerInput input { m_state, m_tickets,
+        [this](uint32_t serial) {
+            const auto link = m_links.find(serial);
+            if (link == m_links.end())
+                return WorkerHealthView {};
+            return WorkerHealthView { isUsable(link->second), failuresOf(link->second) };
+        },
+        now + ticketMargin, m_hooks.wallMs() };
+    auto result = plan(input);
+    m_planLatency.record(m_clock.now() - now);
+    m_nextDueMs = result.nextDueMs;
+    askAdvisor(result.advice);
+    if (result.starts.empty())
+        return;
+    record::CommandT command;
+    for (auto& start : result.starts)
+        command.starts.push_back(std::make_unique<record::StartT>(std::move(start)));
+    m_startsProposed = true;
+    const auto generation = m_generation;
+    m_hooks.propose(command, [this, generation](absl::Status status) {
+        if (generation != m_generation)
+            return;
+        m_startsProposed = false;
+        if (!status.ok())
+            logError("cell", "starts were not committed", { { "message", std::string(status.message()) } });
+        wantPlan();
+    });
+}
+
+void Leader::askAdvisor(const std::vector<AdviceRequest>& requests)
+{
+    const auto now = m_clock.now();
+    for (const auto& request : requests) {
+        const auto retry = m_adviceRetryAt.find(request.step);
+        if (m_adviceInFlight.contains(request.step) || (retry != m_adviceRetryAt.end() && now < retry->second))
+            continue;
+        auto idle = m_helpers.begin();
+        while (idle != m_helpers.end() && (idle->second.busy || now - idle->second.seenAt > helperLost))
+            ++idle;
+        if (idle == m_helpers.end())
+            return;
+        std::vector<std::string> ids;
+        for (const auto serial : request.workers)
+            ids.push_back(m_state.findWorker(serial)->worker.id);
+        const auto* queue = m_state.findQueue(m_state.findJob(request.step.job)->queue);
+        const auto validUntil = now + milliseconds(queue->advice->ticket_ms);
+        auto& helper = idle->second;
+        helper.busy = true;
+        const auto call = helper.call = m_nextAdvice++;
+        m_adviceInFlight.insert(request.step);
+        m_adviceCalls.increment();
+        const auto generation = m_generation;
+        const auto finish = [this, generation, call, name = idle->first, request, validUntil](AdviceAnswer answer) {
+            const auto found = m_helpers.find(name);
+            if (found == m_helpers.end() || found->second.call != call || !found->second.busy
+                || generation != m_generation)
+                return;
+            found->second.busy = false;
+            m_adviceInFlight.erase(request.step);
+            if (!answer.ok) {
+                m_adviceRetryAt[request.step] = m_clock.now() + adviceRetry;
+                decide("advice", absl::StrCat(request.step.job, ".", request.step.step), "no answer", name);
+            } else {
+                m_adviceRetryAt.erase(request.step);
+                std::map<uint32_t, std::string> fit;
+                for (const auto serial : request.workers) {
+                    const auto* worker = m_state.findWorker(serial);
+                    const auto ticket = worker ? answer.tickets.find(worker->worker.id) : answer.tickets.end();
+                    if (ticket != answer.tickets.end())
+                        fit[serial] = ticket->second;
+                }
+                const auto* job = m_state.findJob(request.step.job);
+                if (job && job->state == JobState::Open)
+                    m_tickets.record(request.step, request.workers, fit, validUntil);
+            }
+            wantPlan();
+        };
+        m_hooks.advise(idle->first, request.step, ids, finish);
+        m_hooks.after(request.expected + adviceSlack, [finish] { finish({}); });
+    }
+}
+
+void Leader::helperSeen(const std::string& helper)
+{
+    auto& entry = m_helpers[helper];
+    entry.seenAt = m_clock.now();
+}
+
+void Leader::forgetOldJobs()
+{
+    const auto now = m_clock.now();
+    record::CommandT command;
+    for (const auto& [id, since] : m_endedSince) {
+        if (now - since >= m_options.keepEnded)
+            command.forget.push_back(id);
+    }
+    if (command.forget.empty())
+        return;
+    for (const auto& id : command.forget)
+        m_endedSince[id] = now; // tried again later if a run of the job has not ended yet
+    m_hooks.propose(command, [this](const absl::Status& status) {
+        if (!status.ok())
+            logError("cell", "ended jobs were not forgotten", { { "message", std::string(status.message()) } });
+        std::erase_if(m_endedSince, [this](const auto& entry) { return !m_state.findJob(entry.first); });
+    });
+}
+
+void Leader::tick()
+{
+    if (!m_active)
+        return;
+    const auto now = m_clock.now();
+    for (auto& [serial, link] : m_links) {
+        if (!link.lookInFlight && now >= link.lookDue && (!link.synced || !link.runs.empty() || link.leaving))
+            look(link);
+        checkRuns(link);
+        const bool silent
+            = link.runs.empty() ? now - link.heardAt > workerForgotten * m_options.beatInterval : now >= link.leaseEnd;
+        if (!link.goneProposed && link.silentLooks > 0 && silent)
+            proposeGone(link);
+    }
+    if (m_nextDueMs != 0 && m_hooks.wallMs() >= m_nextDueMs)
+        wantPlan();
+    if (!m_adviceRetryAt.empty())
+        wantPlan();
+    std::erase_if(m_adviceRetryAt, [&](const auto& entry) { return now >= entry.second; });
+    std::erase_if(m_helpers, [&](const auto& entry) { return now - entry.second.seenAt > 10 * helperLost; });
+    forgetOldJobs();
+}
+
+std::string Leader::dump() const
+{
+    boost::json::array workers;
+    for (const auto& [serial, link] : m_links) {
+        const auto* record = m_state.findWorker(serial);
+        workers.push_back(boost::json::object { { "serial", serial }, { "id", record ? record->worker.id : "" },
+            { "synced", link.synced }, { "silent_looks", link.silentLooks }, { "runs", link.runs.size() },
+            { "usable", isUsable(link) }, { "failures", failuresOf(link) } });
+    }
+    return boost::json::serialize(boost::json::object { { "active", m_active }, { "term", m_term },
+        { "open_jobs", m_state.openJobs().size() }, { "jobs", m_state.jobs().size() },
+        { "config_version", m_state.config() ? m_state.config()->version : 0 }, { "workers", std::move(workers) } });
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/links.cc
@@ -0,0 +1,180 @@
+#include "turmericpier/cell/links.h"
+
+#include "peer_generated.h"
+#include "turmericpier/base/log.h"
+#include "turmericpier/peer/convert.h"
+
+#include <boost/asio/post.hpp>
+#include <charconv>
+
+namespace turmericpier::cell {
+
+namespace asio = boost::asio;
+
+namespace {
+    const GroupId cellGroup("cell");
+
+    peer::Address parse(const std::string& address)
+    {
+        const auto colon = address.rfind(':');
+        peer::Address parsed;
+        if (colon == std::string::npos)
+            return parsed;
+        parsed.host = address.substr(0, colon);
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), parsed.port);
+        return parsed;
+    }
+
+    template <typename Table, typename Native> std::vector<uint8_t> pack(const Native& native)
+    {
+        flatbuffers::FlatBufferBuilder builder;
+        builder.Finish(Table::Pack(builder, &native));
+        return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+    }
+
+    template <typename Table, typename Native> bool unpack(const std::vector<uint8_t>& bytes, Native& native)
+    {
+        flatbuffers::Verifier verifier(bytes.data(), bytes.size(), 64, 10'000'000);
+        if (!verifier.VerifyBuffer<Table>(nullptr))
+            return false;
+        flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&native);
+        return true;
+    }
+
+    peer::TransportOptions transportOptions(const LinksOptions& options)
+    {
+        peer::TransportOptions transport;
+        transport.self = InstanceId(options.self);
+        transport.listen = parse(addressOf(options.self));
+        transport.userTimeout = options.userTimeout;
+        return transport;
+    }
+} // namespace
+
+std::string addressOf(const std::string& identity) { return identity.substr(0, identity.find('/')); }
+
+Links::Links(asio::io_context& io, LinksOptions options, Metrics& metrics)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_calls(metrics.counter("cell_peer_calls_total"))
+    , m_timeouts(metrics.counter("cell_peer_call_timeouts_total"))
+    , m_misdirected(metrics.counter("cell_messages_for_former_replicas_total"))
+    , m_transport(transportOptions(m_options), metrics)
+{
+}
+
+Links::~Links() { stop(); }
+
+absl::Status Links::start()
+{
+    m_transport.setHandler([this](peer::Envelope envelope) { receive(std::move(envelope)); });
+    return m_transport.start();
+}
+
+void Links::stop() { m_transport.stop(); }
+
+void Links::post(const std::string& to, peer::Envelope envelope)
+{
+    const auto address = addressOf(to);
+    if (address != to)
+        envelope.to = to;
+    if (address == addressOf(m_options.self)) {
+        m_transport.send(InstanceId(m_options.self), std::move(envelope));
+        return;
+    }
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_known.insert(address).second)
+            m_transport.setPeer(InstanceId(address), parse(address));
+    }
+    m_transport.send(InstanceId(address), std::move(envelope));
+}
+
+void Links::send(const InstanceId& to, const consensus::Message& message)
+{
+    peer::Envelope envelope;
+    envelope.body.Set(peer::toWire(cellGroup, message));
+    post(to.str(), std::move(envelope));
+}
+
+void Links::call(const std::string& to, const record::CallT& call, std::chrono::milliseconds timeout, Done done)
+{
+    m_calls.increment();
+    const auto number = m_nextCall++;
+    peer::wire::CellCallT body;
+    body.call = pack<record::Call>(call);
+    peer::Envelope envelope;
+    envelope.correlation = number;
+    envelope.body.Set(std::move(body));
+    auto& pending = m_pending[number];
+    pending.done = std::move(done);
+    pending.timer = std::make_unique<asio::steady_timer>(m_io, timeout);
+    pending.timer->async_wait([this, number](const boost::system::error_code& error) {
+        if (error)
+            return;
+        auto expired = m_pending.extract(number);
+        if (expired.empty())
+            return;
+        m_timeouts.increment();
+        expired.mapped().done(std::nullopt);
+    });
+    post(to, std::move(envelope));
+}
+
+void Links::receive(peer::Envelope envelope)
+{
+    // A message for a replica that was at this address before its disk was lost.
+    if (!envelope.to.empty() && envelope.to != m_options.self) {
+        m_misdirected.increment();
+        return;
+    }
+    if (const auto* consensus = envelope.body.AsConsensus()) {
+        auto message = peer::fromWire(*consensus);
+        if (message.ok() && m_onMessage)
+            m_onMessage(InstanceId(envelope.from), *std::move(message));
+        else if (!message.ok())
+            logError("cell", "consensus message refused",
+                { { "peer", envelope.from }, { "message", std::string(message.status().message()) } });
+        return;
+    }
+    asio::post(m_io, [this, shared = std::make_shared<peer::Envelope>(std::move(envelope))] {
+        if (shared->body.AsCellCall())
+            onCall(*shared);
+        else if (shared->body.AsCellReply())
+            onReply(*shared);
+    });
+}
+
+void Links::onCall(peer::Envelope& envelope)
+{
+    auto call = std::make_unique<record::CallT>();
+    if (!unpack<record::Call>(envelope.body.AsCellCall()->call, *call)) {
+        logError("cell", "unreadable call", { { "peer", envelope.from } });
+        return;
+    }
+    if (!m_onCall)
+        return;
+    m_onCall(envelope.from, std::move(call),
+        [this, from = envelope.from, number = envelope.correlation](const record::ReplyT& reply) {
+            peer::wire::CellReplyT body;
+            body.reply = pack<record::Reply>(reply);
+            peer::Envelope answer;
+            answer.correlation = number;
+            answer.body.Set(std::move(body));
+            post(from, std::move(answer));
+        });
+}
+
+void Links::onReply(peer::Envelope& envelope)
+{
+    auto pending = m_pending.extract(envelope.correlation);
+    if (pending.empty())
+        return;
+    record::ReplyT reply;
+    if (unpack<record::Reply>(envelope.body.AsCellReply()->reply, reply))
+        return pending.mapped().done(std::move(reply));
+    logError("cell", "unreadable reply", { { "peer", envelope.from } });
+    pending.mapped().done(std::nullopt);
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/planner.cc
@@ -0,0 +1,323 @@
+#include "turmericpier/cell/planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace turmericpier::cell {
+
+using record::TaskState;
+
+namespace {
+    // Most workers of one call to the advisor. The latency objective of a job allows for one call on 30 workers a step.
+    constexpr size_t adviceWorkers = 30;
+    // Least workers of one call, so that a step with one task rarely needs a second call.
+    constexpr size_t adviceWorkersMin = 8;
+    constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers are fit.
+
+    /// A worker with the room that is left in this round.
+    struct Candidate {
+        const WorkerRecord* record = nullptr;
+        Resources free;
+        double penalty = 0;
+        bool runsTarget = false; ///< Runs a task with a bound on its tail latency.
+        bool runsFilling = false; ///< Runs a task that disturbs such tasks.
+        std::vector<TaskKey> planned;
+    };
+
+    /// The waiting tasks of one step.
+    struct StepWork {
+        const record::JobT* job = nullptr;
+        const record::QueueT* queue = nullptr;
+        const record::StepT* step = nullptr;
+        StepKey key;
+        std::vector<uint32_t> waiting;
+        bool anyPlaced = false;
+        uint64_t order = 0;
+    };
+
+    bool holdsStep(const TaskKey& key, const StepKey& step)
+    {
+        return key.job == step.job && key.occurrence == step.occurrence && key.step == step.step;
+    }
+
+    uint32_t countOfStep(const Candidate& candidate, const StepKey& step)
+    {
+        const auto& placed = candidate.record->placed;
+        uint32_t count = 0;
+        for (auto it = placed.lower_bound(step); it != placed.end() && holdsStep(*it, step); ++it)
+            ++count;
+        for (const auto& key : candidate.planned)
+            count += holdsStep(key, step) ? 1 : 0;
+        return count;
+    }
+
+    class Round {
+    public:
+        explicit Round(const PlannerInput& input)
+            : m_input(input)
+        {
+            for (const auto& [serial, worker] : input.state.workers())
+                addCandidate(worker);
+        }
+
+        Plan run()
+        {
+            collect();
+            std::ranges::sort(m_work, [](const StepWork& a, const StepWork& b) {
+                return std::tie(a.queue->priority, a.order) < std::tie(b.queue->priority, b.order);
+            });
+            for (const auto& work : m_work) {
+                if (m_plan.starts.size() >= m_input.maxStarts)
+                    break;
+                placeStep(work);
+            }
+            return std::move(m_plan);
+        }
+
+    private:
+        void addCandidate(const WorkerRecord& worker)
+        {
+            const auto health = m_input.health(worker.worker.serial);
+            if (!health.usable || worker.worker.draining)
+                return;
+            Candidate candidate { .record = &worker, .penalty = health.penalty };
+            candidate.free = Resources { MilliCpu { worker.worker.cpu }, MemoryMib { worker.worker.memory },
+                Accelerators { worker.worker.accelerators } }
+                - worker.used;
+            for (const auto& key : worker.placed) {
+                const auto* job = m_input.state.findJob(key.job);
+                const auto& step = *job->steps[key.step];
+                candidate.runsTarget |= step.target_ms > 0;
+                candidate.runsFilling |= step.fills;
+            }
+            m_candidates.push_back(std::move(candidate));
+        }
+
+        void collect()
+        {
+            for (const auto& [order, job] : m_input.state.openJobs()) {
+                const auto* queue = m_input.state.findQueue(job->queue);
+                if (!queue)
+                    continue;
+                for (uint32_t number = 0; number < occurrencesOf(*job); ++number) {
+                    if (!isDue(*job, number))
+                        break;
+                    collectOccurrence(*job, *queue, number, order);
+                }
+            }
+        }
+
+        bool isDue(const record::JobT& job, uint32_t number)
+        {
+            if (job.times == 0)
+                return true;
+            const auto due = job.first_due_ms + static_cast<int64_t>(number) * job.interval_ms;
+            if (due <= m_input.wallMs)
+                return true;
+            m_plan.nextDueMs = m_plan.nextDueMs == 0 ? due : std::min(m_plan.nextDueMs, due);
+            return false;
+        }
+
+        void collectOccurrence(const record::JobT& job, const record::QueueT& queue, uint32_t number, uint64_t order)
+        {
+            const auto* occurrence = findOccurrence(job, number);
+            for (uint32_t i = 0; i < job.steps.size(); ++i) {
+                StepWork work { &job, &queue, job.steps[i].get(), { job.id, number, i, 0 }, {}, false, order };
+                for (uint32_t task = 0; task < work.step->count; ++task) {
+                    const auto state = occurrence ? occurrence->steps[i]->tasks[task]->state : TaskState::Waiting;
+                    if (state == TaskState::Waiting)
+                        work.waiting.push_back(task);
+                    work.anyPlaced |= state == TaskState::Placed;
+                }
+                if (!work.waiting.empty() && isReady(job, number, i))
+                    m_work.push_back(std::move(work));
+            }
+        }
+
+        bool suits(const StepWork& work, const Candidate& candidate) const
+        {
+            const auto& worker = candidate.record->worker;
+            if (worker.service != work.queue->service)
+                return false;
+            const auto& needs = work.step->needs;
+            return needs.empty() || std::ranges::find(worker.labels, needs) != worker.labels.end();
+        }
+
+        bool hasRoom(const StepWork& work, const Candidate& candidate) const
+        {
+            const auto& step = *work.step;
+            if (!fits(occupancyOf(step), candidate.free))
+                return false;
+            // A filling task disturbs tasks with a target by an amount that is not known beforehand.
+            if ((step.fills && candidate.runsTarget) || (step.target_ms > 0 && candidate.runsFilling))
+                return false;
+            return step.max_per_worker == 0 || countOfStep(candidate, work.key) < step.max_per_worker;
+        }
+
+        bool mayRun(const StepWork& work, const Candidate& candidate) const
+        {
+            return !work.queue->advice
+                || m_input.tickets.fitnessOf(work.key, candidate.record->worker.serial, m_input.now) == Fitness::Fit;
+        }
+
+        /// Lower is better. Tasks go near their data, to workers without recent failures, and then to the fullest
+        /// worker, which keeps whole workers free for large tasks and gangs.
+        double costOf(const StepWork& work, const Candidate& candidate) const
+        {
+            const auto& worker = candidate.record->worker;
+            double cost = candidate.penalty;
+            if (!work.step->data_rack.empty() && work.step->data_rack != worker.rack)
+                cost += 10;
+            const double capacity = std::max<double>(1, static_cast<double>(worker.cpu));
+            return cost + static_cast<double>(candidate.free.cpu.value) / capacity;
+        }
+
+        Candidate* choose(const StepWork& work, const std::string* rack = nullptr)
+        {
+            Candidate* best = nullptr;
+            double bestCost = 0;
+            for (auto& candidate : m_candidates) {
+                if (rack && candidate.record->worker.rack != *rack)
+                    continue;
+                if (!suits(work, candidate) || !hasRoom(work, candidate) || !mayRun(work, candidate))
+                    continue;
+                const auto cost = costOf(work, candidate);
+                if (!best || cost < bestCost) {
+                    best = &candidate;
+                    bestCost = cost;
+                }
+            }
+            return best;
+        }
+
+        void take(const StepWork& work, uint32_t index, Candidate& candidate)
+        {
+            candidate.free -= occupancyOf(*work.step);
+            candidate.runsTarget |= work.step->target_ms > 0;
+            candidate.runsFilling |= work.step->fills;
+            candidate.planned.push_back({ work.key.job, work.key.occurrence, work.key.step, index });
+        }
+
+        void emit(const StepWork& work, uint32_t index, uint32_t run, const Candidate& candidate)
+        {
+            record::StartT start;
+            start.job = work.key.job;
+            start.occurrence = work.key.occurrence;
+            start.step = work.key.step;
+            start.index = index;
+            start.run = run;
+            start.worker = candidate.record->worker.serial;
+            m_plan.starts.push_back(std::move(start));
+        }
+
+        uint32_t lastRun(const StepWork& work, uint32_t index) const
+        {
+            const auto* task = m_input.state.findTask({ work.key.job, work.key.occurrence, work.key.step, index });
+            return task ? task->run : 0;
+        }
+
+        void placeStep(const StepWork& work)
+        {
+            const bool complete = work.step->gang ? placeGang(work) : placeTasks(work);
+            if (!complete)
+                wantAdvice(work);
+        }
+
+        bool placeTasks(const StepWork& work)
+        {
+            for (const auto index : work.waiting) {
+                auto* candidate = choose(work);
+                if (!candidate)
+                    return false;
+                take(work, index, *candidate);
+                emit(work, index, lastRun(work, index) + 1, *candidate);
+            }
+            return true;
+        }
+
+        /// Places all members or none; in one rack if that is asked for and any rack has the room.
+        bool placeGang(const StepWork& work)
+        {
+            if (work.anyPlaced || work.waiting.size() != work.step->count)
+                return true; // An earlier run has not ended everywhere.
+            if (work.step->same_rack) {
+                std::vector<std::string> racks;
+                for (const auto& candidate : m_candidates)
+                    racks.push_back(candidate.record->worker.rack);
+                std::ranges::sort(racks);
+                racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+                for (const auto& rack : racks) {
+                    if (placeGangIn(work, &rack))
+                        return true;
+                }
+            }
+            return placeGangIn(work, nullptr);
+        }
+
+        bool placeGangIn(const StepWork& work, const std::string* rack)
+        {
+            const auto before = m_candidates;
+            std::vector<std::pair<uint32_t, Candidate*>> chosen;
+            uint32_t run = 0;
+            for (const auto index : work.waiting) {
+                auto* candidate = choose(work, rack);
+                if (!candidate) {
+                    m_candidates = before;
+                    return false;
+                }
+                take(work, index, *candidate);
+                chosen.emplace_back(index, candidate);
+                run = std::max(run, lastRun(work, index));
+            }
+            for (const auto& [index, candidate] : chosen)
+                emit(work, index, run + 1, *candidate);
+            return true;
+        }
+
+        /// Asks about workers that have room. Those known to be fit come first, as they only need a new ticket.
+        void wantAdvice(const StepWork& work)
+        {
+            if (!work.queue->advice)
+                return;
+            std::vector<std::pair<double, uint32_t>> expired;
+            std::vector<std::pair<double, uint32_t>> unknown;
+            for (const auto& candidate : m_candidates) {
+                if (!suits(work, candidate) || !hasRoom(work, candidate))
+                    continue;
+                const auto serial = candidate.record->worker.serial;
+                const auto fitness = m_input.tickets.fitnessOf(work.key, serial, m_input.now);
+                if (fitness == Fitness::Expired)
+                    expired.emplace_back(costOf(work, candidate), serial);
+                else if (fitness == Fitness::Unknown)
+                    unknown.emplace_back(costOf(work, candidate), serial);
+            }
+            std::ranges::sort(expired);
+            std::ranges::sort(unknown);
+            const auto wanted = std::clamp(adviceWorkersPerTask * work.waiting.size(), adviceWorkersMin, adviceWorkers);
+            AdviceRequest request { .step = work.key };
+            for (const auto* list : { &expired, &unknown }) {
+                for (const auto& [cost, serial] : *list) {
+                    if (request.workers.size() < wanted)
+                        request.workers.push_back(serial);
+                }
+                if (request.workers.size() >= work.waiting.size() && !request.workers.empty())
+                    break;
+            }
+            if (request.workers.empty())
+                return;
+            const auto& advice = *work.queue->advice;
+            request.expected
+                = std::chrono::microseconds(advice.decide_us + uint64_t { advice.each_us } * request.workers.size());
+            m_plan.advice.push_back(std::move(request));
+        }
+
+        const PlannerInput& m_input;
+        std::vector<Candidate> m_candidates;
+        std::vector<StepWork> m_work;
+        Plan m_plan;
+    };
+} // namespace
+
+Plan plan(const PlannerInput& input) { return Round(input).run(); }
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/relay.cc
@@ -0,0 +1,160 @@
+#include "turmericpier/cell/relay.h"
+
+#include "turmericpier/base/log.h"
+
+namespace turmericpier::cell {
+
+namespace asio = boost::asio;
+using record::Verdict;
+using std::chrono::milliseconds;
+
+namespace {
+    // Between two attempts of one call while no leader is known.
+    constexpr milliseconds retryDelay { 40 };
+    constexpr milliseconds locateTimeout { 600 };
+    // A leader that has not answered for this long is looked for again.
+    constexpr milliseconds leaderSilent { 1'600 };
+    constexpr uint32_t retryAfterMs = 1'000; // An election takes about a second.
+} // namespace
+
+Relay::Relay(asio::io_context& io, RelayOptions options, Links& links, const Clock& clock, Metrics& metrics)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_links(links)
+    , m_clock(clock)
+    , m_retries(metrics.counter("cell_relay_retries_total"))
+    , m_refused(metrics.counter("cell_relay_refused_total"))
+    , m_unknown(metrics.counter("cell_relay_unknown_total"))
+    , m_timer(io)
+    , m_addresses(m_options.seeds)
+{
+}
+
+void Relay::start() { locate(); }
+
+bool Relay::isConnected() const { return !m_leader.empty() && m_clock.now() - m_leaderHeard < leaderSilent; }
+
+void Relay::addSeeds(const std::set<std::string>& addresses) { m_addresses.insert(addresses.begin(), addresses.end()); }
+
+void Relay::setLeader(const std::string& leader)
+{
+    if (leader.empty() || leader == m_leader)
+        return;
+    m_leader = leader;
+    m_leaderHeard = m_clock.now();
+    m_addresses.insert(addressOf(leader));
+    logState("cell", "leader found", { { "leader", leader } });
+}
+
+void Relay::locate()
+{
+    if (m_stopped)
+        return;
+    if (!m_leader.empty() && m_clock.now() - m_leaderHeard >= leaderSilent) {
+        logState("cell", "leader lost", { { "leader", m_leader } });
+        m_leader.clear();
+    }
+    record::CallT call;
+    if (m_makeLocate)
+        call = m_makeLocate();
+    call.kind = record::CallKind::Locate;
+    const auto ask = [&](const std::string& to) {
+        m_links.call(to, call, locateTimeout, [this](const std::optional<record::ReplyT>& reply) { onLocated(reply); });
+    };
+    if (!m_leader.empty()) {
+        ask(addressOf(m_leader));
+    } else {
+        for (const auto& address : m_addresses) {
+            if (address != addressOf(m_links.self()))
+                ask(address);
+        }
+    }
+    m_timer.expires_after(m_leader.empty() ? m_options.locateEvery : m_options.confirmEvery);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            locate();
+    });
+}
+
+void Relay::onLocated(const std::optional<record::ReplyT>& reply)
+{
+    if (!reply || m_stopped)
+        return;
+    for (const auto& member : reply->members)
+        m_addresses.insert(addressOf(member));
+    if (!reply->leader.empty() && reply->leader == reply->replica) {
+        setLeader(reply->leader);
+        m_leaderHeard = m_clock.now();
+    } else if (m_leader.empty()) {
+        setLeader(reply->leader);
+    }
+}
+
+void Relay::handle(std::unique_ptr<record::CallT> call, milliseconds deadline, Answer answer)
+{
+    auto waiting = std::make_shared<Waiting>();
+    waiting->call = std::move(call);
+    waiting->answer = std::move(answer);
+    waiting->deadline = m_clock.now() + deadline;
+    waiting->refuseAt = m_clock.now() + std::min(deadline, m_options.patience);
+    attempt(waiting);
+}
+
+void Relay::attempt(const std::shared_ptr<Waiting>& waiting)
+{
+    const auto now = m_clock.now();
+    record::ReplyT reply;
+    if (!waiting->inDoubt && now >= waiting->refuseAt) {
+        m_refused.increment();
+        reply.verdict = Verdict::NotRun;
+        reply.message = "no leader is known";
+        reply.retry_after_ms = retryAfterMs;
+        return finish(waiting, std::move(reply));
+    }
+    if (now >= waiting->deadline) {
+        m_unknown.increment();
+        reply.verdict = Verdict::Unknown;
+        reply.message = "no leader has answered in time";
+        return finish(waiting, std::move(reply));
+    }
+    if (m_leader.empty() || m_leader == m_links.self())
+        return retry(waiting);
+    const auto left = std::chrono::duration_cast<milliseconds>(waiting->deadline - now);
+    m_links.call(m_leader, *waiting->call, std::min(m_options.attempt, left + milliseconds(1)),
+        [this, waiting, leader = m_leader](std::optional<record::ReplyT> answer) {
+            if (!answer) {
+                waiting->inDoubt = true;
+                if (m_leader == leader) {
+                    m_leader.clear();
+                    locate();
+                }
+                return retry(waiting);
+            }
+            if (answer->verdict == Verdict::NotLeader) {
+                if (m_leader == leader)
+                    m_leader.clear();
+                if (!answer->leader.empty() && answer->leader != leader)
+                    setLeader(answer->leader);
+                return retry(waiting);
+            }
+            if (m_leader == leader)
+                m_leaderHeard = m_clock.now();
+            finish(waiting, *std::move(answer));
+        });
+}
+
+void Relay::retry(const std::shared_ptr<Waiting>& waiting)
+{
+    m_retries.increment();
+    auto timer = std::make_shared<asio::steady_timer>(m_io, retryDelay);
+    timer->async_wait([this, waiting, timer](const boost::system::error_code&) { attempt(waiting); });
+}
+
+void Relay::finish(const std::shared_ptr<Waiting>& waiting, record::ReplyT reply)
+{
+    auto answer = std::exchange(waiting->answer, nullptr);
+    if (answer)
+        answer(std::move(reply));
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/replica.cc
@@ -0,0 +1,421 @@
+#include "turmericpier/cell/replica.h"
+
+#include "turmericpier/base/error.h"
+#include "turmericpier/base/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <future>
+
+namespace turmericpier::cell {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+    constexpr milliseconds tickInterval { 50 };
+    constexpr milliseconds formationInterval { 100 };
+    constexpr milliseconds formationTimeout { 400 };
+    // Time for one voter to take over: a vote and a sync, with room.
+    constexpr milliseconds handOverAttempt { 400 };
+    // Longer than any call that the leader waits for.
+    constexpr milliseconds adviceTimeout { 4'000 };
+    constexpr milliseconds voterCheckInterval { 300 };
+    // A candidate repeats its request every second.
+    constexpr milliseconds candidateLost { 3'000 };
+    // Entries between two snapshots: at 100 to 200 entries a second and a few hundred bytes each the log in memory
+    // stays below 10 MB.
+    constexpr uint64_t snapshotEvery = 4'000;
+    constexpr uint64_t snapshotBytes = 8U << 20U;
+} // namespace
+
+Replica::Replica(asio::io_context& io, ReplicaOptions options, Identity identity, LeaderHooks orders, Links& links,
+    Relay& relay, const Clock& clock, Metrics& metrics)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_identity(std::move(identity))
+    , m_links(links)
+    , m_relay(relay)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_leader(m_options.leader, leaderHooks(std::move(orders)), m_state, clock, metrics)
+    , m_timer(io)
+{
+    m_links.setMessageHandler([this](InstanceId from, consensus::Message message) {
+        if (auto* group = m_receiver.load())
+            group->receive(std::move(from), std::move(message));
+    });
+}
+
+Replica::~Replica() { stop(); }
+
+LeaderHooks Replica::leaderHooks(LeaderHooks orders)
+{
+    orders.propose
+        = [this](const record::CommandT& command, LeaderHooks::Proposed done) { propose(command, std::move(done)); };
+    orders.advise = [this](const std::string& helper, const StepKey& step, const std::vector<std::string>& workers,
+                        const std::function<void(AdviceAnswer)>& done) {
+        record::CallT call;
+        call.kind = record::CallKind::Advise;
+        call.step = absl::StrCat(step.job, ".", step.occurrence, ".", step.step);
+        call.workers = workers;
+        m_links.call(helper, call, adviceTimeout, [done](const std::optional<record::ReplyT>& reply) {
+            AdviceAnswer answer;
+            answer.ok = reply && reply->verdict == record::Verdict::Ok;
+            if (answer.ok) {
+                for (const auto& ticket : reply->tickets)
+                    answer.tickets[ticket->worker] = ticket->value;
+            }
+            done(std::move(answer));
+        });
+    };
+    orders.after = [this](Duration delay, std::function<void()> function) {
+        if (delay <= Duration::zero()) {
+            asio::post(m_io, std::move(function));
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
+        timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& error) {
+            if (!error)
+                function();
+        });
+    };
+    orders.holdsLease = [this] { return m_group && m_group->holdsLease(); };
+    return orders;
+}
+
+absl::Status Replica::start()
+{
+    const bool isSeed = m_options.seeds.contains(addressOf(m_identity.replica));
+    const bool hasLog = std::filesystem::exists(m_options.folder / "log");
+    if (!m_identity.formedWith.empty() || hasLog || !m_identity.mayForm || !isSeed) {
+        if (auto status = openGroup(); !status.ok())
+            return status;
+    }
+    tick();
+    return absl::OkStatus();
+}
+
+void Replica::stop()
+{
+    if (std::exchange(m_stopped, true))
+        return;
+    m_timer.cancel();
+    m_leader.deactivate();
+    // The group's thread may wait for a snapshot of the state, which is taken on this thread.
+    if (m_group) {
+        std::thread stopper([this] { m_group->stop(); });
+        std::atomic<bool> done = false;
+        std::thread waiter([&] {
+            stopper.join();
+            done = true;
+        });
+        while (!done) {
+            m_io.poll();
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        waiter.join();
+    }
+}
+
+absl::Status Replica::openGroup()
+{
+    consensus::GroupOptions options;
+    options.group = GroupId("cell");
+    options.self = InstanceId(m_identity.replica);
+    for (const auto& voter : m_identity.formedWith)
+        options.voters.emplace_back(voter);
+    options.folder = m_options.folder / "log";
+    options.electionTimeoutMin = m_options.electionTimeoutMin;
+    options.electionTimeoutMax = m_options.electionTimeoutMax;
+    options.snapshotEvery = snapshotEvery;
+    options.snapshotBytes = snapshotBytes;
+    options.seed = std::random_device {}();
+    auto group = consensus::Group::open(std::move(options), groupHooks(), m_clock, m_metrics);
+    if (!group.ok())
+        return group.status();
+    m_group = *std::move(group);
+    m_group->start();
+    m_receiver = m_group.get();
+    return absl::OkStatus();
+}
+
+consensus::GroupHooks Replica::groupHooks()
+{
+    consensus::GroupHooks hooks;
+    hooks.send = [this](const InstanceId& to, const consensus::Message& message) { m_links.send(to, message); };
+    hooks.apply = [this](Index, std::string_view data) {
+        asio::post(m_io, [this, data = std::string(data)] {
+            flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(data.data()), data.size(), 64, 10'000'000);
+            if (!verifier.VerifyBuffer<record::Command>(nullptr)) {
+                logError("cell", "unreadable entry of the log", { { "bytes", std::to_string(data.size()) } });
+                return;
+            }
+            record::CommandT command;
+            flatbuffers::GetRoot<record::Command>(data.data())->UnPackTo(&command);
+            m_state.apply(command);
+            m_leader.applied(command);
+        });
+        return std::string();
+    };
+    hooks.snapshot = [this] {
+        // Runs after all entries that were handed out before: the state is that of the last one applied.
+        std::promise<std::string> result;
+        asio::post(m_io, [this, &result] { result.set_value(m_state.snapshot()); });
+        return result.get_future().get();
+    };
+    hooks.restore = [this](std::string_view data) {
+        asio::post(m_io, [this, data = std::string(data)] {
+            if (auto status = m_state.restore(data); !status.ok())
+                logError("cell", "snapshot not restored", { { "message", std::string(status.message()) } });
+        });
+        return absl::OkStatus();
+    };
+    hooks.roleChanged
+        = [this](const consensus::RoleChange& change) { asio::post(m_io, [this, change] { onRole(change); }); };
+    return hooks;
+}
+
+void Replica::onRole(const consensus::RoleChange& change)
+{
+    const bool sameLeadership = m_role.isLeader && change.isLeader && m_role.term == change.term;
+    m_role = change;
+    m_relay.setLeader(change.leader.str());
+    if (sameLeadership)
+        return;
+    const auto number = ++m_roleChanges;
+    m_leader.deactivate();
+    if (!change.isLeader || m_stopped)
+        return;
+    // All that earlier leaders have committed is applied before this one acts.
+    m_group->read([this, number, term = change.term](const absl::Status& status) {
+        asio::post(m_io, [this, number, term, ok = status.ok()] {
+            if (number == m_roleChanges && ok && !m_stopped)
+                m_leader.activate(term.value);
+        });
+    });
+}
+
+void Replica::propose(const record::CommandT& command, LeaderHooks::Proposed done)
+{
+    if (m_stopped || !m_group) {
+        asio::post(m_io, [done] {
+            done(makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "STOPPING", "propose", "" },
+                "this replica is stopping"));
+        });
+        return;
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(record::Command::Pack(builder, &command));
+    std::string data(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+    m_group->propose(std::move(data), [this, done](const absl::StatusOr<consensus::Applied>& result) {
+        asio::post(m_io, [done, status = result.status()] { done(status); });
+    });
+}
+
+void Replica::handle(std::unique_ptr<record::CallT> call, milliseconds deadline, Links::Answer answer)
+{
+    if (!m_leader.isActive())
+        return m_relay.handle(std::move(call), deadline, std::move(answer));
+    m_leader.handle(std::move(call), [this, answer = std::move(answer)](record::ReplyT reply) {
+        reply.beat_address = m_options.beatAddress;
+        answer(std::move(reply));
+    });
+}
+
+record::CallT Replica::locateCall() const
+{
+    record::CallT call;
+    call.replica = m_identity.replica;
+    return call;
+}
+
+void Replica::onPeerCall(const std::string& from, std::unique_ptr<record::CallT> call, Links::Answer answer)
+{
+    if (call->kind != record::CallKind::Locate) {
+        return m_leader.handle(std::move(call), [this, answer = std::move(answer)](record::ReplyT reply) {
+            if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader)
+                reply.leader = m_role.leader.str();
+            reply.beat_address = m_options.beatAddress;
+            answer(std::move(reply));
+        });
+    }
+    record::ReplyT reply;
+    reply.replica = m_identity.replica;
+    reply.unformed = !m_group;
+    reply.leader = m_role.leader.str();
+    if (m_group) {
+        for (const auto& voter : m_group->voters())
+            reply.members.push_back(voter.id.str());
+    }
+    if (call->unformed) {
+        noteSeed(call->replica, true, {});
+        reply.members = m_identity.formedWith;
+    } else if (m_leader.isActive()) {
+        m_leader.helperSeen(from);
+        // Only replicas name themselves; entries are helpers alone.
+        if (!call->replica.empty() && !isVoter(call->replica))
+            m_candidates[call->replica] = m_clock.now();
+    }
+    answer(std::move(reply));
+}
+
+void Replica::tick()
+{
+    if (m_stopped)
+        return;
+    if (!m_group)
+        tryForm();
+    m_leader.tick();
+    if (m_leader.isActive()) {
+        m_leader.helperSeen(m_links.self());
+        maintainVoters();
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+/// Exchanges identities with the other seeds. The group is formed of all seeds at the first start of the system, and
+/// of nothing else: whoever starts later joins through the leader.
+void Replica::tryForm()
+{
+    const auto now = m_clock.now();
+    if (now < m_nextFormation)
+        return;
+    m_nextFormation = now + formationInterval;
+    noteSeed(m_identity.replica, true, {});
+    record::CallT call;
+    call.kind = record::CallKind::Locate;
+    call.replica = m_identity.replica;
+    call.unformed = true;
+    for (const auto& seed : m_options.seeds) {
+        if (m_group || seed == addressOf(m_identity.replica))
+            continue;
+        m_links.call(seed, call, formationTimeout, [this](const std::optional<record::ReplyT>& reply) {
+            if (reply)
+                noteSeed(reply->replica, reply->unformed, reply->members);
+        });
+    }
+}
+
+void Replica::noteSeed(const std::string& replica, bool unformed, const std::vector<std::string>& formedWith)
+{
+    if (m_group || m_stopped || !m_options.seeds.contains(addressOf(replica)))
+        return;
+    if (std::ranges::find(formedWith, m_identity.replica) != formedWith.end())
+        return form(formedWith);
+    if (!unformed)
+        return;
+    m_seedReplicas[addressOf(replica)] = replica;
+    if (m_seedReplicas.size() < m_options.seeds.size())
+        return;
+    std::vector<std::string> voters;
+    for (const auto& [address, id] : m_seedReplicas)
+        voters.push_back(id);
+    form(std::move(voters));
+}
+
+void Replica::form(std::vector<std::string> voters)
+{
+    m_identity.formedWith = std::move(voters);
+    auto status = saveIdentity(m_options.folder, m_identity);
+    if (status.ok())
+        status = openGroup();
+    if (status.ok()) {
+        logState("cell", "group formed", { { "voters", std::to_string(m_identity.formedWith.size()) } });
+        return;
+    }
+    m_identity.formedWith.clear();
+    logError("cell", "group not formed", { { "message", std::string(status.message()) } });
+}
+
+bool Replica::isVoter(const std::string& replica) const
+{
+    return std::ranges::any_of(m_group->voters(), [&](const auto& voter) { return voter.id.str() == replica; });
+}
+
+/// One change at a time: removes a voter whose disk was lost, adds a replica that asks for it, removes a voter that has
+/// been silent for long.
+void Replica::maintainVoters()
+{
+    const auto now = m_clock.now();
+    if (m_changingVoters || now < m_nextVoterCheck)
+        return;
+    m_nextVoterCheck = now + voterCheckInterval;
+    std::erase_if(m_candidates, [&](const auto& entry) { return now - entry.second > candidateLost; });
+    const auto voters = m_group->voters();
+    for (const auto& [candidate, seen] : m_candidates) {
+        if (isVoter(candidate))
+            continue;
+        for (const auto& voter : voters) {
+            if (addressOf(voter.id.str()) == addressOf(candidate))
+                return changeVoters("replaced at its address", voter.id.str(), false);
+        }
+        if (voters.size() < m_options.maxVoters)
+            return changeVoters("joins", candidate, true);
+    }
+    if (voters.size() <= m_options.minVoters)
+        return;
+    for (const auto& voter : voters) {
+        if (voter.silentFor > m_options.removeAfter)
+            return changeVoters("silent", voter.id.str(), false);
+    }
+}
+
+void Replica::changeVoters(const std::string& what, const std::string& replica, bool add)
+{
+    m_changingVoters = true;
+    logDecision("cell", "membership", replica, add ? "adding" : "removing", { { "inputs", what } });
+    const auto done = [this, replica](const absl::StatusOr<consensus::Applied>& result) {
+        asio::post(m_io, [this, replica, status = result.status()] {
+            m_changingVoters = false;
+            if (!status.ok())
+                logDecision("cell", "membership", replica, "refused", { { "inputs", std::string(status.message()) } });
+        });
+    };
+    if (add)
+        m_group->addVoter(InstanceId(replica), done);
+    else
+        m_group->removeVoter(InstanceId(replica), done);
+}
+
+void Replica::handOver(std::function<void()> done)
+{
+    if (!m_group || !m_role.isLeader)
+        return done();
+    // Tried with each voter in turn; a voter that is down never takes over.
+    auto others = std::make_shared<std::deque<InstanceId>>();
+    auto voters = m_group->voters();
+    std::ranges::sort(voters, [](const auto& a, const auto& b) { return a.silentFor < b.silentFor; });
+    for (const auto& voter : voters) {
+        if (voter.id.str() != m_identity.replica)
+            others->push_back(voter.id);
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_io);
+    auto next = std::make_shared<std::function<void()>>();
+    *next = [this, others, timer, done = std::move(done), weak = std::weak_ptr(next)] {
+        if (!m_role.isLeader || others->empty())
+            return done();
+        m_group->transferLeadership(others->front());
+        others->pop_front();
+        timer->expires_after(handOverAttempt);
+        // The function is kept alive by the timer alone, and freed after the last attempt.
+        timer->async_wait([keep = weak.lock()](const boost::system::error_code&) { (*keep)(); });
+    };
+    (*next)();
+}
+
+std::string Replica::dump() const
+{
+    boost::json::error_code error;
+    return boost::json::serialize(boost::json::object { { "replica", m_identity.replica },
+        { "group", m_group ? boost::json::parse(m_group->dump(), error) : boost::json::value() },
+        { "leader", boost::json::parse(m_leader.dump(), error) } });
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/state.cc
@@ -0,0 +1,430 @@
+#include "turmericpier/cell/state.h"
+
+#include "turmericpier/base/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmericpier::cell {
+
+using record::EndKind;
+using record::JobState;
+using record::TaskState;
+
+namespace {
+    std::unique_ptr<record::OccurrenceT> newOccurrence(const record::JobT& job, uint32_t number)
+    {
+        auto occurrence = std::make_unique<record::OccurrenceT>();
+        occurrence->number = number;
+        for (const auto& step : job.steps) {
+            auto tasks = std::make_unique<record::StepTasksT>();
+            for (uint32_t i = 0; i < step->count; ++i)
+                tasks->tasks.push_back(std::make_unique<record::TaskT>());
+            occurrence->steps.push_back(std::move(tasks));
+        }
+        return occurrence;
+    }
+
+    record::OccurrenceT* findMutable(record::JobT& job, uint32_t number)
+    {
+        return const_cast<record::OccurrenceT*>(findOccurrence(job, number));
+    }
+
+    record::OccurrenceT& obtainOccurrence(record::JobT& job, uint32_t number)
+    {
+        if (auto* found = findMutable(job, number))
+            return *found;
+        job.occurrences.push_back(newOccurrence(job, number));
+        return *job.occurrences.back();
+    }
+
+    record::TaskT* taskIn(record::OccurrenceT* occurrence, uint32_t step, uint32_t index)
+    {
+        if (!occurrence || step >= occurrence->steps.size() || index >= occurrence->steps[step]->tasks.size())
+            return nullptr;
+        return occurrence->steps[step]->tasks[index].get();
+    }
+
+    bool isDone(const record::StepTasksT& step)
+    {
+        return std::ranges::all_of(step.tasks, [](const auto& task) { return task->state == TaskState::Done; });
+    }
+} // namespace
+
+std::string queueKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += prefix;
+    return key;
+}
+
+Resources occupancyOf(const record::StepT& step)
+{
+    return { MilliCpu { step.fills ? 0 : step.cpu }, MemoryMib { step.memory }, Accelerators { step.accelerators } };
+}
+
+const record::OccurrenceT* findOccurrence(const record::JobT& job, uint32_t number)
+{
+    for (const auto& occurrence : job.occurrences) {
+        if (occurrence->number == number)
+            return occurrence.get();
+    }
+    return nullptr;
+}
+
+uint32_t occurrencesOf(const record::JobT& job) { return std::max<uint32_t>(1, job.times); }
+
+bool isReady(const record::JobT& job, uint32_t occurrence, uint32_t step)
+{
+    const auto& after = job.steps[step]->after;
+    if (after.empty())
+        return true;
+    const auto* found = findOccurrence(job, occurrence);
+    return found && std::ranges::all_of(after, [&](uint32_t earlier) { return isDone(*found->steps[earlier]); });
+}
+
+void State::apply(const record::CommandT& command)
+{
+    if (command.config)
+        applyConfig(*command.config);
+    for (const auto& job : command.submit)
+        applySubmit(*job);
+    for (const auto& id : command.cancel)
+        applyCancel(id);
+    for (const auto& end : command.ends)
+        applyEnd(*end);
+    for (const auto serial : command.gone)
+        applyGone(serial);
+    for (const auto& worker : command.workers)
+        applyWorker(*worker);
+    for (const auto& start : command.starts)
+        applyStart(*start);
+    for (const auto& id : command.forget)
+        applyForget(id);
+}
+
+void State::applyConfig(const record::ConfigT& config)
+{
+    if (m_config && config.version <= m_config->version)
+        return;
+    m_config = std::make_unique<record::ConfigT>(config);
+    for (auto& [key, queue] : m_queues)
+        queue.active = false;
+    for (const auto& queue : m_config->queues) {
+        queue->active = true;
+        m_queues[queueKey(queue->host, queue->prefix)] = *queue;
+    }
+}
+
+void State::applyWorker(const record::WorkerT& worker)
+{
+    for (auto& [serial, known] : m_workers) {
+        if (known.worker.id != worker.id || known.worker.born_ms != worker.born_ms)
+            continue;
+        known.worker = worker;
+        known.worker.serial = serial;
+        return;
+    }
+    // A report of an earlier life may arrive after a later life has registered under the same id or address.
+    std::vector<uint32_t> ended;
+    for (const auto& [serial, known] : m_workers) {
+        if (known.worker.id != worker.id && known.worker.address != worker.address)
+            continue;
+        if (known.worker.born_ms > worker.born_ms)
+            return;
+        ended.push_back(serial);
+    }
+    for (const auto serial : ended)
+        applyGone(serial);
+    WorkerRecord added { worker, {}, {} };
+    added.worker.serial = m_nextSerial;
+    m_workers.emplace(m_nextSerial++, std::move(added));
+}
+
+void State::applyGone(uint32_t serial)
+{
+    const auto found = m_workers.find(serial);
+    if (found == m_workers.end())
+        return;
+    const auto placed = found->second.placed;
+    for (const auto& key : placed) {
+        auto& job = *m_jobs.at(key.job);
+        auto* task = taskIn(findMutable(job, key.occurrence), key.step, key.index);
+        release(key, *job.steps[key.step], *task);
+        endTask(job, key, EndKind::Lapsed, "");
+    }
+    m_workers.erase(serial);
+}
+
+void State::applySubmit(const record::JobT& job)
+{
+    if (m_jobs.contains(job.id))
+        return;
+    auto added = std::make_unique<record::JobT>(job);
+    added->state = JobState::Open;
+    added->occurrences.clear();
+    auto& stored = *added;
+    m_jobs.emplace(job.id, std::move(added));
+    indexJob(stored);
+}
+
+void State::indexJob(record::JobT& job)
+{
+    if (job.state != JobState::Open)
+        return;
+    m_open[m_nextOrder] = &job;
+    m_openOrder[job.id] = m_nextOrder++;
+}
+
+void State::applyCancel(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && found->second->state == JobState::Open)
+        closeJob(*found->second, JobState::Cancelled);
+}
+
+void State::closeJob(record::JobT& job, JobState state)
+{
+    job.state = state;
+    const auto found = m_openOrder.find(job.id);
+    if (found == m_openOrder.end())
+        return;
+    m_open.erase(found->second);
+    m_openOrder.erase(found);
+}
+
+void State::place(const TaskKey& key, const record::StepT& step, uint32_t serial)
+{
+    auto& worker = m_workers.at(serial);
+    worker.placed.insert(key);
+    worker.used += occupancyOf(step);
+}
+
+void State::applyStart(const record::StartT& start)
+{
+    const auto found = m_jobs.find(start.job);
+    if (found == m_jobs.end() || found->second->state != JobState::Open || !m_workers.contains(start.worker))
+        return;
+    auto& job = *found->second;
+    auto* task = taskIn(&obtainOccurrence(job, start.occurrence), start.step, start.index);
+    if (!task || task->state != TaskState::Waiting || start.run <= task->run)
+        return;
+    task->state = TaskState::Placed;
+    task->run = start.run;
+    task->worker = start.worker;
+    job.started = true;
+    place({ start.job, start.occurrence, start.step, start.index }, *job.steps[start.step], start.worker);
+}
+
+void State::release(const TaskKey& key, const record::StepT& step, record::TaskT& task)
+{
+    const auto worker = m_workers.find(task.worker);
+    if (worker != m_workers.end() && worker->second.placed.erase(key) > 0)
+        worker->second.used -= occupancyOf(step);
+    task.worker = 0;
+    task.state = TaskState::Waiting;
+}
+
+void State::applyEnd(const record::EndT& end)
+{
+    const auto found = m_jobs.find(end.job);
+    if (found == m_jobs.end())
+        return;
+    auto& job = *found->second;
+    auto* task = taskIn(findMutable(job, end.occurrence), end.step, end.index);
+    if (!task || task->state != TaskState::Placed || task->run != end.run || task->worker != end.worker)
+        return;
+    const TaskKey key { end.job, end.occurrence, end.step, end.index };
+    release(key, *job.steps[end.step], *task);
+    endTask(job, key, end.how, end.saved);
+}
+
+void State::endTask(record::JobT& job, const TaskKey& key, EndKind how, const std::string& saved)
+{
+    const auto& step = *job.steps[key.step];
+    auto& tasks = findMutable(job, key.occurrence)->steps[key.step]->tasks;
+    auto& task = *tasks[key.index];
+    if (!saved.empty()) {
+        // The members of a gang resume from one checkpoint, and that of any member is valid.
+        for (auto& member : tasks) {
+            if (step.gang || member.get() == &task)
+                member->saved = saved;
+        }
+    }
+    if (how == EndKind::Done && !step.long_running) {
+        for (auto& member : tasks) {
+            if (step.gang || member.get() == &task)
+                member->state = TaskState::Done;
+        }
+        if (step.gang) {
+            for (uint32_t i = 0; i < tasks.size(); ++i) {
+                const TaskKey member { key.job, key.occurrence, key.step, i };
+                if (tasks[i]->worker != 0) {
+                    release(member, step, *tasks[i]);
+                    tasks[i]->state = TaskState::Done;
+                }
+            }
+        }
+        if (job.state == JobState::Open && allDone(job))
+            closeJob(job, JobState::Done);
+        return;
+    }
+    if (how != EndKind::Failed || step.long_running)
+        return;
+    // Several members of one run of a gang may fail; the gang has failed once.
+    auto& counted = step.gang ? *tasks.front() : task;
+    if (step.gang && std::exchange(counted.failed_run, task.run) == task.run)
+        return;
+    ++counted.failures;
+    const auto* queue = findQueue(job.queue);
+    if (job.state == JobState::Open && queue && counted.failures >= std::max<uint32_t>(1, queue->attempts))
+        closeJob(job, JobState::Failed);
+}
+
+bool State::allDone(const record::JobT& job) const
+{
+    if (job.occurrences.size() < occurrencesOf(job))
+        return false;
+    return std::ranges::all_of(job.occurrences, [](const auto& occurrence) {
+        return std::ranges::all_of(occurrence->steps, [](const auto& step) { return isDone(*step); });
+    });
+}
+
+void State::applyForget(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->state == JobState::Open)
+        return;
+    for (const auto& [serial, worker] : m_workers) {
+        const auto first = worker.placed.lower_bound(TaskKey { id, 0, 0, 0 });
+        if (first != worker.placed.end() && first->job == id)
+            return;
+    }
+    m_jobs.erase(found);
+}
+
+const record::QueueT* State::matchQueue(std::string_view host, std::string_view path) const
+{
+    const record::QueueT* best = nullptr;
+    for (const auto& [key, queue] : m_queues) {
+        if (queue.active && queue.host == host && path.starts_with(queue.prefix)
+            && (!best || queue.prefix.size() > best->prefix.size()))
+            best = &queue;
+    }
+    return best;
+}
+
+const record::QueueT* State::findQueue(const std::string& key) const
+{
+    const auto found = m_queues.find(key);
+    return found == m_queues.end() ? nullptr : &found->second;
+}
+
+const record::ServiceT* State::findService(const std::string& name) const
+{
+    if (!m_config)
+        return nullptr;
+    const auto found = std::ranges::find_if(m_config->services, [&](const auto& s) { return s->name == name; });
+    return found == m_config->services.end() ? nullptr : found->get();
+}
+
+const record::JobT* State::findJob(const std::string& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+const record::TaskT* State::findTask(const TaskKey& key) const
+{
+    const auto found = m_jobs.find(key.job);
+    if (found == m_jobs.end())
+        return nullptr;
+    return taskIn(findMutable(*found->second, key.occurrence), key.step, key.index);
+}
+
+uint32_t State::waitingJobs(const std::string& queue) const
+{
+    return static_cast<uint32_t>(std::ranges::count_if(
+        m_open, [&](const auto& entry) { return entry.second->queue == queue && !entry.second->started; }));
+}
+
+const WorkerRecord* State::findWorker(uint32_t serial) const
+{
+    const auto found = m_workers.find(serial);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const WorkerRecord* State::findWorkerById(const std::string& id) const
+{
+    for (const auto& [serial, worker] : m_workers) {
+        if (worker.worker.id == id)
+            return &worker;
+    }
+    return nullptr;
+}
+
+const WorkerRecord* State::findWorkerAt(const std::string& address) const
+{
+    const WorkerRecord* latest = nullptr;
+    for (const auto& [serial, worker] : m_workers) {
+        if (worker.worker.address == address && (!latest || worker.worker.born_ms > latest->worker.born_ms))
+            latest = &worker;
+    }
+    return latest;
+}
+
+std::string State::snapshot() const
+{
+    record::SnapshotT out;
+    if (m_config)
+        out.config = std::make_unique<record::ConfigT>(*m_config);
+    for (const auto& [key, queue] : m_queues)
+        out.queues.push_back(std::make_unique<record::QueueT>(queue));
+    for (const auto& [serial, worker] : m_workers)
+        out.workers.push_back(std::make_unique<record::WorkerT>(worker.worker));
+    // Open jobs come first and in their order, which is part of the state.
+    for (const auto& [order, job] : m_open)
+        out.jobs.push_back(std::make_unique<record::JobT>(*job));
+    for (const auto& [id, job] : m_jobs) {
+        if (job->state != JobState::Open)
+            out.jobs.push_back(std::make_unique<record::JobT>(*job));
+    }
+    out.next_serial = m_nextSerial;
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(record::Snapshot::Pack(builder, &out));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+absl::Status State::restore(std::string_view data)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(data.data()), data.size(), 64, 100'000'000);
+    if (!verifier.VerifyBuffer<record::Snapshot>(nullptr)) {
+        return makeError({ absl::StatusCode::kDataLoss, Outcome::Unknown, "BAD_SNAPSHOT", "restore", "" },
+            "the snapshot of the cell is not readable");
+    }
+    record::SnapshotT in;
+    flatbuffers::GetRoot<record::Snapshot>(data.data())->UnPackTo(&in);
+    *this = State {};
+    m_config = std::move(in.config);
+    for (auto& queue : in.queues)
+        m_queues[queueKey(queue->host, queue->prefix)] = *queue;
+    for (auto& worker : in.workers)
+        m_workers[worker->serial] = { *worker, {}, {} };
+    m_nextSerial = std::max<uint32_t>(1, in.next_serial);
+    for (auto& job : in.jobs) {
+        auto& stored = *(m_jobs[job->id] = std::move(job));
+        indexJob(stored);
+        for (const auto& occurrence : stored.occurrences) {
+            for (uint32_t step = 0; step < occurrence->steps.size(); ++step) {
+                for (uint32_t i = 0; i < occurrence->steps[step]->tasks.size(); ++i) {
+                    const auto& task = *occurrence->steps[step]->tasks[i];
+                    if (task.state == TaskState::Placed && m_workers.contains(task.worker))
+                        place({ stored.id, occurrence->number, step, i }, *stored.steps[step], task.worker);
+                }
+            }
+        }
+    }
+    return absl::OkStatus();
+}
+
+} // namespace turmericpier::cell
--- /dev/null
+++ b/src/cell/tickets.cc
@@ -0,0 +1,66 @@
+#include "turmericpier/cell/tickets.h"
+
+namespace turmericpier::cell {
+
+void TicketBook::record(const StepKey& step, const std::vector<uint32_t>& asked,
+    const std::map<uint32_t, std::string>& fit, TimePoint validUntil)
+{
+    auto& entries = m_steps[step];
+    for (const auto worker : asked) {
+        const auto found = fit.find(worker);
+        if (found == fit.end())
+            entries[worker] = {};
+        else
+            entries[worker] = { true, found->second, validUntil };
+    }
+}
+
+const TicketBook::Entry* TicketBook::find(const StepKey& step, uint32_t worker) const
+{
+    const auto entries = m_steps.find(step);
+    if (entries == m_steps.end())
+        return nullptr;
+    const auto found = entries->second.find(worker);
+    return found == entries->second.end() ? nullptr : &found->second;
+}
+
+Fitness TicketBook::fitnessOf(const StepKey& step, uint32_t worker, TimePoint now) const
+{
+    const auto* entry = find(step, worker);
+    if (!entry)
+        return Fitness::Unknown;
+    if (!entry->fit)
+        return Fitness::Unfit;
+    return now < entry->validUntil ? Fitness::Fit : Fitness::Expired;
+}
+
+const std::string* TicketBook::ticketFor(const StepKey& step, uint32_t worker, TimePoint now) const
+{
+    const auto* entry = find(step, worker);
+    return entry && entry->fit && now < entry->validUntil ? &entry->ticket : nullptr;
+}
+
+void TicketBook::expire(const StepKey& step, uint32_t worker)
+{
+    const auto entries = m_steps.find(step);
+    if (entries == m_steps.end())
+        return;
+    const auto found = entries->second.find(worker);
+    if (found != entries->second.end())
+        found->second.validUntil = {};
+}
+
+void TicketBook::forgetWorker(uint32_t worker)
+{
+    for (auto& [step, entries] : m_steps)
+        entries.erase(worker);
+}
+
+void TicketBook::forgetJob(const std::string& job)
+{
+    auto first = m_steps.lower_bound(StepKey { job, 0, 0, 0 });
+    while (first != m_steps.end() && first->first.job == job)
+        first = m_steps.erase(first);
+}
+
+} // namespace turmericpier::cell
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -142,6 +142,8 @@
     const std::vector<InstanceId>& voters() const { return m_log.voters().voters; }
     const std::map<InstanceId, Progress>& progress() const { return m_progress; }
     bool leaseValid(TimePoint now) const;
+    /// Until then no other replica can lead; zero unless this replica leads.
+    TimePoint leaseEnd() const { return m_role == Role::Leader && m_leaseAllowed ? m_leaseEnd : TimePoint {}; }
     const std::shared_ptr<const Snapshot>& snapshot() const { return m_snapshot; }
     /// Not empty if a peer contradicted a committed entry; the replica must stop.
     const std::string& fault() const { return m_fault; }
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -7,6 +7,7 @@
 #include "turmericpier/base/log.h"
 
 #include <absl/strings/str_cat.h>
+#include <atomic>
 #include <boost/json.hpp>
 #include <random>
 
@@ -48,6 +49,7 @@
         Index snapshot;
         std::vector<InstanceId> voters;
         std::map<InstanceId, Index> matches;
+        std::map<InstanceId, TimePoint> heard;
         size_t pending = 0;
         bool recovering = false;
         std::string failure;
@@ -283,6 +285,7 @@
 
     void updateStatus()
     {
+        leaseEnd.store(failed.ok() ? core.leaseEnd().sinceStart.count() : 0, std::memory_order_release);
         std::lock_guard lock(mutex);
         status.role = toString(core.role());
         status.term = core.term();
@@ -293,8 +296,11 @@
         status.snapshot = core.snapshot() ? core.snapshot()->index : Index {};
         status.voters = core.voters();
         status.matches.clear();
-        for (const auto& [peer, progress] : core.progress())
+        status.heard.clear();
+        for (const auto& [peer, progress] : core.progress()) {
             status.matches[peer] = progress.match;
+            status.heard[peer] = progress.lastHeard;
+        }
         status.pending = waiting.size();
         status.recovering = core.recovering();
         status.failure = failure();
@@ -349,6 +355,7 @@
     std::map<uint64_t, std::function<void(absl::Status)>> reads;
     std::shared_ptr<const Snapshot> writing; ///< The snapshot that is being written.
     mutable std::mutex mutex;
+    std::atomic<int64_t> leaseEnd { 0 }; ///< On `clock`, in ns; 0 unless this replica leads.
     std::optional<absl::Status> written; ///< Result of writing it; guarded by `mutex`.
     Status status; ///< Guarded by `mutex`.
 };
@@ -455,6 +462,24 @@
     });
 }
 
+bool Group::holdsLease() const
+{
+    return m_impl->clock.now().sinceStart.count() < m_impl->leaseEnd.load(std::memory_order_acquire);
+}
+
+std::vector<Group::Voter> Group::voters() const
+{
+    const auto now = m_impl->clock.now();
+    std::lock_guard lock(m_impl->mutex);
+    const auto& status = m_impl->status;
+    std::vector<Voter> voters;
+    for (const auto& id : status.voters) {
+        const auto heard = status.heard.find(id);
+        voters.push_back({ id, heard == status.heard.end() ? Duration::zero() : now - heard->second });
+    }
+    return voters;
+}
+
 std::string Group::dump() const
 {
     std::lock_guard lock(m_impl->mutex);
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,240 @@
+#include "turmericpier/http/server.h"
+
+#include "turmericpier/base/error.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace turmericpier::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+    constexpr std::chrono::milliseconds acceptRetryDelay { 100 }; // After a failed accept, such as no free descriptors.
+} // namespace
+
+struct Server::Impl : std::enable_shared_from_this<Impl> {
+    class Session;
+
+    Impl(asio::io_context& io, ServerOptions given, Handler requestHandler, Metrics& metrics, std::string header)
+        : io(io)
+        , options(std::move(given))
+        , handler(std::move(requestHandler))
+        , deadlineHeader(std::move(header))
+        , requests(metrics.counter("http_requests_total"))
+        , overLimit(metrics.counter("http_connections_over_limit_total"))
+        , broken(metrics.counter("http_connections_broken_total"))
+        , acceptor(io)
+        , acceptRetry(io)
+    {
+    }
+
+    void accept();
+
+    asio::io_context& io;
+    const ServerOptions options;
+    const Handler handler;
+    const std::string deadlineHeader;
+    Counter& requests;
+    Counter& overLimit;
+    Counter& broken;
+    tcp::acceptor acceptor;
+    asio::steady_timer acceptRetry;
+    std::set<std::shared_ptr<Session>> sessions;
+    size_t inFlight = 0;
+    bool draining = false;
+};
+
+/// One connection; requests on it are answered in order, one at a time.
+class Server::Impl::Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(std::shared_ptr<Impl> owner, tcp::socket socket)
+        : m_owner(std::move(owner))
+        , m_stream(std::move(socket))
+    {
+    }
+
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<uint32_t>(m_owner->options.maxHeaderBytes));
+        m_parser->body_limit(m_owner->options.maxBodyBytes);
+        m_idle = true;
+        m_stream.expires_after(m_owner->options.idleTimeout);
+        beast::http::async_read_header(
+            m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
+                if (error)
+                    return self->failed(error);
+                self->m_idle = false;
+                self->m_stream.expires_after(self->m_owner->options.headerTimeout);
+                beast::http::async_read(self->m_stream, self->m_buffer, *self->m_parser,
+                    [self](error_code failure, size_t) { self->onRequest(failure); });
+            });
+    }
+
+    void closeIfIdle()
+    {
+        if (m_idle)
+            close();
+    }
+
+    void close()
+    {
+        error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.socket().close(ignored);
+        m_owner->sessions.erase(shared_from_this());
+    }
+
+private:
+    void failed(error_code error)
+    {
+        if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+            m_keepAlive = false;
+            return write({ .status = error == beast::http::error::body_limit ? 413U : 431U });
+        }
+        if (error != beast::http::error::end_of_stream && !m_idle)
+            m_owner->broken.increment();
+        close();
+    }
+
+    void onRequest(error_code error)
+    {
+        if (error)
+            return failed(error);
+        m_stream.expires_never();
+        auto message = m_parser->release();
+        m_keepAlive = message.keep_alive();
+        Request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.host = std::string(message[beast::http::field::host]);
+        request.body = std::move(message.body());
+        if (!m_owner->deadlineHeader.empty()) {
+            const auto found = message.find(m_owner->deadlineHeader);
+            if (found != message.end())
+                request.deadline = std::string(found->value());
+        }
+        m_owner->requests.increment();
+        ++m_owner->inFlight;
+        // A handler may drop the callback, or call it twice by mistake; only the first call counts.
+        auto answered = std::make_shared<bool>(false);
+        m_owner->handler(std::move(request), [self = shared_from_this(), answered](std::optional<Response> response) {
+            if (std::exchange(*answered, true))
+                return;
+            --self->m_owner->inFlight;
+            if (response)
+                self->write(*std::move(response));
+            else
+                self->close();
+        });
+    }
+
+    void write(Response response)
+    {
+        m_keepAlive = m_keepAlive && !m_owner->draining;
+        auto message = std::make_shared<beast::http::response<beast::http::string_body>>();
+        message->result(response.status);
+        if (!response.body.empty())
+            message->set(beast::http::field::content_type, response.contentType);
+        for (const auto& [name, value] : response.headers)
+            message->set(name, value);
+        message->keep_alive(m_keepAlive);
+        message->body() = std::move(response.body);
+        message->prepare_payload();
+        m_stream.expires_after(m_owner->options.headerTimeout);
+        beast::http::async_write(m_stream, *message, [self = shared_from_this(), message](error_code error, size_t) {
+            if (error || !self->m_keepAlive) {
+                if (error)
+                    self->m_owner->broken.increment();
+                return self->close();
+            }
+            self->read();
+        });
+    }
+
+    const std::shared_ptr<Impl> m_owner;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
+    bool m_keepAlive = false;
+    bool m_idle = false;
+};
+
+void Server::Impl::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            self->acceptRetry.expires_after(acceptRetryDelay);
+            self->acceptRetry.async_wait([self](error_code cancelled) {
+                if (!cancelled)
+                    self->accept();
+            });
+            return;
+        }
+        if (self->sessions.size() >= self->options.maxConnections) {
+            self->overLimit.increment();
+        } else {
+            error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            auto session = std::make_shared<Session>(self, std::move(socket));
+            self->sessions.insert(session);
+            session->read();
+        }
+        self->accept();
+    });
+}
+
+Server::Server(
+    asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics, std::string deadlineHeader)
+    : m_impl(std::make_shared<Impl>(io, std::move(options), std::move(handler), metrics, std::move(deadlineHeader)))
+{
+}
+
+Server::~Server()
+{
+    error_code ignored;
+    m_impl->acceptor.close(ignored);
+    m_impl->acceptRetry.cancel();
+    const auto sessions = m_impl->sessions;
+    for (const auto& session : sessions)
+        session->close();
+}
+
+absl::Status Server::start()
+{
+    const auto& listen = m_impl->options.listen;
+    error_code error;
+    const auto host = asio::ip::make_address(listen.host, error);
+    const tcp::endpoint endpoint(host, listen.port);
+    if (!error)
+        m_impl->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_impl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_impl->acceptor.bind(endpoint, error);
+    if (!error)
+        m_impl->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        const auto where = absl::StrCat(listen.host, ":", listen.port);
+        return makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "LISTEN_FAILED", "listen", where },
+            absl::StrCat("cannot listen on ", where, ": ", error.message()));
+    }
+    m_impl->accept();
+    return absl::OkStatus();
+}
+
+void Server::drain() { m_impl->draining = true; }
+
+size_t Server::requestsInFlight() const { return m_impl->inFlight; }
+
+} // namespace turmericpier::http
--- a/src/peer/outgoing.cc
+++ b/src/peer/outgoing.cc
@@ -119,7 +119,7 @@
     m_timer.cancel();
     // The timer may have expired in the same round; its handler then finds a socket that is not the current one.
     m_socket = std::make_shared<Socket>(std::move(*m_socket));
-    setOptions(*m_socket);
+    setOptions(*m_socket, m_limits.userTimeout);
     m_failedAttempts = 0;
     m_writing = false;
     {
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -33,7 +33,7 @@
     std::shared_ptr<detail::Outgoing> addPeer(InstanceId peer, Address address)
     {
         auto link = std::make_shared<detail::Outgoing>(io, peer, std::move(address),
-            detail::Outgoing::Limits { options.queuePerPeer, options.queueBytesPerPeer }, metrics,
+            detail::Outgoing::Limits { options.queuePerPeer, options.queueBytesPerPeer, options.userTimeout }, metrics,
             std::hash<std::string> {}(options.self.str() + '/' + peer.str()));
         peers[std::move(peer)] = link;
         return link;
