Sync the last log segment before a new one follows it

A process that is killed between a write and its sync leaves a whole record; the next process read it and began a new segment, and the later loss of power tore the record. Ruled out: a missing sync of the running log; each record is synced before the next is written. Change: opening the log syncs the last segment. The error of a corrupt record tells what follows it. Test: fails without the change (1 sync instead of 2).

--- a/src/consensus/wal.cc
+++ b/src/consensus/wal.cc
@@ -177,8 +177,13 @@
     while (offset < bytes->size()) {
         const auto record = detail::readRecord(*bytes, offset);
         if (!record) {
-            if (!isLast || detail::findRecord(*bytes, offset + 1, m_sequence + 1))
-                return damaged(path, offset, "the record is corrupt");
+            const auto later = detail::findRecord(*bytes, offset + 1, m_sequence + 1);
+            if (!isLast || later) {
+                return damaged(path, offset,
+                    absl::StrCat("the record is corrupt: record ", m_sequence + 1, " of ", bytes->size(), " bytes, ",
+                        isLast ? "last segment, " : "a later segment exists, ",
+                        later ? absl::StrCat("an intact record follows at ", *later) : "no intact record follows"));
+            }
             return cutTail(path, *bytes, offset);
         }
         if (m_sequence != 0 && record->sequence != m_sequence + 1)
@@ -192,7 +197,18 @@
             return status;
         offset += record->size;
     }
-    return absl::OkStatus();
+    return isLast ? syncSegment(path) : absl::OkStatus();
+}
+
+/// The last record may have been written by a process that was killed before it synced: a later loss of power must not
+/// take away what this replica has read.
+absl::Status Wal::syncSegment(const fs::path& path) const
+{
+    const int file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+    if (file < 0)
+        return diskError("open", path);
+    const absl::Cleanup close = [file] { ::close(file); };
+    return syncFile(file, path);
 }
 
 absl::Status Wal::replay(const log::WalRecord& record, const fs::path& path, size_t offset)
--- a/src/consensus/wal.h
+++ b/src/consensus/wal.h
@@ -59,6 +59,7 @@
     absl::Status loadSnapshot(const std::vector<std::filesystem::path>& files);
     absl::Status loadSegment(uint64_t number, bool isLast);
     absl::Status replay(const log::WalRecord& record, const std::filesystem::path& path, size_t offset);
+    absl::Status syncSegment(const std::filesystem::path& path) const;
     absl::Status cutTail(const std::filesystem::path& path, const std::string& bytes, size_t offset);
     absl::Status reconcileWithSnapshot();
     absl::Status startSegment(const HardState& hardState);
--- a/test/consensus-wal-test.cc
+++ b/test/consensus-wal-test.cc
@@ -5,8 +5,10 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 #include <fstream>
 #include <rapidcheck.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace turmericpier;
@@ -268,6 +270,33 @@
     CHECK(calls == before);
 }
 
+// Guards against a replica that refuses to start: a process is killed between a write and its sync, the next one reads
+// the record and starts a new segment, and a loss of power then tears the record, which is not the last one any more.
+TEST_CASE("a record that a killed process has not synced is synced by the next one", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 3);
+    const auto inodeOf = [](int file) {
+        struct stat status { };
+        REQUIRE(::fstat(file, &status) == 0);
+        return status.st_ino;
+    };
+    const int first = ::open(disk.lastSegment().c_str(), O_RDONLY);
+    const auto inode = inodeOf(first);
+    ::close(first);
+    std::vector<ino_t> synced;
+    WalOptions options { .folder = disk.folder };
+    options.sync = [&](int file) {
+        synced.push_back(inodeOf(file));
+        return ::fdatasync(file);
+    };
+    disk.wal = Wal::open(options, disk.metrics).value();
+    REQUIRE(synced.size() >= 2);
+    CHECK(synced.front() == inode);
+    CHECK(synced.back() != inode);
+}
+
 // Guards against a checksum or a length check that misses a kind of damage.
 TEST_CASE("a record with any one byte changed is not read", "[consensus]")
 {
