Test the state, planner, tickets and leader of the cell

Each test names the failure it guards against: unanswered starts, silent workers, leases of a former leader, refused tokens, late heartbeats, gangs, checkpoints, tickets. Time is a ManualClock; workers and the log are fakes.

--- /dev/null
+++ b/test/cell-fake-world.h
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "cell-fixtures.h"
+#include "turmericpier/base/error.h"
+#include "turmericpier/cell/leader.h"
+
+#include <deque>
+#include <list>
+#include <optional>
+
+/// A leader among fakes: a log that commits at once or on request, and workers whose answers the test gives.
+namespace turmericpier::cell::test {
+
+struct World {
+    template <typename Order, typename Answer> struct Sent {
+        WorkerAddress to;
+        Order order;
+        std::function<void(Answer)> answer;
+    };
+
+    ManualClock clock;
+    Metrics metrics;
+    State state;
+    bool holdsLease = true;
+    bool commits = true;
+    int64_t wallMs = 1'000'000;
+    std::list<Sent<StartOrder, OrderAnswer>> starts;
+    std::list<Sent<StopOrder, OrderAnswer>> stops;
+    std::list<Sent<LookOrder, LookAnswer>> looks;
+    struct Advice {
+        std::string helper;
+        StepKey step;
+        std::vector<std::string> workers;
+        std::function<void(AdviceAnswer)> answer;
+    };
+    std::list<Advice> advice;
+    std::deque<std::pair<std::shared_ptr<record::CommandT>, LeaderHooks::Proposed>> log;
+    std::list<std::pair<TimePoint, std::function<void()>>> timers;
+    std::unique_ptr<Leader> leader;
+
+    explicit World(std::unique_ptr<record::ConfigT> config = test::config())
+    {
+        clock.advance(std::chrono::seconds(1'000));
+        configure(state, std::move(config));
+        newLeader();
+    }
+
+    void newLeader()
+    {
+        LeaderHooks hooks;
+        hooks.propose = [this](const record::CommandT& command, LeaderHooks::Proposed done) {
+            log.emplace_back(std::make_shared<record::CommandT>(command), std::move(done));
+        };
+        hooks.holdsLease = [this] { return holdsLease; };
+        hooks.start = [this](const WorkerAddress& to, const StartOrder& order, std::function<void(OrderAnswer)> done) {
+            starts.push_back({ to, order, std::move(done) });
+        };
+        hooks.stop = [this](const WorkerAddress& to, const StopOrder& order, std::function<void(OrderAnswer)> done) {
+            stops.push_back({ to, order, std::move(done) });
+        };
+        hooks.look = [this](const WorkerAddress& to, const LookOrder& order, std::function<void(LookAnswer)> done) {
+            looks.push_back({ to, order, std::move(done) });
+        };
+        hooks.advise = [this](const std::string& helper, const StepKey& step, const std::vector<std::string>& workers,
+                           std::function<void(AdviceAnswer)> done) {
+            advice.push_back({ helper, step, workers, std::move(done) });
+        };
+        hooks.wallMs = [this] { return wallMs; };
+        hooks.after = [this](Duration delay, std::function<void()> function) {
+            timers.emplace_back(clock.now() + delay, std::move(function));
+        };
+        leader = std::make_unique<Leader>(LeaderOptions {}, std::move(hooks), state, clock, metrics);
+    }
+
+    /// Commits what is proposed and runs what is due, until nothing is left to do.
+    void settle()
+    {
+        bool busy = true;
+        while (busy) {
+            busy = false;
+            while (commits && !log.empty()) {
+                auto [command, done] = std::move(log.front());
+                log.pop_front();
+                state.apply(*command);
+                leader->applied(*command);
+                done(absl::OkStatus());
+                busy = true;
+            }
+            for (auto it = timers.begin(); it != timers.end(); ++it) {
+                if (it->first > clock.now())
+                    continue;
+                const auto function = std::move(it->second);
+                timers.erase(it);
+                function();
+                busy = true;
+                break;
+            }
+        }
+    }
+
+    void pass(std::chrono::milliseconds time)
+    {
+        constexpr std::chrono::milliseconds step { 50 };
+        for (auto left = time; left.count() > 0; left -= step) {
+            clock.advance(std::min(step, left));
+            leader->tick();
+            settle();
+        }
+    }
+
+    void activate(uint64_t term = 1)
+    {
+        leader->activate(term);
+        settle();
+    }
+
+    int64_t workerClock() const { return clock.now().sinceStart.count() / 1'000'000; }
+
+    /// Answers the oldest look at the worker; returns the order, or nothing if none was sent.
+    std::optional<LookOrder> answerLook(
+        const std::string& id, std::vector<RunningRow> running = {}, std::vector<EndedRow> ended = {})
+    {
+        LookAnswer answer;
+        answer.result = OrderResult::Accepted;
+        answer.clockMs = workerClock();
+        answer.running = std::move(running);
+        answer.ended = std::move(ended);
+        return answerLookWith(id, answer);
+    }
+    std::optional<LookOrder> answerLookWith(const std::string& id, const LookAnswer& answer)
+    {
+        for (auto it = looks.begin(); it != looks.end(); ++it) {
+            if (it->to.id != id)
+                continue;
+            auto sent = std::move(*it);
+            looks.erase(it);
+            sent.answer(answer);
+            settle();
+            return sent.order;
+        }
+        return std::nullopt;
+    }
+    /// Answers the oldest start.
+    StartOrder answerStart(OrderResult result)
+    {
+        auto sent = std::move(starts.front());
+        starts.pop_front();
+        sent.answer({ result, workerClock() });
+        settle();
+        return sent.order;
+    }
+    StopOrder answerStop(OrderResult result)
+    {
+        auto sent = std::move(stops.front());
+        stops.pop_front();
+        sent.answer({ result, workerClock() });
+        settle();
+        return sent.order;
+    }
+
+    std::optional<record::ReplyT> call(std::unique_ptr<record::CallT> made)
+    {
+        auto reply = std::make_shared<std::optional<record::ReplyT>>();
+        leader->handle(std::move(made), [reply](record::ReplyT answer) { *reply = std::move(answer); });
+        settle();
+        return *reply;
+    }
+    static std::unique_ptr<record::CallT> callFor(record::CallKind kind, const std::string& path)
+    {
+        auto made = std::make_unique<record::CallT>();
+        made->kind = kind;
+        made->host = host;
+        made->path = path;
+        return made;
+    }
+    std::optional<record::ReplyT> submitJob(std::unique_ptr<record::JobT> job)
+    {
+        auto made = callFor(record::CallKind::Submit, prefix + job->id);
+        made->job = std::move(job);
+        return call(std::move(made));
+    }
+    std::optional<record::ReplyT> beat(std::unique_ptr<record::WorkerT> worker)
+    {
+        auto made = callFor(record::CallKind::Beat, "");
+        made->worker = std::move(worker);
+        return call(std::move(made));
+    }
+    /// A worker that has sent its first heartbeat and has answered its first look.
+    void addReadyWorker(const std::string& id)
+    {
+        beat(test::worker(id));
+        answerLook(id);
+    }
+    uint32_t runOf(const TaskKey& task) const { return state.findTask(task)->run; }
+    record::TaskState stateOf(const TaskKey& task) const { return state.findTask(task)->state; }
+};
+
+inline RunningRow row(const TaskKey& task, uint32_t run, uint32_t progress = 0, const std::string& saved = {})
+{
+    return { task, run, saved, progress, 0 };
+}
+
+} // namespace turmericpier::cell::test
--- /dev/null
+++ b/test/cell-planner-test.cc
@@ -0,0 +1,258 @@
+#include "turmericpier/cell/planner.h"
+
+#include "cell-fixtures.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using namespace turmericpier::cell::test;
+using record::EndKind;
+
+namespace {
+
+struct Cell {
+    State state;
+    TicketBook tickets;
+    std::set<uint32_t> unusable;
+    std::map<uint32_t, double> penalties;
+    TimePoint now { std::chrono::seconds(100) };
+    int64_t wallMs = 1'000'000;
+
+    explicit Cell(bool advice = false) { configure(state, config(1, 2, advice)); }
+
+    Plan run()
+    {
+        return plan({ state, tickets,
+            [this](uint32_t serial) {
+                return WorkerHealthView { !unusable.contains(serial), penalties[serial] };
+            },
+            now, wallMs });
+    }
+    void carryOut(const Plan& made)
+    {
+        for (const auto& start : made.starts)
+            test::start(state, { start.job, start.occurrence, start.step, start.index }, start.run, start.worker);
+    }
+};
+
+std::set<uint32_t> workersOf(const Plan& plan)
+{
+    std::set<uint32_t> workers;
+    for (const auto& start : plan.starts)
+        workers.insert(start.worker);
+    return workers;
+}
+
+} // namespace
+
+// Guards against starts beyond the room of a worker, also within one round.
+TEST_CASE("a plan never exceeds the room of a worker", "[cell]")
+{
+    Cell cell;
+    const auto serial = addWorker(cell.state, worker("w1", 1, 2'500));
+    submit(cell.state, job(jobId(1), step(5)));
+    const auto first = cell.run();
+    CHECK(first.starts.size() == 2);
+    cell.carryOut(first);
+    CHECK(cell.run().starts.empty());
+    end(cell.state, { jobId(1), 0, 0, first.starts[0].index }, 1, serial, EndKind::Failed);
+    const auto again = cell.run();
+    REQUIRE(again.starts.size() == 1);
+    CHECK(again.starts[0].run == (again.starts[0].index == first.starts[0].index ? 2 : 1));
+}
+
+// Guards against work for workers that drain, do not answer or belong to another service.
+TEST_CASE("only usable workers of the service get work", "[cell]")
+{
+    Cell cell;
+    auto draining = worker("w1");
+    draining->draining = true;
+    addWorker(cell.state, std::move(draining));
+    cell.unusable.insert(addWorker(cell.state, worker("w2")));
+    auto foreign = worker("w3");
+    foreign->service = "other";
+    addWorker(cell.state, std::move(foreign));
+    submit(cell.state, job(jobId(1), step(1)));
+    CHECK(cell.run().starts.empty());
+    const auto good = addWorker(cell.state, worker("w4"));
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { good });
+}
+
+// Guards against a task on a worker without the label that it needs, and against too many tasks of a step on one.
+TEST_CASE("labels and the limit for each worker are kept", "[cell]")
+{
+    Cell cell;
+    const auto plain = addWorker(cell.state, worker("w1"));
+    auto special = worker("w2");
+    special->labels[0] = "b";
+    const auto labelled = addWorker(cell.state, std::move(special));
+    auto needy = step(1);
+    needy->needs = "b";
+    submit(cell.state, job(jobId(1), std::move(needy)));
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { labelled });
+    cell.carryOut(cell.run());
+    auto apart = step(3);
+    apart->max_per_worker = 1;
+    submit(cell.state, job(jobId(2), std::move(apart)));
+    const auto spread = cell.run();
+    CHECK(spread.starts.size() == 2);
+    CHECK(workersOf(spread) == std::set<uint32_t> { plain, labelled });
+    cell.carryOut(spread);
+    CHECK(cell.run().starts.empty());
+}
+
+// Guards against urgent queues that wait behind others.
+TEST_CASE("the lowest priority number comes first", "[cell]")
+{
+    Cell cell;
+    auto both = config(2);
+    both->queues.front()->priority = 2;
+    auto urgent = std::make_unique<record::QueueT>(*both->queues.front());
+    urgent->prefix = "/urgent/";
+    urgent->priority = 0;
+    both->queues.push_back(std::move(urgent));
+    configure(cell.state, std::move(both));
+    addWorker(cell.state, worker("w1", 1, 1'000));
+    submit(cell.state, job(jobId(1), step(1)));
+    auto second = job(jobId(2), step(1));
+    second->queue = queueKey(host, "/urgent/");
+    submit(cell.state, std::move(second));
+    const auto made = cell.run();
+    REQUIRE(made.starts.size() == 1);
+    CHECK(made.starts[0].job == jobId(2));
+}
+
+// Guards against a gang that starts in part, and against members with different run numbers.
+TEST_CASE("a gang starts whole or not at all", "[cell]")
+{
+    Cell cell;
+    const auto w1 = addWorker(cell.state, worker("w1", 1, 2'000));
+    auto gang = step(3);
+    gang->gang = true;
+    submit(cell.state, job(jobId(1), std::move(gang)));
+    CHECK(cell.run().starts.empty());
+    const auto w2 = addWorker(cell.state, worker("w2", 1, 2'000));
+    const auto made = cell.run();
+    REQUIRE(made.starts.size() == 3);
+    cell.carryOut(made);
+    for (const auto& start : made.starts) {
+        if (start.index != 2)
+            end(cell.state, { jobId(1), 0, 0, start.index }, 1, start.worker, EndKind::Stopped);
+    }
+    CHECK(cell.run().starts.empty()); // one member of the former run has not ended
+    end(cell.state, { jobId(1), 0, 0, 2 }, 1, made.starts[2].worker, EndKind::NeverStarted);
+    const auto again = cell.run();
+    REQUIRE(again.starts.size() == 3);
+    CHECK(std::ranges::all_of(again.starts, [](const auto& start) { return start.run == 2; }));
+    CHECK(workersOf(again) == std::set<uint32_t> { w1, w2 });
+}
+
+// Guards against a gang that is spread over racks, where it runs three times as long, though one rack has the room.
+TEST_CASE("a gang for one rack starts in one rack if any has the room", "[cell]")
+{
+    Cell cell;
+    for (const auto* id : { "w1", "w2", "w3" }) {
+        auto made = worker(id, 1, 1'000);
+        made->rack = std::string(id) == "w1" ? "r1" : "r2";
+        addWorker(cell.state, std::move(made));
+    }
+    auto gang = step(2);
+    gang->gang = true;
+    gang->same_rack = true;
+    submit(cell.state, job(jobId(1), std::move(gang)));
+    const auto made = cell.run();
+    REQUIRE(made.starts.size() == 2);
+    for (const auto& start : made.starts)
+        CHECK(cell.state.findWorker(start.worker)->worker.rack == "r2");
+}
+
+// Guards against tasks far from their data while a worker near it has room.
+TEST_CASE("a task goes to the rack of its data", "[cell]")
+{
+    Cell cell;
+    for (const auto* id : { "w1", "w2", "w3" })
+        addWorker(cell.state, worker(id));
+    auto near = step(1);
+    near->data_rack = "rack-w2";
+    submit(cell.state, job(jobId(1), std::move(near)));
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { cell.state.findWorkerById("w2")->worker.serial });
+}
+
+// Guards against tasks that fill unused capacity disturbing tasks with a bound on their latency.
+TEST_CASE("filling tasks and tasks with a target do not share a worker", "[cell]")
+{
+    Cell cell;
+    const auto w1 = addWorker(cell.state, worker("w1"));
+    auto serving = step(1);
+    serving->target_ms = 50;
+    serving->long_running = true;
+    submit(cell.state, job(jobId(1), std::move(serving)));
+    cell.carryOut(cell.run());
+    auto filling = step(1);
+    filling->fills = true;
+    submit(cell.state, job(jobId(2), std::move(filling)));
+    CHECK(cell.run().starts.empty());
+    const auto w2 = addWorker(cell.state, worker("w2"));
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { w2 });
+    end(cell.state, { jobId(1), 0, 0, 0 }, 1, w1, EndKind::Failed);
+    cell.carryOut(cell.run());
+    CHECK(cell.state.findWorker(w1)->placed.size() + cell.state.findWorker(w2)->placed.size() == 2);
+}
+
+// Guards against starts without a valid ticket, and against asking again about workers that are known to be unfit.
+TEST_CASE("a step of a queue with advice waits for a ticket", "[cell]")
+{
+    Cell cell(true);
+    const auto w1 = addWorker(cell.state, worker("w1"));
+    const auto w2 = addWorker(cell.state, worker("w2"));
+    submit(cell.state, job(jobId(1), step(1)));
+    const StepKey key { jobId(1), 0, 0, 0 };
+    auto made = cell.run();
+    CHECK(made.starts.empty());
+    REQUIRE(made.advice.size() == 1);
+    CHECK(made.advice[0].workers.size() == 2);
+    CHECK(made.advice[0].expected == std::chrono::microseconds(24'000 + 2 * 340));
+    cell.tickets.record(key, { w1, w2 }, { { w2, "ticket" } }, cell.now + std::chrono::seconds(2));
+    made = cell.run();
+    CHECK(workersOf(made) == std::set<uint32_t> { w2 });
+    CHECK(made.advice.empty());
+    cell.now = cell.now + std::chrono::seconds(3);
+    made = cell.run();
+    CHECK(made.starts.empty());
+    REQUIRE(made.advice.size() == 1);
+    CHECK(made.advice[0].workers == std::vector<uint32_t> { w2 });
+}
+
+// Guards against occurrences that start before their time.
+TEST_CASE("an occurrence starts when it is due", "[cell]")
+{
+    Cell cell;
+    addWorker(cell.state, worker("w1"));
+    auto timed = job(jobId(1), step(1));
+    timed->times = 3;
+    timed->first_due_ms = cell.wallMs + 500;
+    timed->interval_ms = 1'000;
+    submit(cell.state, std::move(timed));
+    auto made = cell.run();
+    CHECK(made.starts.empty());
+    CHECK(made.nextDueMs == 1'000'500);
+    cell.wallMs = 1'001'500;
+    made = cell.run();
+    REQUIRE(made.starts.size() == 2);
+    CHECK(made.starts[1].occurrence == 1);
+    CHECK(made.nextDueMs == 1'002'500);
+}
+
+// Guards against work that goes back to a worker which has just failed several tasks.
+TEST_CASE("workers without recent failures come first", "[cell]")
+{
+    Cell cell;
+    const auto w1 = addWorker(cell.state, worker("w1"));
+    const auto w2 = addWorker(cell.state, worker("w2"));
+    cell.penalties[w1] = 1;
+    submit(cell.state, job(jobId(1), step(1)));
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { w2 });
+}
--- /dev/null
+++ b/test/cell-state-test.cc
@@ -0,0 +1,259 @@
+#include "turmericpier/cell/state.h"
+
+#include "cell-fixtures.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using namespace turmericpier::cell::test;
+using record::EndKind;
+using record::JobState;
+using record::TaskState;
+
+namespace {
+
+struct Cell {
+    State state;
+    uint32_t w1 = 0;
+    uint32_t w2 = 0;
+
+    explicit Cell(uint32_t attempts = 2)
+    {
+        configure(state, config(1, attempts));
+        w1 = addWorker(state, worker("w1"));
+        w2 = addWorker(state, worker("w2"));
+    }
+    JobState stateOf(const std::string& id) const { return state.findJob(id)->state; }
+};
+
+} // namespace
+
+// Guards against an older or equal version that replaces the configuration in force.
+TEST_CASE("the highest version of the configuration is in force", "[cell]")
+{
+    State state;
+    configure(state, config(5));
+    auto older = config(4);
+    older->queues.clear();
+    configure(state, std::move(older));
+    auto same = config(5);
+    same->queues.clear();
+    configure(state, std::move(same));
+    CHECK(state.config()->version == 5);
+    CHECK(state.matchQueue(host, "/q/x"));
+    auto newer = config(6);
+    newer->queues.clear();
+    configure(state, std::move(newer));
+    CHECK_FALSE(state.matchQueue(host, "/q/x"));
+    CHECK(state.findQueue(queueKey(host, prefix))); // its jobs still run
+}
+
+// Guards against a queue with a short prefix that takes the paths of one with a longer prefix.
+TEST_CASE("the longest prefix selects the queue", "[cell]")
+{
+    State state;
+    auto made = config();
+    auto longer = std::make_unique<record::QueueT>(*made->queues.front());
+    longer->prefix = "/q/long/";
+    made->queues.push_back(std::move(longer));
+    configure(state, std::move(made));
+    CHECK(state.matchQueue(host, "/q/long/x")->prefix == "/q/long/");
+    CHECK(state.matchQueue(host, "/q/lon")->prefix == prefix);
+    CHECK_FALSE(state.matchQueue("other.example", "/q/x"));
+}
+
+// Guards against a task that starts twice, and against a start for a run number that was used.
+TEST_CASE("a task has one run at a time", "[cell]")
+{
+    Cell cell;
+    submit(cell.state, job(jobId(1), step(1)));
+    const TaskKey task { jobId(1), 0, 0, 0 };
+    start(cell.state, task, 1, cell.w1);
+    start(cell.state, task, 2, cell.w2);
+    CHECK(cell.state.findTask(task)->worker == cell.w1);
+    end(cell.state, task, 1, cell.w1, EndKind::Stopped, "checkpoint");
+    CHECK(cell.state.findTask(task)->saved == "checkpoint");
+    start(cell.state, task, 1, cell.w2);
+    CHECK(cell.state.findTask(task)->state == TaskState::Waiting);
+    start(cell.state, task, 2, cell.w2);
+    CHECK(cell.state.findTask(task)->worker == cell.w2);
+    end(cell.state, task, 1, cell.w1, EndKind::Done); // a late end of the former run
+    CHECK(cell.stateOf(jobId(1)) == JobState::Open);
+    end(cell.state, task, 2, cell.w2, EndKind::Done);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Done);
+    start(cell.state, task, 3, cell.w2);
+    CHECK(cell.state.findWorker(cell.w2)->placed.empty());
+}
+
+// Guards against room that is given away while a run may still use it, and room that is never given back.
+TEST_CASE("a run occupies its worker until its end is committed", "[cell]")
+{
+    Cell cell;
+    submit(cell.state, job(jobId(1), step(2)));
+    start(cell.state, { jobId(1), 0, 0, 0 }, 1, cell.w1);
+    CHECK(cell.state.findWorker(cell.w1)->used.cpu.value == 1'000);
+    record::CommandT cancel;
+    cancel.cancel.push_back(jobId(1));
+    cell.state.apply(cancel);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Cancelled);
+    CHECK(cell.state.findWorker(cell.w1)->used.cpu.value == 1'000);
+    end(cell.state, { jobId(1), 0, 0, 0 }, 1, cell.w1, EndKind::Stopped);
+    CHECK(cell.state.findWorker(cell.w1)->used.cpu.value == 0);
+}
+
+// Guards against ends that are not failures counting as attempts, and against more attempts than the queue allows.
+TEST_CASE("only failed runs count as attempts", "[cell]")
+{
+    Cell cell(2);
+    submit(cell.state, job(jobId(1), step(1)));
+    const TaskKey task { jobId(1), 0, 0, 0 };
+    uint32_t run = 0;
+    for (const auto how : { EndKind::Lapsed, EndKind::Stopped, EndKind::NeverStarted, EndKind::Failed }) {
+        start(cell.state, task, ++run, cell.w1);
+        end(cell.state, task, run, cell.w1, how);
+        CHECK(cell.stateOf(jobId(1)) == JobState::Open);
+    }
+    start(cell.state, task, ++run, cell.w1);
+    end(cell.state, task, run, cell.w1, EndKind::Failed);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Failed);
+}
+
+// Guards against a gang whose members fail together being counted once for each member.
+TEST_CASE("a gang fails once in one run", "[cell]")
+{
+    Cell cell(2);
+    auto gang = step(2);
+    gang->gang = true;
+    submit(cell.state, job(jobId(1), std::move(gang)));
+    const TaskKey first { jobId(1), 0, 0, 0 };
+    const TaskKey second { jobId(1), 0, 0, 1 };
+    const auto failBoth = [&](uint32_t run) {
+        start(cell.state, first, run, cell.w1);
+        start(cell.state, second, run, cell.w2);
+        end(cell.state, first, run, cell.w1, EndKind::Failed);
+        end(cell.state, second, run, cell.w2, EndKind::Failed);
+    };
+    failBoth(1);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Open);
+    failBoth(2);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Failed);
+}
+
+// Guards against a gang that is waited for although the end of one member stands for all, and against its members
+// resuming from different checkpoints.
+TEST_CASE("the members of a gang end together and share a checkpoint", "[cell]")
+{
+    Cell cell;
+    auto gang = step(2);
+    gang->gang = true;
+    submit(cell.state, job(jobId(1), std::move(gang)));
+    const TaskKey first { jobId(1), 0, 0, 0 };
+    const TaskKey second { jobId(1), 0, 0, 1 };
+    start(cell.state, first, 1, cell.w1);
+    start(cell.state, second, 1, cell.w2);
+    end(cell.state, first, 1, cell.w1, EndKind::Stopped, "c1");
+    end(cell.state, second, 1, cell.w2, EndKind::Broken);
+    CHECK(cell.state.findTask(second)->saved == "c1");
+    start(cell.state, first, 2, cell.w1);
+    start(cell.state, second, 2, cell.w2);
+    end(cell.state, second, 2, cell.w2, EndKind::Done);
+    CHECK(cell.stateOf(jobId(1)) == JobState::Done);
+    CHECK(cell.state.findWorker(cell.w1)->placed.empty());
+    CHECK(cell.state.findWorker(cell.w1)->used.cpu.value == 0);
+}
+
+// Guards against a job that is shown as done, or a step that starts, before all earlier tasks are done.
+TEST_CASE("a step is ready once all tasks before it are done", "[cell]")
+{
+    Cell cell;
+    auto second = step(1);
+    second->after = { 0 };
+    submit(cell.state, job(jobId(1), step(2), std::move(second)));
+    const auto& stored = *cell.state.findJob(jobId(1));
+    CHECK(isReady(stored, 0, 0));
+    CHECK_FALSE(isReady(stored, 0, 1));
+    for (uint32_t i = 0; i < 2; ++i) {
+        CHECK_FALSE(isReady(stored, 0, 1));
+        start(cell.state, { jobId(1), 0, 0, i }, 1, cell.w1);
+        end(cell.state, { jobId(1), 0, 0, i }, 1, cell.w1, EndKind::Done);
+    }
+    CHECK(isReady(stored, 0, 1));
+    CHECK(cell.stateOf(jobId(1)) == JobState::Open);
+}
+
+// Guards against a late heartbeat of an earlier life that takes the place of the present one.
+TEST_CASE("a later life ends the earlier one under its id or address", "[cell]")
+{
+    Cell cell;
+    submit(cell.state, job(jobId(1), step(1)));
+    const TaskKey task { jobId(1), 0, 0, 0 };
+    start(cell.state, task, 1, cell.w1);
+    const auto reborn = addWorker(cell.state, worker("w1", 2));
+    CHECK(reborn != cell.w1);
+    CHECK(cell.state.findTask(task)->state == TaskState::Waiting);
+    addWorker(cell.state, worker("w1", 1));
+    CHECK(cell.state.findWorkerById("w1")->worker.born_ms == 2);
+    auto stranger = worker("w9", 1);
+    stranger->address = "w1:80";
+    CHECK(addWorker(cell.state, std::move(stranger)) == 0);
+    auto successor = worker("w9", 3);
+    successor->address = "w1:80";
+    CHECK(addWorker(cell.state, std::move(successor)) != 0);
+    CHECK_FALSE(cell.state.findWorkerById("w1"));
+}
+
+// Guards against a service task that stays down after its end, and against its failures ending the job.
+TEST_CASE("a task that lasts waits again however it ends", "[cell]")
+{
+    Cell cell(1);
+    auto lasting = step(1);
+    lasting->long_running = true;
+    submit(cell.state, job(jobId(1), std::move(lasting)));
+    const TaskKey task { jobId(1), 0, 0, 0 };
+    uint32_t run = 0;
+    for (const auto how : { EndKind::Failed, EndKind::Done, EndKind::Failed, EndKind::Lapsed }) {
+        start(cell.state, task, ++run, cell.w1);
+        end(cell.state, task, run, cell.w1, how);
+        CHECK(cell.state.findTask(task)->state == TaskState::Waiting);
+        CHECK(cell.stateOf(jobId(1)) == JobState::Open);
+    }
+}
+
+// Guards against a replica that differs from the others after it was restored from a snapshot.
+TEST_CASE("a snapshot restores the whole state", "[cell]")
+{
+    Cell cell;
+    submit(cell.state, job(jobId(1), step(2)));
+    submit(cell.state, job(jobId(2), step(1)));
+    start(cell.state, { jobId(1), 0, 0, 1 }, 1, cell.w2);
+    record::CommandT cancel;
+    cancel.cancel.push_back(jobId(2));
+    cell.state.apply(cancel);
+    State restored;
+    REQUIRE(restored.restore(cell.state.snapshot()).ok());
+    CHECK(restored.snapshot() == cell.state.snapshot());
+    CHECK(restored.findWorker(cell.w2)->used.cpu.value == 1'000);
+    CHECK(restored.openJobs().size() == 1);
+    CHECK(restored.findJob(jobId(2))->state == JobState::Cancelled);
+    CHECK(addWorker(restored, worker("w3")) == addWorker(cell.state, worker("w3")));
+    CHECK_FALSE(restored.restore("no snapshot").ok());
+}
+
+// Guards against an ended job that is forgotten while a run of it still occupies a worker.
+TEST_CASE("an ended job is kept while a run of it has not ended", "[cell]")
+{
+    Cell cell;
+    submit(cell.state, job(jobId(1), step(1)));
+    start(cell.state, { jobId(1), 0, 0, 0 }, 1, cell.w1);
+    record::CommandT cancel;
+    cancel.cancel.push_back(jobId(1));
+    cell.state.apply(cancel);
+    record::CommandT forget;
+    forget.forget.push_back(jobId(1));
+    cell.state.apply(forget);
+    REQUIRE(cell.state.findJob(jobId(1)));
+    end(cell.state, { jobId(1), 0, 0, 0 }, 1, cell.w1, EndKind::Stopped);
+    cell.state.apply(forget);
+    CHECK_FALSE(cell.state.findJob(jobId(1)));
+}
--- /dev/null
+++ b/test/cell-tickets-test.cc
@@ -0,0 +1,41 @@
+#include "turmericpier/cell/tickets.h"
+
+#include <catch2/catch.hpp>
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using std::chrono::seconds;
+
+// Guards against a ticket that is used after its life, for another step, or on another worker.
+TEST_CASE("a ticket holds for its step, its worker and its life", "[cell]")
+{
+    TicketBook book;
+    const StepKey step { "job", 0, 1, 0 };
+    const TimePoint now { seconds(10) };
+    book.record(step, { 1, 2 }, { { 1, "t" } }, now + seconds(2));
+    CHECK(book.fitnessOf(step, 1, now) == Fitness::Fit);
+    CHECK(*book.ticketFor(step, 1, now) == "t");
+    CHECK(book.fitnessOf(step, 2, now) == Fitness::Unfit);
+    CHECK(book.fitnessOf(step, 3, now) == Fitness::Unknown);
+    CHECK(book.fitnessOf({ "job", 0, 2, 0 }, 1, now) == Fitness::Unknown);
+    CHECK(book.fitnessOf(step, 1, now + seconds(2)) == Fitness::Expired);
+    CHECK_FALSE(book.ticketFor(step, 1, now + seconds(2)));
+}
+
+// Guards against a refused ticket that is offered again, and against entries of ended lives and jobs that stay.
+TEST_CASE("tickets are given up with their worker and their job", "[cell]")
+{
+    TicketBook book;
+    const StepKey step { "job", 0, 0, 0 };
+    const StepKey other { "jobs", 0, 0, 0 };
+    const TimePoint now { seconds(10) };
+    for (const auto& key : { step, other })
+        book.record(key, { 1, 2 }, { { 1, "t" }, { 2, "u" } }, now + seconds(2));
+    book.expire(step, 1);
+    CHECK(book.fitnessOf(step, 1, now) == Fitness::Expired);
+    book.forgetWorker(2);
+    CHECK(book.fitnessOf(step, 2, now) == Fitness::Unknown);
+    book.forgetJob("job");
+    CHECK(book.fitnessOf(step, 1, now) == Fitness::Unknown);
+    CHECK(book.fitnessOf(other, 1, now) == Fitness::Fit);
+}
