--- /dev/null
+++ b/test/cell-replica-test.cc
@@ -0,0 +1,252 @@
+#include "turmericpier/cell/replica.h"
+
+#include "cell-fixtures.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <unistd.h>
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using namespace turmericpier::cell::test;
+using record::CallKind;
+using record::Verdict;
+using std::chrono::milliseconds;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+uint16_t freePort()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
+
+/// One process of a cell; all of a test share an event loop and run in real time.
+struct Process {
+    Metrics metrics;
+    BootClock clock;
+    std::unique_ptr<Links> links;
+    std::unique_ptr<Relay> relay;
+    std::unique_ptr<Replica> replica;
+    std::string identity;
+
+    ~Process()
+    {
+        if (relay)
+            relay->stop();
+        if (replica)
+            replica->stop();
+        if (links)
+            links->stop();
+    }
+};
+
+struct Group {
+    boost::asio::io_context io;
+    fs::path root;
+    std::set<std::string> seeds;
+    std::map<std::string, std::unique_ptr<Process>> processes;
+
+    explicit Group(size_t count)
+    {
+        std::string name = (fs::temp_directory_path() / "cell-replica-XXXXXX").string();
+        root = ::mkdtemp(name.data());
+        while (seeds.size() < count)
+            seeds.insert(freeAddress());
+    }
+    ~Group()
+    {
+        processes.clear();
+        fs::remove_all(root);
+    }
+
+    fs::path folderOf(const std::string& address) const { return root / address; }
+
+    void start(const std::string& address, bool firstStart)
+    {
+        auto process = std::make_unique<Process>();
+        auto identity = openIdentity(folderOf(address), address, firstStart);
+        REQUIRE(identity.ok());
+        process->identity = identity->replica;
+        process->links = std::make_unique<Links>(io, LinksOptions { .self = identity->replica }, process->metrics);
+        process->relay = std::make_unique<Relay>(
+            io, RelayOptions { .seeds = seeds }, *process->links, process->clock, process->metrics);
+        LeaderHooks orders;
+        orders.wallMs = [] { return int64_t { 0 }; };
+        orders.look = [](const WorkerAddress&, const LookOrder&, const std::function<void(LookAnswer)>&) {};
+        ReplicaOptions options { .folder = folderOf(address), .seeds = seeds };
+        process->replica = std::make_unique<Replica>(io, std::move(options), *identity, std::move(orders),
+            *process->links, *process->relay, process->clock, process->metrics);
+        process->links->setCallHandler(
+            [replica = process->replica.get()](const std::string& from, std::unique_ptr<record::CallT> call,
+                Links::Answer answer) { replica->onPeerCall(from, std::move(call), std::move(answer)); });
+        REQUIRE(process->links->start().ok());
+        REQUIRE(process->replica->start().ok());
+        process->relay->start();
+        processes[address] = std::move(process);
+    }
+    void startAll(bool firstStart)
+    {
+        for (const auto& seed : seeds)
+            start(seed, firstStart);
+    }
+    void stop(const std::string& address) { processes.erase(address); }
+    void runUntil(const std::function<bool()>& done)
+    {
+        while (!done())
+            io.run_one();
+    }
+    std::string leader() const
+    {
+        for (const auto& [address, process] : processes) {
+            if (process->replica->leads())
+                return address;
+        }
+        return {};
+    }
+    void awaitLeader()
+    {
+        runUntil([this] { return !leader().empty(); });
+    }
+    record::ReplyT call(const std::string& address, std::unique_ptr<record::CallT> call)
+    {
+        std::optional<record::ReplyT> reply;
+        processes.at(address)->replica->handle(
+            std::move(call), std::chrono::seconds(60), [&](record::ReplyT given) { reply = std::move(given); });
+        runUntil([&] { return reply.has_value(); });
+        return std::move(*reply);
+    }
+    /// Repeats the call until it is not refused for want of a leader.
+    record::ReplyT insist(const std::string& address, const record::CallT& made)
+    {
+        while (true) {
+            auto reply = call(address, std::make_unique<record::CallT>(made));
+            if (reply.verdict != Verdict::NotRun || reply.message != "no leader is known")
+                return reply;
+        }
+    }
+    record::CallT putConfig(uint64_t version) const
+    {
+        record::CallT made;
+        made.kind = CallKind::PutConfig;
+        made.config = config(version);
+        return made;
+    }
+    uint64_t readVersion(const std::string& address)
+    {
+        record::CallT made;
+        made.kind = CallKind::GetConfig;
+        const auto reply = insist(address, made);
+        return reply.config ? reply.config->version : 0;
+    }
+    size_t votersSeenBy(const std::string& address) const
+    {
+        const auto dump = processes.at(address)->replica->dump();
+        const auto from = dump.find("\"voters\":[");
+        if (from == std::string::npos)
+            return 0;
+        const auto list = dump.substr(from, dump.find(']', from) - from);
+        return static_cast<size_t>(std::count(list.begin(), list.end(), '/'));
+    }
+};
+
+} // namespace
+
+// Guards against a group that forms twice or not at all, and against an entry or follower that does not find the
+// leader.
+TEST_CASE("seeds form one group and relay to its leader", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    for (const auto& seed : group.seeds)
+        CHECK(group.insist(seed, group.putConfig(4)).verdict == Verdict::Ok);
+    for (const auto& seed : group.seeds)
+        CHECK(group.readVersion(seed) == 4);
+}
+
+// Guards against a replica that starts later and forms a group of its own.
+TEST_CASE("a further replica joins through the leader", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    const auto further = freeAddress();
+    group.start(further, true);
+    group.runUntil([&] { return group.votersSeenBy(further) == 4; });
+    CHECK(group.insist(further, group.putConfig(2)).verdict == Verdict::Ok);
+}
+
+// Guards against an acknowledged configuration that is lost when all processes end, and against a second formation.
+TEST_CASE("a group that was stopped whole comes back with its state", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    CHECK(group.insist(*group.seeds.begin(), group.putConfig(9)).verdict == Verdict::Ok);
+    group.processes.clear();
+    group.startAll(false);
+    CHECK(group.readVersion(*group.seeds.begin()) == 9);
+}
+
+// Guards against a replica without its disk that counts as the former one, and against one that never comes back.
+TEST_CASE("a replica that lost its disk joins under a new identity", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    CHECK(group.insist(group.leader(), group.putConfig(3)).verdict == Verdict::Ok);
+    auto lost = *group.seeds.begin();
+    if (lost == group.leader())
+        lost = *group.seeds.rbegin();
+    const auto former = group.processes.at(lost)->identity;
+    group.stop(lost);
+    fs::remove_all(group.folderOf(lost));
+    group.start(lost, false);
+    CHECK(group.processes.at(lost)->identity != former);
+    group.runUntil([&] { return group.votersSeenBy(lost) == 3; });
+    CHECK(group.processes.at(lost)->replica->dump().find(former) == std::string::npos);
+    CHECK(group.readVersion(lost) == 3);
+}
+
+// Guards against a planned stop of the leader that leaves the group without one for an election.
+TEST_CASE("a leader hands over before it stops", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    CHECK(group.insist(group.leader(), group.putConfig(3)).verdict == Verdict::Ok);
+    const auto former = group.leader();
+    bool done = false;
+    group.processes.at(former)->replica->handOver([&] { done = true; });
+    group.runUntil([&] { return done; });
+    CHECK_FALSE(group.processes.at(former)->replica->leads());
+}
+
+// Guards against an identity that changes with a restart, stays after the disk was lost, or is taken to another
+// address.
+TEST_CASE("an identity lasts as long as its disk and address", "[cell]")
+{
+    Group group(1);
+    const auto folder = group.folderOf("disk");
+    const auto first = openIdentity(folder, "10.0.0.1:7", true).value();
+    CHECK(first.replica.starts_with("10.0.0.1:7/"));
+    auto formed = first;
+    formed.formedWith = { first.replica, "10.0.0.2:7/x" };
+    REQUIRE(saveIdentity(folder, formed).ok());
+    const auto again = openIdentity(folder, "10.0.0.1:7", false).value();
+    CHECK(again.replica == first.replica);
+    CHECK(again.mayForm);
+    CHECK(again.formedWith == formed.formedWith);
+    CHECK(openIdentity(folder, "10.0.0.9:7", false).value().replica.starts_with("10.0.0.9:7/"));
+    std::ofstream(folder / "identity.json") << "no json";
+    CHECK_FALSE(openIdentity(folder, "10.0.0.1:7", false).ok());
+    fs::remove_all(folder);
+    CHECK(openIdentity(folder, "10.0.0.1:7", false).value().replica != first.replica);
+}
--- /dev/null
+++ b/test/platform-codec-test.cc
@@ -0,0 +1,215 @@
+#include "platform/codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace turmericpier;
+using namespace turmericpier::platform;
+using cell::OrderResult;
+using cell::record::EndKind;
+
+namespace {
+
+const std::string configBody
+    = R"({"version":7,"routes":[{"name":"r1","host":"a.example","path-prefix":"/p/","kind":"non_idempotent",)"
+      R"("timeout-ms":3000,"target-runtime-ms":400,"priority":2,"service":"s","attempts":3,"stretch":1.5,)"
+      R"("advice":{"decide-ms":28.5,"each-ms":0.4,"advice-ttl-ms":2000}}],)"
+      R"("services":[{"name":"s","health-path":"/health","max-conns":64,"admission-check":false,"spare":false}],)"
+      R"("limits":{"max-header-bytes":16384}})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+http::ClientAnswer answer(unsigned status, std::string body)
+{
+    return { http::CallFault::None, status, std::move(body) };
+}
+
+} // namespace
+
+// Guards against a configuration whose figures reach the scheduler wrongly.
+TEST_CASE("a configuration is decoded", "[platform]")
+{
+    const auto config = decodeConfig(configBody);
+    REQUIRE(config.ok());
+    CHECK((*config)->version == 7);
+    CHECK((*config)->document == configBody);
+    const auto& queue = *(*config)->queues.front();
+    CHECK(queue.priority == 2);
+    CHECK(queue.attempts == 3);
+    CHECK(queue.stretch == 1.5F);
+    REQUIRE(queue.advice);
+    CHECK(queue.advice->decide_us == 28'500);
+    CHECK(queue.advice->each_us == 400);
+    CHECK(queue.advice->ticket_ms == 2'000);
+    CHECK_FALSE(
+        decodeConfig(replaced(configBody, R"(,"advice":{"decide-ms":28.5,"each-ms":0.4,"advice-ttl-ms":2000})", ""))
+            .value()
+            ->queues.front()
+            ->advice);
+}
+
+// Guards against an invalid configuration that is acknowledged.
+TEST_CASE("an invalid configuration is refused with its fault", "[platform]")
+{
+    const auto faultOf = [](const std::string& body) {
+        const auto config = decodeConfig(body);
+        CHECK_FALSE(config.ok());
+        return std::string(config.status().message());
+    };
+    CHECK(faultOf(configBody.substr(0, configBody.size() - 5)).find("no JSON") != std::string::npos);
+    CHECK(faultOf(replaced(configBody, R"("service":"s")", R"("service":"t")")).find("unknown service")
+        != std::string::npos);
+    CHECK(faultOf(replaced(configBody, R"("timeout-ms":3000)", R"("timeout-ms":0)")).find("timeout-ms")
+        != std::string::npos);
+    CHECK(faultOf(replaced(configBody, R"("version":7)", R"("version":"7")")).find("version") != std::string::npos);
+    CHECK(faultOf("[]").find("no object") != std::string::npos);
+    const auto begin = configBody.find('{', 1);
+    const auto route = configBody.substr(begin, configBody.find("}}],", begin) + 2 - begin);
+    CHECK(faultOf(replaced(configBody, route, route + "," + route)).find("share") != std::string::npos);
+}
+
+// Guards against a job that is accepted although it cannot be understood, and against members that are lost.
+TEST_CASE("a job is decoded", "[platform]")
+{
+    const auto job = decodeJob(
+        R"({"spec":"x","steps":[{"count":4,"cpu":500,"mem-mb":256,"est-ms":900,"data-rack":"r1-3","max-per-server":2},)"
+        R"({"count":20,"cpu":2000,"after":[0],"checkpoint":true,"gang":true,"same-rack":true,"needs":"b",)"
+        R"("long-running":true,"target-ms":40,"fills":true,"may-miss":1,"speculative":true,"image":"i","gpu":1}],)"
+        R"("run-count":3,"start-at-ms":1000,"interval-ms":500})");
+    REQUIRE(job.ok());
+    const auto& first = *(*job)->steps[0];
+    CHECK(first.count == 4);
+    CHECK(first.cpu == 500);
+    CHECK(first.memory == 256);
+    CHECK(first.data_rack == "r1-3");
+    CHECK(first.max_per_worker == 2);
+    const auto& second = *(*job)->steps[1];
+    CHECK(second.after == std::vector<uint32_t> { 0 });
+    CHECK((second.checkpoints && second.gang && second.same_rack && second.long_running && second.fills));
+    CHECK(second.accelerators == 1);
+    CHECK((*job)->times == 3);
+    CHECK((*job)->interval_ms == 500);
+    for (const auto* bad : { "{}", R"({"steps":[]})", R"({"steps":[{"cpu":5}]})", R"({"steps":[{"count":0}]})",
+             R"({"steps":[{"count":1,"after":[0]}]})", R"({"steps":[{"count":1,"cpu":-1}]})",
+             R"({"steps":[{"count":1,"gang":"yes"}]})", R"({"steps":{"count":1}})" }) {
+        CAPTURE(bad);
+        CHECK_FALSE(decodeJob(bad).ok());
+    }
+}
+
+// Guards against a report of another writer that is taken for a worker.
+TEST_CASE("a report of a worker is decoded or refused", "[platform]")
+{
+    const std::string body
+        = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"draining",)"
+          R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":2},"labels":["a","r1-3"],"clock-ms":5,"seq":4,"born":77})";
+    const auto worker = decodeWorker("i-1", body);
+    REQUIRE(worker.ok());
+    CHECK((*worker)->id == "i-1");
+    CHECK((*worker)->draining);
+    CHECK((*worker)->cpu == 16'000);
+    CHECK((*worker)->accelerators == 2);
+    CHECK((*worker)->rack == "r1-3");
+    CHECK((*worker)->born_ms == 77);
+    CHECK_FALSE(decodeWorker("i-1", replaced(body, "draining", "asleep")).ok());
+    CHECK_FALSE(decodeWorker("i-1", replaced(body, R"("born":77)", R"("born":"77")")).ok());
+    CHECK_FALSE(decodeWorker("i-1", replaced(body, R"("cpu":16000)", R"("cpu":"16000")")).ok());
+    CHECK_FALSE(decodeWorker("i-1", replaced(body, R"("addr":"10.0.0.9:80",)", "")).ok());
+    CHECK_FALSE(decodeWorker("i-1", "\xff\xfe").ok());
+}
+
+// Guards against an answer that is taken for the wrong result: what has not been started must be known from what may
+// be.
+TEST_CASE("answers to orders are told apart", "[platform]")
+{
+    CHECK(decodeOrder(answer(200, R"({"clock-ms":12})")).clockMs == 12);
+    CHECK(decodeOrder(answer(200, "")).result == OrderResult::Accepted);
+    CHECK(decodeOrder(answer(409, R"({"clock-ms":12,"reason":"fence"})")).result == OrderResult::Fenced);
+    CHECK(decodeOrder(answer(409, R"({"reason":"old"})")).result == OrderResult::Superseded);
+    CHECK(decodeOrder(answer(409, R"({"reason":"late"})")).result == OrderResult::TooLate);
+    CHECK(decodeOrder(answer(409, R"({"reason":"room"})")).result == OrderResult::NoRoom);
+    CHECK(decodeOrder(answer(409, R"({"reason":"ticket"})")).result == OrderResult::BadTicket);
+    CHECK(decodeOrder(answer(421, "")).result == OrderResult::OtherLife);
+    CHECK(decodeOrder(answer(400, "")).result == OrderResult::Invalid);
+    CHECK(decodeOrder(answer(429, "")).result == OrderResult::Unhealthy);
+    CHECK(decodeOrder(answer(503, "")).result == OrderResult::Unhealthy);
+    CHECK(decodeOrder(answer(500, "")).result == OrderResult::NoAnswer);
+    CHECK(decodeOrder({ http::CallFault::Refused, 0, "" }).result == OrderResult::ConnectionRefused);
+    CHECK(decodeOrder({ http::CallFault::NoAnswer, 0, "" }).result == OrderResult::NoAnswer);
+}
+
+// Guards against rows of a look that are read with shifted or lost members.
+TEST_CASE("a look is decoded", "[platform]")
+{
+    const auto look = decodeLook(answer(200,
+        R"({"clock-ms":482113,"born":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,130],["bad",1,"",0]],)"
+        R"("ended":[[58,"5c0e7a21d94b36f8.3.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.0.0",4,"lapsed","s"]]})"));
+    CHECK(look.result == OrderResult::Accepted);
+    CHECK(look.bornMs == 9);
+    REQUIRE(look.running.size() == 1);
+    CHECK(look.running[0].task == cell::TaskKey { "5c0e7a21d94b36f8", 0, 1, 17 });
+    CHECK(look.running[0].run == 2);
+    CHECK(look.running[0].checkpoint == "00000bb8");
+    CHECK(look.running[0].progress == 41);
+    CHECK(look.running[0].load == 130);
+    REQUIRE(look.ended.size() == 2);
+    CHECK(look.ended[0].number == 58);
+    CHECK(look.ended[0].task.occurrence == 3);
+    CHECK(look.ended[1].how == EndKind::Lapsed);
+    CHECK(look.ended[1].checkpoint == "s");
+    CHECK(decodeLook(answer(200, "{}")).result == OrderResult::NoAnswer);
+}
+
+// Guards against orders whose optional members appear when they are not set.
+TEST_CASE("orders are encoded", "[platform]")
+{
+    const cell::TaskKey task { "5c0e7a21d94b36f8", 0, 1, 17 };
+    auto start = encodeStart("i-1", { task, 2, "spec", 486'000, 7, "", "" });
+    CHECK(start.target == "/turmericpier/run-start");
+    CHECK(start.body == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"spec","until-ms":486000,"fence":7})");
+    CHECK(start.headers.front().second == "i-1");
+    start = encodeStart("i-1", { task, 2, "spec", 486'000, 7, "saved", "ticket" });
+    CHECK(start.body.find(R"("saved":"saved","ticket":"ticket")") != std::string::npos);
+    CHECK(encodeLook("i-1", { 7, 57, std::nullopt, 0 }).body == R"({"fence":7,"ack-cursor":57})");
+    CHECK(encodeLook("i-1", { 7, 57, 9, 1'000 }).body == R"({"fence":7,"ack-cursor":57,"until-ms":9,"wait-ms":1000})");
+    CHECK(encodeStop("i-1", { task, 2, 7 }).body == R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"fence":7})");
+}
+
+// Guards against a decoder that crashes or accepts nonsense on bytes from another writer.
+TEST_CASE("decoders take any bytes", "[platform]")
+{
+    rc::check("arbitrary bodies", [](const std::string& body) {
+        RC_ASSERT(!decodeConfig(body).ok());
+        RC_ASSERT(!decodeJob(body).ok());
+        RC_ASSERT(!decodeWorker("i-1", body).ok());
+        RC_ASSERT(decodeLook(answer(200, body)).result == OrderResult::NoAnswer);
+        RC_ASSERT(!decodeAdvice(answer(200, body)).ok);
+    });
+    rc::check("damaged bodies", [] {
+        auto body = configBody;
+        const auto at = *rc::gen::inRange<size_t>(0, body.size());
+        body[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        const auto config = decodeConfig(body);
+        if (config.ok())
+            RC_ASSERT((*config)->queues.size() == 1U);
+    });
+    rc::check("task names", [](const std::string& text) {
+        const auto task = parseTaskName(text);
+        if (task)
+            RC_ASSERT(parseTaskName(taskName(*task)) == task);
+    });
+}
+
+// Guards against tickets that are given to the wrong worker.
+TEST_CASE("advice is decoded", "[platform]")
+{
+    const auto advice = decodeAdvice(answer(200, R"({"good":[["i-1","t1"],["i-2","t2"]]})"));
+    CHECK(advice.ok);
+    CHECK(advice.tickets.at("i-2") == "t2");
+    CHECK_FALSE(decodeAdvice(answer(429, "")).ok);
+}
