Restart failed tasks on workers known to be sound

A plan that was put off while the leader had no lease was not made again before the next event. Ruled out: the penalty of failed workers; it is known only after their first failures. Change: a task with a failure prefers workers whose last run succeeded within 6 s. The tick repeats a plan that is still wanted.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -118,6 +118,7 @@
         TimePoint avoidUntil;
         double failures = 0; ///< Recent failures of runs; decays.
         TimePoint failuresAt;
+        std::optional<TimePoint> succeededAt; ///< Last successful end of a run.
         std::map<TaskKey, Run> runs;
     };
     struct Helper {
@@ -157,6 +158,8 @@
     std::optional<int64_t> leaseUntil(Link& link);
     double failuresOf(const Link& link) const;
     void noteFailure(Link& link, double weight);
+    void noteSuccess(Link& link);
+    bool isProven(const Link& link) const;
     void checkRuns(Link& link);
     bool isUsable(const Link& link) const;
     WorkerAddress addressOf(const Link& link) const;
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -14,6 +14,7 @@
 struct WorkerHealthView {
     bool usable = false; ///< Answers, has seen this leader's token, and is not about to leave.
     double penalty = 0; ///< Recent failures; workers with less are taken first.
+    bool proven = false; ///< The last run that ended there was successful, and is recent.
 };
 
 struct AdviceRequest {
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -25,6 +25,8 @@
     constexpr milliseconds unhealthyPause { 1'500 };
     // Failures of a worker are forgotten with this half-life.
     constexpr double failureHalfLifeS = 6;
+    // A worker counts as sound for this long after a successful run, unless a later one has failed.
+    constexpr milliseconds provenFor { 6'000 };
     // From this many recent failures on a worker gets no work while others can take it.
     constexpr double failuresToAvoid = 2.5;
     // A task whose progress stands still for this long, beside its expected time for a percent, is moved.
@@ -507,6 +509,20 @@
     link.failuresAt = m_clock.now();
 }
 
+/// Halves the count, because tasks that fail on sound workers must not exclude all of them.
+void Leader::noteSuccess(Link& link)
+{
+    link.failures = failuresOf(link) / 2;
+    link.failuresAt = m_clock.now();
+    link.succeededAt = m_clock.now();
+}
+
+bool Leader::isProven(const Link& link) const
+{
+    return link.succeededAt && m_clock.now() - *link.succeededAt < provenFor
+        && (link.failures == 0 || *link.succeededAt >= link.failuresAt);
+}
+
 bool Leader::isUsable(const Link& link) const
 {
     const auto now = m_clock.now();
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -126,7 +126,7 @@
         if (end->how == EndKind::Failed)
             noteFailure(link->second, 1);
         else if (end->how == EndKind::Done)
-            link->second.failures /= 2; // Tasks that fail on sound workers must not exclude all of them.
+            noteSuccess(link->second);
     }
     for (const auto& end : command.ends)
         breakGang(*end);
@@ -215,7 +215,7 @@
             const auto link = m_links.find(serial);
             if (link == m_links.end())
                 return WorkerHealthView {};
-            return WorkerHealthView { isUsable(link->second), failuresOf(link->second) };
+            return WorkerHealthView { isUsable(link->second), failuresOf(link->second), isProven(link->second) };
         },
         now + ticketMargin, m_hooks.wallMs() };
     auto result = plan(input);
@@ -333,7 +333,8 @@
     }
     if (m_nextDueMs != 0 && m_hooks.wallMs() >= m_nextDueMs)
         wantPlan();
-    if (!m_adviceRetryAt.empty())
+    // A plan may have been put off for want of the lease, or a call for advice for want of an idle helper.
+    if (m_planWanted || !m_adviceRetryAt.empty())
         wantPlan();
     std::erase_if(m_adviceRetryAt, [&](const auto& entry) { return now >= entry.second; });
     std::erase_if(m_helpers, [&](const auto& entry) { return now - entry.second.seenAt > 10 * helperLost; });
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -12,6 +12,11 @@
     constexpr size_t adviceWorkers = 30;
     // Least workers of one call, so that a step with one task rarely needs a second call.
     constexpr size_t adviceWorkersMin = 8;
+    // Costs are in units of one recent failure, or of one empty worker. On a rack away from its data a task takes
+    // several times as long, which is worse than a worker with some failures.
+    constexpr double farCost = 10;
+    // A task that has failed before must not meet a second unsound worker, because its attempts are few.
+    constexpr double unprovenCost = 5;
     constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers are fit.
 
     /// A worker with the room that is left in this round.
@@ -19,6 +24,7 @@
         const WorkerRecord* record = nullptr;
         Resources free;
         double penalty = 0;
+        bool proven = false;
         bool runsTarget = false; ///< Runs a task with a bound on its tail latency.
         bool runsFilling = false; ///< Runs a task that disturbs such tasks.
         std::vector<TaskKey> planned;
@@ -80,7 +86,7 @@
             const auto health = m_input.health(worker.worker.serial);
             if (!health.usable || worker.worker.draining)
                 return;
-            Candidate candidate { .record = &worker, .penalty = health.penalty };
+            Candidate candidate { .record = &worker, .penalty = health.penalty, .proven = health.proven };
             candidate.free = Resources { MilliCpu { worker.worker.cpu }, MemoryMib { worker.worker.memory },
                 Accelerators { worker.worker.accelerators } }
                 - worker.used;
@@ -160,20 +166,25 @@
                 || m_input.tickets.fitnessOf(work.key, candidate.record->worker.serial, m_input.now) == Fitness::Fit;
         }
 
-        /// Lower is better. Tasks go near their data, to workers without recent failures, and then to the fullest
-        /// worker, which keeps whole workers free for large tasks and gangs.
-        double costOf(const StepWork& work, const Candidate& candidate) const
+        /// Lower is better. Tasks that have failed go to workers that are known to be sound. Tasks go near their data,
+        /// to workers without recent failures, and then to the fullest worker, which keeps whole workers free for large
+        /// tasks and gangs.
+        double costOf(const StepWork& work, const Candidate& candidate, bool failedBefore) const
         {
             const auto& worker = candidate.record->worker;
             double cost = candidate.penalty;
+            if (failedBefore && !candidate.proven)
+                cost += unprovenCost;
             if (!work.step->data_rack.empty() && work.step->data_rack != worker.rack)
-                cost += 10;
+                cost += farCost;
             const double capacity = std::max<double>(1, static_cast<double>(worker.cpu));
             return cost + static_cast<double>(candidate.free.cpu.value) / capacity;
         }
 
-        Candidate* choose(const StepWork& work, const std::string* rack = nullptr)
+        Candidate* choose(const StepWork& work, uint32_t index, const std::string* rack = nullptr)
         {
+            const auto* task = m_input.state.findTask({ work.key.job, work.key.occurrence, work.key.step, index });
+            const bool failedBefore = task && task->failures > 0;
             Candidate* best = nullptr;
             double bestCost = 0;
             for (auto& candidate : m_candidates) {
@@ -181,7 +192,7 @@
                     continue;
                 if (!suits(work, candidate) || !hasRoom(work, candidate) || !mayRun(work, candidate))
                     continue;
-                const auto cost = costOf(work, candidate);
+                const auto cost = costOf(work, candidate, failedBefore);
                 if (!best || cost < bestCost) {
                     best = &candidate;
                     bestCost = cost;
@@ -226,7 +237,7 @@
         bool placeTasks(const StepWork& work)
         {
             for (const auto index : work.waiting) {
-                auto* candidate = choose(work);
+                auto* candidate = choose(work, index);
                 if (!candidate)
                     return false;
                 take(work, index, *candidate);
@@ -260,7 +271,7 @@
             std::vector<std::pair<uint32_t, Candidate*>> chosen;
             uint32_t run = 0;
             for (const auto index : work.waiting) {
-                auto* candidate = choose(work, rack);
+                auto* candidate = choose(work, index, rack);
                 if (!candidate) {
                     m_candidates = before;
                     return false;
@@ -287,9 +298,9 @@
                 const auto serial = candidate.record->worker.serial;
                 const auto fitness = m_input.tickets.fitnessOf(work.key, serial, m_input.now);
                 if (fitness == Fitness::Expired)
-                    expired.emplace_back(costOf(work, candidate), serial);
+                    expired.emplace_back(costOf(work, candidate, false), serial);
                 else if (fitness == Fitness::Unknown)
-                    unknown.emplace_back(costOf(work, candidate), serial);
+                    unknown.emplace_back(costOf(work, candidate, false), serial);
             }
             std::ranges::sort(expired);
             std::ranges::sort(unknown);
