Give calls without a leader up after 1,200 ms

Tried before: 400 ms (worse, calls were refused during an ordinary election). Change: one bound of 1,200 ms; a call in doubt is answered as unknown then, and the caller sends it again under the same id.

--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -16,8 +16,9 @@
     std::chrono::milliseconds attempt { 700 }; ///< Of one call to the leader; a commit takes tens of milliseconds.
     std::chrono::milliseconds locateEvery { 250 }; ///< While no leader is known.
     std::chrono::milliseconds confirmEvery { 1'000 }; ///< While one is known.
-    /// A call that certainly no leader has taken is refused after this time, with a time to come back.
-    std::chrono::milliseconds patience { 1'800 };
+    /// A call without an answer is given up after this time: longer than an election, and less than half of the 3 s for
+    /// which callers wait, so that they can come back.
+    std::chrono::milliseconds patience { 1'200 };
 };
 
 class Relay {
@@ -30,7 +31,7 @@
     void stop() { m_stopped = true; }
 
     /// Answers with the leader's reply; with NotRun if it is certain that no leader took the call, and with Unknown if
-    /// that is in doubt at the deadline. A call is sent again to the next leader: all calls are idempotent.
+    /// that is in doubt when the call is given up. A call is sent again to the next leader: all calls are idempotent.
     void handle(std::unique_ptr<record::CallT> call, std::chrono::milliseconds deadline, Answer answer);
 
     const std::string& leader() const { return m_leader; }
@@ -48,8 +49,7 @@
     struct Waiting {
         std::shared_ptr<record::CallT> call;
         Answer answer;
-        TimePoint deadline;
-        TimePoint refuseAt;
+        TimePoint giveUpAt;
         bool inDoubt = false; ///< An attempt was sent and not answered.
     };
 
@@ -58,6 +58,7 @@
     void attempt(const std::shared_ptr<Waiting>& waiting);
     void onAnswer(
         const std::shared_ptr<Waiting>& waiting, const std::string& leader, std::optional<record::ReplyT> answer);
+    void giveUp(const std::shared_ptr<Waiting>& waiting);
     void retry(const std::shared_ptr<Waiting>& waiting);
     void finish(const std::shared_ptr<Waiting>& waiting, record::ReplyT reply);
 
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -95,28 +95,15 @@
     auto waiting = std::make_shared<Waiting>();
     waiting->call = std::move(call);
     waiting->answer = std::move(answer);
-    waiting->deadline = m_clock.now() + deadline;
-    waiting->refuseAt = m_clock.now() + std::min(deadline, m_options.patience);
+    waiting->giveUpAt = m_clock.now() + std::min(deadline, m_options.patience);
     attempt(waiting);
 }
 
 void Relay::attempt(const std::shared_ptr<Waiting>& waiting)
 {
     const auto now = m_clock.now();
-    record::ReplyT reply;
-    if (!waiting->inDoubt && now >= waiting->refuseAt) {
-        m_refused.increment();
-        reply.verdict = Verdict::NotRun;
-        reply.message = "no leader is known";
-        reply.retry_after_ms = retryAfterMs;
-        return finish(waiting, std::move(reply));
-    }
-    if (now >= waiting->deadline) {
-        m_unknown.increment();
-        reply.verdict = Verdict::Unknown;
-        reply.message = "no leader has answered in time";
-        return finish(waiting, std::move(reply));
-    }
+    if (now >= waiting->giveUpAt)
+        return giveUp(waiting);
     if (m_leader.empty())
         return retry(waiting);
     const auto done = [this, waiting, leader = m_leader](
@@ -128,10 +115,27 @@
             retry(waiting);
         return;
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(waiting->deadline - now);
+    const auto left = std::chrono::duration_cast<milliseconds>(waiting->giveUpAt - now);
     m_links.call(m_leader, *waiting->call, std::min(m_options.attempt, left + milliseconds(1)), done);
 }
 
+/// Told at once when it is decided, so that the caller can come back while it still has time.
+void Relay::giveUp(const std::shared_ptr<Waiting>& waiting)
+{
+    record::ReplyT reply;
+    if (waiting->inDoubt) {
+        m_unknown.increment();
+        reply.verdict = Verdict::Unknown;
+        reply.message = "no leader has answered in time";
+    } else {
+        m_refused.increment();
+        reply.verdict = Verdict::NotRun;
+        reply.message = "no leader is known";
+        reply.retry_after_ms = retryAfterMs;
+    }
+    finish(waiting, std::move(reply));
+}
+
 void Relay::onAnswer(
     const std::shared_ptr<Waiting>& waiting, const std::string& leader, std::optional<record::ReplyT> answer)
 {
