Search for the leader at once when it refuses a call

Cause: the new test of the relay saw two attempts in 400 ms: a relay whose leader refused cleared it and waited for its next periodic search. Change: a refused or unanswered call starts a search, at most one each 50 ms. Followers tick every 250 ms instead of 50 ms. Findings of the linter mended.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -135,7 +135,7 @@
     void putConfig(std::unique_ptr<record::CallT> call, Answer answer);
     void beat(std::unique_ptr<record::CallT> call, Answer answer);
     void leave(const record::CallT& call, const Answer& answer);
-    void proposeFor(record::CommandT command, Answer answer, std::string what, std::string id);
+    void proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id);
 
     // Workers (leader-workers.cc).
     void refreshLinks();
@@ -151,7 +151,7 @@
     void neverStarted(Link& link, const TaskKey& task, Run& run);
     void stopRun(Link& link, const TaskKey& task, Run& run);
     void sendStop(Link& link, const TaskKey& task, uint32_t number);
-    void proposeEnds(uint32_t serial, record::CommandT command, uint64_t endsTaken);
+    void proposeEnds(uint32_t serial, const record::CommandT& command, uint64_t endsTaken);
     void proposeGone(Link& link);
     void fenced(const Link& link);
     void noteClock(Link& link, int64_t clockMs, TimePoint sentAt);
--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -54,10 +54,12 @@
     };
 
     void locate();
+    void locateAfter(Duration delay);
     void onLocated(const std::optional<record::ReplyT>& reply);
     void attempt(const std::shared_ptr<Waiting>& waiting);
     void onAnswer(
         const std::shared_ptr<Waiting>& waiting, const std::string& leader, std::optional<record::ReplyT> answer);
+    void searchAgain();
     void giveUp(const std::shared_ptr<Waiting>& waiting);
     void retry(const std::shared_ptr<Waiting>& waiting);
     void finish(const std::shared_ptr<Waiting>& waiting, record::ReplyT reply);
@@ -73,6 +75,7 @@
     std::set<std::string> m_addresses; ///< Of processes that may know the leader.
     std::string m_leader; ///< Identity; empty if unknown.
     TimePoint m_leaderHeard;
+    TimePoint m_locatedAt; ///< Start of the last search.
     std::function<record::CallT()> m_makeLocate;
     Local m_local;
     bool m_stopped = false;
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -58,7 +58,7 @@
     absl::Status openGroup();
     consensus::GroupHooks groupHooks();
     LeaderHooks leaderHooks(LeaderHooks orders);
-    void propose(const record::CommandT& command, LeaderHooks::Proposed done);
+    void propose(const record::CommandT& command, const LeaderHooks::Proposed& done);
     void onRole(const consensus::RoleChange& change);
     void tick();
 
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -75,10 +75,10 @@
     answer(replyWith(Verdict::Invalid, "not a call for the leader"));
 }
 
-void Leader::proposeFor(record::CommandT command, Answer answer, std::string what, std::string id)
+void Leader::proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id)
 {
-    m_hooks.propose(
-        command, [this, answer = std::move(answer), what = std::move(what), id = std::move(id)](absl::Status status) {
+    m_hooks.propose(command,
+        [this, answer = std::move(answer), what = std::move(what), id = std::move(id)](const absl::Status& status) {
             const auto verdict = verdictOf(status);
             decide(what, id,
                 verdict == Verdict::Ok           ? "committed"
@@ -112,7 +112,7 @@
     record::CommandT command;
     command.submit.push_back(std::move(call->job));
     proposeFor(
-        std::move(command),
+        command,
         [this, id, generation = m_generation](const record::ReplyT& reply) {
             if (generation != m_generation)
                 return;
@@ -153,7 +153,7 @@
         return answer(replyWith(Verdict::Ok));
     record::CommandT command;
     command.cancel.push_back(id);
-    proposeFor(std::move(command), std::move(answer), "cancel", id);
+    proposeFor(command, std::move(answer), "cancel", id);
 }
 
 void Leader::waiting(const record::CallT& call, const Answer& answer) const
@@ -173,7 +173,7 @@
         return answer(replyWith(Verdict::Ok));
     record::CommandT command;
     command.config = std::move(call->config);
-    proposeFor(std::move(command), std::move(answer), "configuration", absl::StrCat(version));
+    proposeFor(command, std::move(answer), "configuration", absl::StrCat(version));
 }
 
 void Leader::beat(std::unique_ptr<record::CallT> call, Answer answer)
@@ -204,7 +204,7 @@
     const auto id = absl::StrCat(worker.id, worker.draining ? " draining" : " ready");
     record::CommandT command;
     command.workers.push_back(std::move(call->worker));
-    proposeFor(std::move(command), std::move(answer), "worker", id);
+    proposeFor(command, std::move(answer), "worker", id);
 }
 
 void Leader::leave(const record::CallT& call, const Answer& answer)
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -288,7 +288,7 @@
     record::CommandT command;
     command.ends.push_back(
         std::make_unique<record::EndT>(endOf(task, run.number, link.serial, EndKind::NeverStarted, run.checkpoint)));
-    proposeEnds(link.serial, std::move(command), 0);
+    proposeEnds(link.serial, command, 0);
 }
 
 void Leader::readEnded(Link& link, const std::vector<EndedRow>& rows)
@@ -313,10 +313,10 @@
     if (command.ends.empty())
         link.endsTaken = last;
     else
-        proposeEnds(link.serial, std::move(command), last);
+        proposeEnds(link.serial, command, last);
 }
 
-void Leader::proposeEnds(uint32_t serial, record::CommandT command, uint64_t endsTaken)
+void Leader::proposeEnds(uint32_t serial, const record::CommandT& command, uint64_t endsTaken)
 {
     auto keys = std::make_shared<std::vector<TaskKey>>();
     for (const auto& end : command.ends)
@@ -489,10 +489,10 @@
             noteFailure(link, 2);
             decide("stop", taskName(key), "stalled", absl::StrCat("progress=", run.progress, " run=", run.number));
         }
-        if ((isMoved || stalls) && !run.stopWanted)
-            stopRun(link, key, run);
-        else if (run.stopWanted && !run.stopInFlight && now - run.stopSentAt >= stopRetry
-            && run.phase != RunPhase::Rejected)
+        const bool isFirst = (isMoved || stalls) && !run.stopWanted;
+        const bool isRepeat = run.stopWanted && !run.stopInFlight && now - run.stopSentAt >= stopRetry
+            && run.phase != RunPhase::Rejected;
+        if (isFirst || isRepeat)
             stopRun(link, key, run);
     }
 }
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -229,7 +229,7 @@
         command.starts.push_back(std::make_unique<record::StartT>(std::move(start)));
     m_startsProposed = true;
     const auto generation = m_generation;
-    m_hooks.propose(command, [this, generation](absl::Status status) {
+    m_hooks.propose(command, [this, generation](const absl::Status& status) {
         if (generation != m_generation)
             return;
         m_startsProposed = false;
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -12,6 +12,7 @@
     // Between two attempts of one call while no leader is known.
     constexpr milliseconds retryDelay { 40 };
     constexpr milliseconds locateTimeout { 600 };
+    constexpr milliseconds searchPause { 50 };
     // A leader that has not answered for this long is looked for again.
     constexpr milliseconds leaderSilent { 1'600 };
     constexpr uint32_t retryAfterMs = 1'000; // An election takes about a second.
@@ -54,6 +55,7 @@
         logState("cell", "leader lost", { { "leader", m_leader } });
         m_leader.clear();
     }
+    m_locatedAt = m_clock.now();
     record::CallT call;
     if (m_makeLocate)
         call = m_makeLocate();
@@ -69,7 +71,12 @@
                 ask(address);
         }
     }
-    m_timer.expires_after(m_leader.empty() ? m_options.locateEvery : m_options.confirmEvery);
+    locateAfter(m_leader.empty() ? m_options.locateEvery : m_options.confirmEvery);
+}
+
+void Relay::locateAfter(Duration delay)
+{
+    m_timer.expires_after(delay);
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             locate();
@@ -119,6 +126,13 @@
     m_links.call(m_leader, *waiting->call, std::min(m_options.attempt, left + milliseconds(1)), done);
 }
 
+void Relay::searchAgain()
+{
+    m_leader.clear();
+    // Many calls may fail together; one search serves them all.
+    locateAfter(std::max<Duration>(Duration::zero(), searchPause - (m_clock.now() - m_locatedAt)));
+}
+
 /// Told at once when it is decided, so that the caller can come back while it still has time.
 void Relay::giveUp(const std::shared_ptr<Waiting>& waiting)
 {
@@ -141,18 +155,16 @@
 {
     if (!answer) {
         waiting->inDoubt = true;
-        if (m_leader == leader) {
-            m_leader.clear();
-            locate();
-        }
+        if (m_leader == leader)
+            searchAgain();
         return retry(waiting);
     }
     if (answer->verdict == Verdict::NotLeader) {
         // A leader may be without its lease for a moment; a former one tells who leads now.
-        if (m_leader == leader && leader != m_links.self())
-            m_leader.clear();
         if (!answer->leader.empty() && answer->leader != leader)
             setLeader(answer->leader);
+        else if (m_leader == leader && leader != m_links.self())
+            searchAgain();
         return retry(waiting);
     }
     if (m_leader == leader)
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -16,6 +16,8 @@
 
 namespace {
     constexpr milliseconds tickInterval { 50 };
+    // A follower has nothing to do on time; each wake-up costs processor time.
+    constexpr milliseconds followerTickInterval { 250 };
     constexpr milliseconds formationInterval { 100 };
     constexpr milliseconds formationTimeout { 400 };
     // Time for one voter to take over: a vote and a sync, with room.
@@ -58,7 +60,7 @@
 LeaderHooks Replica::leaderHooks(LeaderHooks orders)
 {
     orders.propose
-        = [this](const record::CommandT& command, LeaderHooks::Proposed done) { propose(command, std::move(done)); };
+        = [this](const record::CommandT& command, const LeaderHooks::Proposed& done) { propose(command, done); };
     orders.advise = [this](const std::string& helper, const StepKey& step, const std::vector<std::string>& workers,
                         const std::function<void(AdviceAnswer)>& done) {
         record::CallT call;
@@ -202,7 +204,7 @@
     });
 }
 
-void Replica::propose(const record::CommandT& command, LeaderHooks::Proposed done)
+void Replica::propose(const record::CommandT& command, const LeaderHooks::Proposed& done)
 {
     if (m_stopped || !m_group) {
         asio::post(m_io, [done] {
@@ -276,7 +278,7 @@
         m_leader.helperSeen(m_links.self());
         maintainVoters();
     }
-    m_timer.expires_after(tickInterval);
+    m_timer.expires_after(m_group && !m_leader.isActive() ? followerTickInterval : tickInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             tick();
--- /dev/null
+++ b/test/cell-relay-test.cc
@@ -0,0 +1,116 @@
+#include "turmericpier/cell/relay.h"
+
+#include "cell-fixtures.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using record::CallKind;
+using record::Verdict;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::string freeAddress()
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// A relay beside a process that says it leads; the test decides what it answers to other calls.
+struct Pair {
+    boost::asio::io_context io;
+    Metrics metrics;
+    BootClock clock;
+    std::string leaderId = freeAddress() + "/leader";
+    Links leader { io, { .self = leaderId }, metrics };
+    Links entry { io, { .self = freeAddress() + "/entry" }, metrics };
+    Relay relay { io, options(), entry, clock, metrics };
+    std::function<void(Links::Answer)> onCall;
+    int calls = 0;
+
+    Pair()
+    {
+        leader.setCallHandler(
+            [this](const std::string&, std::unique_ptr<record::CallT> call, const Links::Answer& answer) {
+                if (call->kind == CallKind::Locate) {
+                    record::ReplyT reply;
+                    reply.replica = reply.leader = leaderId;
+                    return answer(std::move(reply));
+                }
+                ++calls;
+                onCall(answer);
+            });
+        REQUIRE(leader.start().ok());
+        REQUIRE(entry.start().ok());
+        relay.start();
+    }
+    ~Pair()
+    {
+        relay.stop();
+        entry.stop();
+        leader.stop();
+    }
+    RelayOptions options() const
+    {
+        RelayOptions made;
+        made.seeds = { addressOf(leaderId) };
+        made.attempt = milliseconds(50);
+        made.patience = milliseconds(400);
+        return made;
+    }
+    record::ReplyT call()
+    {
+        auto made = std::make_unique<record::CallT>();
+        made->kind = CallKind::Submit;
+        std::optional<record::ReplyT> reply;
+        relay.handle(
+            std::move(made), std::chrono::seconds(60), [&](record::ReplyT given) { reply = std::move(given); });
+        while (!reply)
+            io.run_one();
+        return std::move(*reply);
+    }
+};
+
+record::ReplyT replyOf(Verdict verdict)
+{
+    record::ReplyT reply;
+    reply.verdict = verdict;
+    return reply;
+}
+
+} // namespace
+
+// Guards against a call that is not repeated when the leader has changed.
+TEST_CASE("a call is sent again until a leader has taken it", "[cell]")
+{
+    Pair pair;
+    pair.onCall
+        = [&](const Links::Answer& answer) { answer(replyOf(pair.calls < 3 ? Verdict::NotLeader : Verdict::Ok)); };
+    CHECK(pair.call().verdict == Verdict::Ok);
+    CHECK(pair.calls == 3);
+}
+
+// Guards against a claim that a call has not run, although a leader may have taken it.
+TEST_CASE("a call that got no answer is not said to have been refused", "[cell]")
+{
+    Pair pair;
+    pair.onCall = [&](const Links::Answer& answer) {
+        if (pair.calls > 1)
+            answer(replyOf(Verdict::NotLeader)); // the first attempt was taken, and its answer was lost
+    };
+    CHECK(pair.call().verdict == Verdict::Unknown);
+}
+
+// Guards against a refusal without a time to come back.
+TEST_CASE("a call that no leader has taken is refused with a time to come back", "[cell]")
+{
+    Pair pair;
+    pair.onCall = [](const Links::Answer& answer) { answer(replyOf(Verdict::NotLeader)); };
+    const auto reply = pair.call();
+    CHECK(reply.verdict == Verdict::NotRun);
+    CHECK(reply.retry_after_ms > 0);
+}
