Do not run a task again where it has failed; log decisions on calls, starts and ends

Ruled out: the preference for sound workers; it chooses only among workers with a ticket. Change: the state keeps the worker on which a task failed last. The planner avoids it, and asks the advisor about others, unless no other is fit. Tests: the planner's fails without the change.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -170,6 +170,8 @@
     void wantPlan();
     void planNow();
     void askAdvisor(const std::vector<struct AdviceRequest>& requests);
+    void logStarts(const std::vector<record::StartT>& starts) const;
+    void logEnd(const record::EndT& end) const;
     void stopClosedJobs(const record::CommandT& command);
     void stopJob(const record::JobT& job);
     void breakGang(const record::EndT& end);
--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -49,7 +49,9 @@
     struct Waiting {
         std::shared_ptr<record::CallT> call;
         Answer answer;
+        TimePoint since;
         TimePoint giveUpAt;
+        uint32_t attempts = 0;
         bool inDoubt = false; ///< An attempt was sent and not answered.
     };
 
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -77,7 +77,7 @@
     void applyEnd(const record::EndT& end);
     void applyForget(const std::string& id);
     void release(const TaskKey& key, const record::StepT& step, record::TaskT& task);
-    void endTask(record::JobT& job, const TaskKey& key, record::EndKind how, const std::string& saved);
+    void endTask(record::JobT& job, const TaskKey& key, record::EndKind how, const std::string& saved, uint32_t worker);
     void closeJob(record::JobT& job, record::JobState state);
     bool allDone(const record::JobT& job) const;
     void indexJob(record::JobT& job);
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -128,8 +128,10 @@
         else if (end->how == EndKind::Done)
             noteSuccess(link->second);
     }
-    for (const auto& end : command.ends)
+    for (const auto& end : command.ends) {
+        logEnd(*end);
         breakGang(*end);
+    }
     stopClosedJobs(command);
     for (const auto& start : command.starts) {
         const auto link = m_links.find(start->worker);
@@ -224,6 +226,7 @@
     askAdvisor(result.advice);
     if (result.starts.empty())
         return;
+    logStarts(result.starts);
     record::CommandT command;
     for (auto& start : result.starts)
         command.starts.push_back(std::make_unique<record::StartT>(std::move(start)));
@@ -239,6 +242,34 @@
     });
 }
 
+/// One line for the tasks of a step that start together.
+void Leader::logStarts(const std::vector<record::StartT>& starts) const
+{
+    for (size_t first = 0; first < starts.size();) {
+        const auto& start = starts[first];
+        size_t next = first;
+        std::string workers;
+        while (next < starts.size() && starts[next].job == start.job && starts[next].step == start.step
+            && starts[next].occurrence == start.occurrence) {
+            absl::StrAppend(&workers, workers.empty() ? "" : ",", starts[next].worker);
+            ++next;
+        }
+        decide("start", absl::StrCat(start.job, ".", start.occurrence, ".", start.step), "placed",
+            absl::StrCat("tasks=", next - first, " run=", start.run, " workers=", workers));
+        first = next;
+    }
+}
+
+void Leader::logEnd(const record::EndT& end) const
+{
+    if (end.how == EndKind::Done)
+        return;
+    const auto* worker = m_state.findWorker(end.worker);
+    decide("end", absl::StrCat(end.job, ".", end.occurrence, ".", end.step, ".", end.index),
+        record::EnumNameEndKind(end.how),
+        absl::StrCat("run=", end.run, " worker=", worker ? worker->worker.id : "gone"));
+}
+
 void Leader::askAdvisor(const std::vector<AdviceRequest>& requests)
 {
     const auto now = m_clock.now();
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -181,18 +181,29 @@
             return cost + static_cast<double>(candidate.free.cpu.value) / capacity;
         }
 
-        Candidate* choose(const StepWork& work, uint32_t index, const std::string* rack = nullptr)
+        /// What earlier runs of a task mean for its next place.
+        struct Past {
+            bool failed = false;
+            uint32_t avoid = 0; ///< Serial of a worker not to be chosen; 0 for none.
+        };
+
+        Past pastOf(const StepWork& work, uint32_t index) const
         {
             const auto* task = m_input.state.findTask({ work.key.job, work.key.occurrence, work.key.step, index });
-            const bool failedBefore = task && task->failures > 0;
+            return task ? Past { task->failures > 0, task->failed_on } : Past {};
+        }
+
+        Candidate* choose(const StepWork& work, const Past& past, const std::string* rack = nullptr)
+        {
             Candidate* best = nullptr;
             double bestCost = 0;
             for (auto& candidate : m_candidates) {
-                if (rack && candidate.record->worker.rack != *rack)
+                const auto& worker = candidate.record->worker;
+                if ((rack && worker.rack != *rack) || (past.avoid != 0 && worker.serial == past.avoid))
                     continue;
                 if (!suits(work, candidate) || !hasRoom(work, candidate) || !mayRun(work, candidate))
                     continue;
-                const auto cost = costOf(work, candidate, failedBefore);
+                const auto cost = costOf(work, candidate, past.failed);
                 if (!best || cost < bestCost) {
                     best = &candidate;
                     bestCost = cost;
@@ -229,20 +240,42 @@
 
         void placeStep(const StepWork& work)
         {
-            const bool complete = work.step->gang ? placeGang(work) : placeTasks(work);
-            if (!complete)
-                wantAdvice(work);
+            if (work.step->gang) {
+                if (!placeGang(work))
+                    wantAdvice(work, 0);
+            } else {
+                placeTasks(work);
+            }
         }
 
-        bool placeTasks(const StepWork& work)
+        void placeTasks(const StepWork& work)
         {
+            std::vector<uint32_t> left;
+            uint32_t avoided = 0;
             for (const auto index : work.waiting) {
-                auto* candidate = choose(work, index);
-                if (!candidate)
-                    return false;
-                take(work, index, *candidate);
-                emit(work, index, lastRun(work, index) + 1, *candidate);
+                const auto past = pastOf(work, index);
+                if (left.empty() && placeTask(work, index, past))
+                    continue;
+                // Only a worker that every task left avoids is not worth asking about.
+                avoided = left.empty() || avoided == past.avoid ? past.avoid : 0;
+                left.push_back(index);
+            }
+            if (left.empty() || wantAdvice(work, avoided))
+                return;
+            // No other worker is fit: a second run where the first has failed is better than none.
+            for (const auto index : left) {
+                if (!placeTask(work, index, { .failed = true }))
+                    return;
             }
+        }
+
+        bool placeTask(const StepWork& work, uint32_t index, const Past& past)
+        {
+            auto* candidate = choose(work, past);
+            if (!candidate)
+                return false;
+            take(work, index, *candidate);
+            emit(work, index, lastRun(work, index) + 1, *candidate);
             return true;
         }
 
@@ -271,7 +304,7 @@
             std::vector<std::pair<uint32_t, Candidate*>> chosen;
             uint32_t run = 0;
             for (const auto index : work.waiting) {
-                auto* candidate = choose(work, index, rack);
+                auto* candidate = choose(work, {}, rack);
                 if (!candidate) {
                     m_candidates = before;
                     return false;
@@ -285,17 +318,20 @@
             return true;
         }
 
-        /// Asks about workers that have room. Those known to be fit come first, as they only need a new ticket.
-        void wantAdvice(const StepWork& work)
+        /// Asks about workers that have room. Those known to be fit come first, as they only need a new ticket. Returns
+        /// false if there is no worker to ask about.
+        bool wantAdvice(const StepWork& work, uint32_t avoided)
         {
             if (!work.queue->advice)
-                return;
+                return false;
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
             for (const auto& candidate : m_candidates) {
                 if (!suits(work, candidate) || !hasRoom(work, candidate))
                     continue;
                 const auto serial = candidate.record->worker.serial;
+                if (avoided != 0 && serial == avoided)
+                    continue;
                 const auto fitness = m_input.tickets.fitnessOf(work.key, serial, m_input.now);
                 if (fitness == Fitness::Expired)
                     expired.emplace_back(costOf(work, candidate, false), serial);
@@ -315,11 +351,12 @@
                     break;
             }
             if (request.workers.empty())
-                return;
+                return false;
             const auto& advice = *work.queue->advice;
             request.expected
                 = std::chrono::microseconds(advice.decide_us + uint64_t { advice.each_us } * request.workers.size());
             m_plan.advice.push_back(std::move(request));
+            return true;
         }
 
         const PlannerInput& m_input;
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -2,6 +2,8 @@
 
 #include "turmericpier/base/log.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace turmericpier::cell {
 
 namespace asio = boost::asio;
@@ -102,6 +104,7 @@
     auto waiting = std::make_shared<Waiting>();
     waiting->call = std::move(call);
     waiting->answer = std::move(answer);
+    waiting->since = m_clock.now();
     waiting->giveUpAt = m_clock.now() + std::min(deadline, m_options.patience);
     attempt(waiting);
 }
@@ -113,6 +116,7 @@
         return giveUp(waiting);
     if (m_leader.empty())
         return retry(waiting);
+    ++waiting->attempts;
     const auto done = [this, waiting, leader = m_leader](
                           std::optional<record::ReplyT> answer) { onAnswer(waiting, leader, std::move(answer)); };
     if (m_leader == m_links.self()) {
@@ -147,6 +151,11 @@
         reply.message = "no leader is known";
         reply.retry_after_ms = retryAfterMs;
     }
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_clock.now() - waiting->since).count();
+    logDecision("cell", "relay", waiting->call->path, waiting->inDoubt ? "in doubt" : "refused",
+        { { "inputs",
+            absl::StrCat(reply.message, ", waited_ms=", waited, " attempts=", waiting->attempts,
+                " call=", record::EnumNameCallKind(waiting->call->kind)) } });
     finish(waiting, std::move(reply));
 }
 
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -151,7 +151,7 @@
         auto& job = *m_jobs.at(key.job);
         auto* task = taskIn(findMutable(job, key.occurrence), key.step, key.index);
         release(key, *job.steps[key.step], *task);
-        endTask(job, key, EndKind::Lapsed, "");
+        endTask(job, key, EndKind::Lapsed, "", serial);
     }
     m_workers.erase(serial);
 }
@@ -236,10 +236,10 @@
         return;
     const TaskKey key { end.job, end.occurrence, end.step, end.index };
     release(key, *job.steps[end.step], *task);
-    endTask(job, key, end.how, end.saved);
+    endTask(job, key, end.how, end.saved, end.worker);
 }
 
-void State::endTask(record::JobT& job, const TaskKey& key, EndKind how, const std::string& saved)
+void State::endTask(record::JobT& job, const TaskKey& key, EndKind how, const std::string& saved, uint32_t worker)
 {
     const auto& step = *job.steps[key.step];
     auto& tasks = findMutable(job, key.occurrence)->steps[key.step]->tasks;
@@ -271,6 +271,7 @@
     }
     if (how != EndKind::Failed || step.long_running)
         return;
+    task.failed_on = worker;
     // Several members of one run of a gang may fail; the gang has failed once.
     auto& counted = step.gang ? *tasks.front() : task;
     if (step.gang && std::exchange(counted.failed_run, task.run) == task.run)
--- a/test/cell-planner-test.cc
+++ b/test/cell-planner-test.cc
@@ -272,3 +272,31 @@
     cell.proven.insert(w3);
     CHECK(workersOf(cell.run()) == std::set<uint32_t> { w3 });
 }
+
+// Guards against a job that fails because its task runs again on the worker that has failed it.
+TEST_CASE("a task does not run again where it has failed while another worker may take it", "[cell]")
+{
+    const bool advice = GENERATE(false, true);
+    Cell cell(advice);
+    const auto w1 = addWorker(cell.state, worker("w1"));
+    submit(cell.state, job(jobId(1), step(1)));
+    const StepKey key { jobId(1), 0, 0, 0 };
+    cell.tickets.record(key, { w1 }, { { w1, "t" } }, cell.now + std::chrono::seconds(9));
+    cell.carryOut(cell.run());
+    end(cell.state, { jobId(1), 0, 0, 0 }, 1, w1, EndKind::Failed);
+    CHECK(workersOf(cell.run()) == std::set<uint32_t> { w1 }); // there is no other
+    const auto w2 = addWorker(cell.state, worker("w2"));
+    if (advice) {
+        const auto asked = cell.run();
+        CHECK(asked.starts.empty());
+        REQUIRE(asked.advice.size() == 1);
+        CHECK(asked.advice[0].workers == std::vector<uint32_t> { w2 });
+        const bool fit = GENERATE(false, true);
+        cell.tickets.record(key, { w2 },
+            fit ? std::map<uint32_t, std::string> { { w2, "u" } } : std::map<uint32_t, std::string> {},
+            cell.now + std::chrono::seconds(9));
+        CHECK(workersOf(cell.run()) == std::set<uint32_t> { fit ? w2 : w1 });
+    } else {
+        CHECK(workersOf(cell.run()) == std::set<uint32_t> { w2 });
+    }
+}
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -125,6 +125,7 @@
     pair.runUntil([&] { return answer.has_value(); });
     CHECK(answer->status == 200);
     CHECK(pair.server->requestsInFlight() == 0);
+    waiting.clear(); // it holds a connection, which must not outlive the event loop
 }
 
 // Guards against a body that fills the memory of a small machine.
