Free the connections of an HTTP client with the client

Cause: the leak checker found that a connection and the pools that hold it kept each other alive. Change: the destructor takes the pools out before it closes the connections. Test: the HTTP tests under the leak checker failed before and pass now.

--- a/include/turmericpier/http/client.h
+++ b/include/turmericpier/http/client.h
@@ -45,7 +45,7 @@
     using Done = std::function<void(ClientAnswer)>;
 
     Client(boost::asio::io_context& io, ClientOptions options, Metrics& metrics);
-    ~Client();
+    ~Client(); ///< Closes all connections; requests in progress are dropped without a call of `done`.
 
     /// `timeout` counts from the moment at which a connection is there; `done` is called exactly once.
     void call(const std::string& address, ClientRequest request, std::chrono::milliseconds timeout, Done done);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace turmericpier::http {
 
@@ -236,7 +237,9 @@
 Client::~Client()
 {
     m_impl->closed = true;
-    for (auto& [address, pool] : m_impl->pools) {
+    // Each connection holds the pools that hold it.
+    const auto pools = std::exchange(m_impl->pools, {});
+    for (const auto& [address, pool] : pools) {
         for (const auto& connection : pool.connections)
             connection->close();
     }
