Restart the event loop while a replica stops; remove unused members

Change: the stop restarts the loop. Timers of calls outlive a relay without touching it. The test keeps its loop alive and runs what threads have posted before the objects go. Members that nothing reads are removed.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -25,7 +25,6 @@
     std::chrono::milliseconds longestLease { 10'000 };
     std::chrono::milliseconds beatInterval { 1'500 }; ///< Of the heartbeats of workers.
     std::chrono::milliseconds keepEnded { 240'000 }; ///< State of ended jobs; twice what callers are promised.
-    std::chrono::milliseconds drainNotice { 2'500 }; ///< A worker serves at least this long after its drain notice.
 };
 
 /// How the leader reaches the world. All callbacks run on the leader's thread.
@@ -91,7 +90,6 @@
         std::string checkpoint;
         uint32_t progress = 0;
         TimePoint progressSince; ///< When the progress last changed.
-        TimePoint startedAt;
     };
     struct ClockReading {
         int64_t clockMs = 0;
@@ -100,14 +98,11 @@
     };
     struct Link {
         uint32_t serial = 0;
-        uint64_t generation = 0;
         bool synced = false; ///< A look with this leader's token was answered.
         bool lookInFlight = false;
-        TimePoint lookSentAt;
         TimePoint lookDue;
         std::optional<ClockReading> clock;
         TimePoint leaseEnd; ///< By then every lease given to the worker has certainly ended.
-        TimePoint leaseGivenUntil; ///< Earliest end of the lease by the leader's clock.
         uint64_t endsSeen = 0;
         uint64_t endsTaken = 0;
         uint64_t endsAcknowledged = 0;
--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -81,6 +81,7 @@
     std::function<record::CallT()> m_makeLocate;
     Local m_local;
     bool m_stopped = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< Tells timers of calls that the relay is gone.
 };
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -30,6 +30,9 @@
     std::chrono::milliseconds removeAfter { 20'000 };
     size_t minVoters = 3; ///< Silent voters are removed only while more than these remain.
     size_t maxVoters = 9;
+    /// Entries of the log between two snapshots. At 100 to 200 entries a second of a few hundred bytes each, the log in
+    /// memory stays below 10 MB.
+    uint64_t snapshotEvery = 4'000;
 };
 
 /// All methods run on the event loop's thread.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -79,7 +79,6 @@
             continue;
         }
         link.serial = serial;
-        link.generation = m_generation;
         link.heardAt = m_clock.now();
         link.lookDue = m_clock.now();
         // A former leader may have given the longest lease at the last moment of its leadership.
@@ -98,7 +97,7 @@
         const auto* task = m_state.findTask(key);
         Run run { .number = task->run, .phase = RunPhase::Inherited, .phaseSince = m_clock.now() };
         run.checkpoint = task->saved;
-        run.startedAt = run.progressSince = m_clock.now();
+        run.progressSince = m_clock.now();
         run.stopWanted = m_state.findJob(key.job)->state != record::JobState::Open;
         link.runs.emplace(key, std::move(run));
     }
@@ -114,7 +113,6 @@
     const auto until = link.clock->clockMs + sinceReading + m_options.lease.count();
     const auto longest = std::chrono::duration<double>(milliseconds(until - link.clock->clockMs)) / (1 - clockError);
     link.leaseEnd = std::max(link.leaseEnd, link.clock->receivedAt + std::chrono::duration_cast<Duration>(longest));
-    link.leaseGivenUntil = now + m_options.lease;
     return until;
 }
 
@@ -141,7 +139,6 @@
     if (calm && !endsUnread && !link.leaving && !link.runs.empty())
         order.waitMs = lookWaitMs;
     link.lookInFlight = true;
-    link.lookSentAt = now;
     link.endsAcknowledged = link.endsTaken;
     m_looks.increment();
     m_hooks.look(
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -142,7 +142,7 @@
             continue;
         auto& run = link->second.runs[key];
         run = { .number = start->run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
-        run.startedAt = run.progressSince = m_clock.now();
+        run.progressSince = m_clock.now();
         run.checkpoint = task->saved;
         sendStart(link->second, key, run);
     }
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -185,7 +185,10 @@
 {
     m_retries.increment();
     auto timer = std::make_shared<asio::steady_timer>(m_io, retryDelay);
-    timer->async_wait([this, waiting, timer](const boost::system::error_code&) { attempt(waiting); });
+    timer->async_wait([this, waiting, timer, alive = std::weak_ptr(m_alive)](const boost::system::error_code&) {
+        if (alive.lock())
+            attempt(waiting);
+    });
 }
 
 void Relay::finish(const std::shared_ptr<Waiting>& waiting, record::ReplyT reply)
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 #include <future>
+#include <thread>
 
 namespace turmericpier::cell {
 
@@ -119,6 +120,8 @@
             done = true;
         });
         while (!done) {
+            // A stopped event loop, or one that has run out of work, runs nothing until it is restarted.
+            m_io.restart();
             m_io.poll();
             std::this_thread::sleep_for(milliseconds(1));
         }
@@ -136,7 +139,7 @@
     options.folder = m_options.folder / "log";
     options.electionTimeoutMin = m_options.electionTimeoutMin;
     options.electionTimeoutMax = m_options.electionTimeoutMax;
-    options.snapshotEvery = snapshotEvery;
+    options.snapshotEvery = m_options.snapshotEvery;
     options.snapshotBytes = snapshotBytes;
     options.seed = std::random_device {}();
     auto group = consensus::Group::open(std::move(options), groupHooks(), m_clock, m_metrics);
--- a/test/cell-replica-test.cc
+++ b/test/cell-replica-test.cc
@@ -2,6 +2,7 @@
 
 #include "cell-fixtures.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <fstream>
@@ -29,6 +30,7 @@
 
 /// One process of a cell; all of a test share an event loop and run in real time.
 struct Process {
+    boost::asio::io_context& io;
     Metrics metrics;
     BootClock clock;
     std::unique_ptr<Links> links;
@@ -36,6 +38,10 @@
     std::unique_ptr<Replica> replica;
     std::string identity;
 
+    explicit Process(boost::asio::io_context& loop)
+        : io(loop)
+    {
+    }
     ~Process()
     {
         if (relay)
@@ -44,11 +50,16 @@
             replica->stop();
         if (links)
             links->stop();
+        // What the threads have posted refers to these objects.
+        io.restart();
+        io.poll();
     }
 };
 
 struct Group {
     boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
+    uint64_t snapshotEvery = 4'000;
     fs::path root;
     std::set<std::string> seeds;
     std::map<std::string, std::unique_ptr<Process>> processes;
@@ -70,7 +81,7 @@
 
     void start(const std::string& address, bool firstStart)
     {
-        auto process = std::make_unique<Process>();
+        auto process = std::make_unique<Process>(io);
         auto identity = openIdentity(folderOf(address), address, firstStart);
         REQUIRE(identity.ok());
         process->identity = identity->replica;
@@ -80,7 +91,7 @@
         LeaderHooks orders;
         orders.wallMs = [] { return int64_t { 0 }; };
         orders.look = [](const WorkerAddress&, const LookOrder&, const std::function<void(LookAnswer)>&) {};
-        ReplicaOptions options { .folder = folderOf(address), .seeds = seeds };
+        ReplicaOptions options { .folder = folderOf(address), .seeds = seeds, .snapshotEvery = snapshotEvery };
         process->replica = std::make_unique<Replica>(io, std::move(options), *identity, std::move(orders),
             *process->links, *process->relay, process->clock, process->metrics);
         process->links->setCallHandler(
@@ -229,6 +240,24 @@
     CHECK_FALSE(group.processes.at(former)->replica->leads());
 }
 
+// Guards against a process that hangs at its planned stop, because the thread of the log waits for a snapshot of the
+// state from an event loop that was stopped.
+TEST_CASE("a replica stops while its log waits for a snapshot", "[cell]")
+{
+    Group group(1);
+    group.snapshotEvery = 1;
+    group.startAll(true);
+    group.awaitLeader();
+    for (uint64_t version = 1; version <= 20; ++version) {
+        group.processes.begin()->second->replica->handle(
+            std::make_unique<record::CallT>(group.putConfig(version)), std::chrono::seconds(60), [](record::ReplyT) {});
+    }
+    group.io.stop();
+    group.processes.clear();
+    group.startAll(false);
+    CHECK(group.readVersion(*group.seeds.begin()) <= 20);
+}
+
 // Guards against an identity that changes with a restart, stays after the disk was lost, or is taken to another
 // address.
 TEST_CASE("an identity lasts as long as its disk and address", "[cell]")
