--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -28,9 +28,6 @@
     constexpr milliseconds voterCheckInterval { 300 };
     // A candidate repeats its request every second.
     constexpr milliseconds candidateLost { 3'000 };
-    // Entries between two snapshots: at 100 to 200 entries a second and a few hundred bytes each the log in memory
-    // stays below 10 MB.
-    constexpr uint64_t snapshotEvery = 4'000;
     constexpr uint64_t snapshotBytes = 8U << 20U;
 } // namespace
 
