Send a start without an answer again to the same worker

The worker takes copies for one run, so that an answer to any of them settles it. A copy carries the lease of the first order. A refusal of a copy proves nothing about the copies before it and leads to the look and the stop as before. Six connections to a worker instead of four; stops are repeated after 100 ms.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -87,6 +87,8 @@
         bool stopInFlight = false;
         TimePoint stopSentAt;
         bool endProposed = false;
+        uint32_t startsSent = 0; ///< Copies of the start order; more than one if answers were lost.
+        int64_t leaseUntilMs = 0; ///< In the start order, on the worker's clock.
         std::string checkpoint;
         uint32_t progress = 0;
         TimePoint progressSince; ///< When the progress last changed.
@@ -142,6 +144,8 @@
     void readRunning(Link& link, const LookAnswer& answer, TimePoint sentAt);
     void settleMissing(Link& link, const std::set<TaskKey>& listed, TimePoint sentAt);
     void sendStart(Link& link, const TaskKey& task, Run& run);
+    bool trySendStart(Link& link, const TaskKey& task, Run& run);
+    void doubtStart(Link& link, Run& run);
     void onStart(uint32_t serial, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer);
     void neverStarted(Link& link, const TaskKey& task, Run& run);
     void stopRun(Link& link, const TaskKey& task, Run& run);
--- a/include/turmericpier/http/client.h
+++ b/include/turmericpier/http/client.h
@@ -33,7 +33,7 @@
 };
 
 struct ClientOptions {
-    size_t connectionsPerAddress = 4; ///< Further requests wait for one of these.
+    size_t connectionsPerAddress = 6; ///< Further requests wait for one of these; one waits for ends most of the time.
     size_t queuePerAddress = 512; ///< Requests waiting; more are answered with Unreachable.
     std::chrono::milliseconds connectTimeout { 700 }; ///< Beside many round trips of 16 ms, one lost packet.
     std::chrono::milliseconds keepIdle { 20'000 };
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -20,7 +20,9 @@
     // Ends that fall together are taken in by one look.
     constexpr milliseconds lookPause { 30 };
     constexpr milliseconds lookRetry { 150 };
-    constexpr milliseconds stopRetry { 400 };
+    constexpr milliseconds stopRetry { 100 }; // After an attempt without an answer.
+    // Copies of a start order while none is answered. More would delay the start on another worker.
+    constexpr uint32_t startCopies = 3;
     // A leader that was just elected may overlap with the orders of the one before for as long as its lease.
     constexpr milliseconds formerLeaderOrders { 1'000 };
     constexpr milliseconds unhealthyPause { 1'500 };
@@ -343,19 +345,30 @@
 }
 
 void Leader::sendStart(Link& link, const TaskKey& task, Run& run)
+{
+    const auto until = leaseUntil(link);
+    run.leaseUntilMs = until.value_or(0);
+    if (until && trySendStart(link, task, run))
+        return;
+    // Nothing was sent yet, so that the run certainly never starts.
+    m_startsRefused.increment();
+    neverStarted(link, task, run);
+}
+
+/// Sends the order, or a copy of it, which the worker takes for the same run. A copy carries the lease of the first
+/// one: a later lease would postpone the moment at which a worker that cannot be reached is given up.
+bool Leader::trySendStart(Link& link, const TaskKey& task, Run& run)
 {
     const auto& job = *m_state.findJob(task.job);
     const auto* queue = m_state.findQueue(job.queue);
     const auto* ticket = m_tickets.ticketFor(stepOf(task), link.serial, m_clock.now());
-    const auto until = leaseUntil(link);
-    // Nothing was sent yet, so that the run certainly never starts.
-    if (m_fenced || !until || !m_hooks.holdsLease() || (queue && queue->advice && !ticket)) {
-        m_startsRefused.increment();
-        return neverStarted(link, task, run);
-    }
+    if (m_fenced || !m_hooks.holdsLease() || (queue && queue->advice && !ticket))
+        return false;
     m_starts.increment();
+    ++run.startsSent;
     const auto now = m_clock.now();
-    StartOrder order { .task = task, .run = run.number, .spec = job.spec, .leaseUntilMs = *until, .fence = m_term };
+    StartOrder order { .task = task, .run = run.number, .spec = job.spec, .leaseUntilMs = run.leaseUntilMs };
+    order.fence = m_term;
     order.checkpoint = m_state.findTask(task)->saved;
     if (ticket)
         order.ticket = *ticket;
@@ -364,6 +377,19 @@
             if (generation == m_generation)
                 onStart(serial, task, number, now, answer);
         });
+    return true;
+}
+
+/// The run may start at any time: a look tells, or a stop keeps it from starting.
+void Leader::doubtStart(Link& link, Run& run)
+{
+    if (run.phase == RunPhase::Ordered) {
+        run.phase = RunPhase::InDoubt;
+        run.phaseSince = m_clock.now();
+    }
+    noteFailure(link, 1);
+    if (!link.lookInFlight)
+        look(link);
 }
 
 void Leader::onStart(uint32_t serial, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer)
@@ -383,6 +409,10 @@
         decide("start", taskName(task), toString(answer.result),
             absl::StrCat("run=", number, " worker=", addressOf(link).id));
     }
+    // A refusal of a copy says nothing about the copies before it, which may be carried out late or have run already.
+    if (run.startsSent > 1 && answer.result != OrderResult::Accepted && answer.result != OrderResult::Fenced
+        && answer.result != OrderResult::NoAnswer)
+        return doubtStart(link, run);
     switch (answer.result) {
     case OrderResult::Accepted:
         link.heardAt = m_clock.now();
@@ -398,15 +428,12 @@
     case OrderResult::Fenced:
         return fenced(link);
     case OrderResult::NoAnswer:
+        if (run.phase == RunPhase::Ordered && !run.stopWanted && !run.endProposed && !link.leaving
+            && run.startsSent < startCopies && trySendStart(link, task, run))
+            return;
+        return doubtStart(link, run);
     case OrderResult::OtherLife:
-        if (run.phase == RunPhase::Ordered) {
-            run.phase = RunPhase::InDoubt;
-            run.phaseSince = m_clock.now();
-        }
-        noteFailure(link, 1);
-        if (!link.lookInFlight)
-            look(link);
-        return;
+        return doubtStart(link, run);
     case OrderResult::Unhealthy:
         noteFailure(link, 1);
         link.avoidUntil = m_clock.now() + unhealthyPause;
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -32,6 +32,12 @@
         answerStart(OrderResult::Accepted);
         REQUIRE(looks.size() == 1);
     }
+    /// Leaves the start order and its copies without an answer.
+    void loseStarts()
+    {
+        while (!starts.empty())
+            CHECK(answerStart(OrderResult::NoAnswer).run == 1);
+    }
 };
 
 EndedRow ended(uint64_t number, EndKind how, uint32_t run = 1, const std::string& saved = {})
@@ -107,7 +113,7 @@
 TEST_CASE("a start without an answer is rejected at the worker before the task starts again", "[cell]")
 {
     Started world;
-    world.answerStart(OrderResult::NoAnswer);
+    world.loseStarts();
     CHECK(world.stateOf(task) == TaskState::Placed);
     REQUIRE(world.answerLook("w1")); // neither running nor ended
     REQUIRE(world.stops.size() == 1);
@@ -124,11 +130,48 @@
     CHECK(world.starts.front().order.run == 2);
 }
 
+// Guards against tasks that wait for seconds because the answer to their start was lost.
+TEST_CASE("a start without an answer is sent again under the same run number and lease", "[cell]")
+{
+    Started world;
+    const auto first = world.answerStart(OrderResult::NoAnswer);
+    REQUIRE(world.starts.size() == 1);
+    CHECK(world.starts.front().order.run == first.run);
+    CHECK(world.starts.front().order.leaseUntilMs == first.leaseUntilMs);
+    world.answerStart(OrderResult::Accepted);
+    REQUIRE(world.answerLook("w1", { row(task, 1) }));
+    CHECK(world.stops.empty());
+    CHECK(world.stateOf(task) == TaskState::Placed);
+}
+
+// Guards against a task that runs twice because a copy of its start is refused after the first one was carried out.
+TEST_CASE("a refused copy of a start proves nothing about the first one", "[cell]")
+{
+    const auto result = GENERATE(OrderResult::Superseded, OrderResult::NoRoom, OrderResult::BadTicket,
+        OrderResult::Unhealthy, OrderResult::TooLate, OrderResult::ConnectionRefused);
+    Started world;
+    world.answerStart(OrderResult::NoAnswer);
+    world.answerStart(result);
+    CHECK(world.stateOf(task) == TaskState::Placed);
+    CHECK(world.starts.empty());
+    world.answerLook("w1", {}, { ended(1, EndKind::Done) });
+    CHECK(world.state.findJob(jobId(1))->state == JobState::Done);
+}
+
+// Guards against a start for a job that was cancelled after the first copy was sent.
+TEST_CASE("a start is not sent again once its job is cancelled", "[cell]")
+{
+    Started world;
+    CHECK(world.call(World::callFor(CallKind::Cancel, "/q/" + jobId(1)))->verdict == Verdict::Ok);
+    world.answerStart(OrderResult::NoAnswer);
+    CHECK(world.starts.empty());
+}
+
 // Guards against a run that is stopped although the worker has accepted it without an answer.
 TEST_CASE("a start without an answer that the worker lists goes on", "[cell]")
 {
     Started world;
-    world.answerStart(OrderResult::NoAnswer);
+    world.loseStarts();
     REQUIRE(world.answerLook("w1", { row(task, 1) }));
     CHECK(world.stops.empty());
     CHECK(world.stateOf(task) == TaskState::Placed);
