Plan over the workers with a ticket; plan nothing while nothing waits

Cause: each plan looked up the job of every running task, searched all workers for each task of a step although only those with a valid ticket may run it, chose workers to ask about for steps that were being asked about already, and copied all workers for each rack that a gang was tried in.

Change: the state counts the tasks with a target and the filling tasks of each worker. A plan that finds no waiting task ends at once. Steps of queues with advice consider the workers with a ticket only. Looks at the start of a leadership are sent once.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -192,7 +192,6 @@
     bool m_active = false;
     uint64_t m_term = 0;
     uint64_t m_generation = 0; ///< Changes with each leadership; answers to earlier orders are ignored.
-    TimePoint m_activeSince;
     bool m_fenced = false; ///< A worker has seen a higher token: no orders any more.
     bool m_planWanted = false;
     bool m_planScheduled = false;
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -34,6 +34,8 @@
     const State& state;
     const TicketBook& tickets;
     std::function<WorkerHealthView(uint32_t serial)> health;
+    /// True while a call to the advisor about the step is under way, so that no other one is wanted.
+    std::function<bool(const StepKey&)> isAsking;
     TimePoint now;
     int64_t wallMs = 0; ///< Unix time; decides only which occurrences are due.
     size_t maxStarts = 256; ///< Of one plan; bounds the size of a log entry and the time of a round.
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -35,6 +35,8 @@
     record::WorkerT worker;
     std::set<TaskKey> placed; ///< Tasks whose run has been committed for this life and has not ended.
     Resources used; ///< By these tasks; the processors of tasks that fill are not counted.
+    uint32_t withTarget = 0; ///< Of these tasks, those with a bound on their tail latency.
+    uint32_t filling = 0; ///< Of these tasks, those that fill unused capacity.
 };
 
 /// Key of a queue: its host and the prefix of its paths.
--- a/include/turmericpier/cell/tickets.h
+++ b/include/turmericpier/cell/tickets.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// What the advisor has said about the steps of queues whose policy allows only some workers.
 namespace turmericpier::cell {
@@ -28,6 +29,8 @@
     void record(const StepKey& step, const std::vector<uint32_t>& asked, const std::map<uint32_t, std::string>& fit,
         TimePoint validUntil);
     Fitness fitnessOf(const StepKey& step, uint32_t worker, TimePoint now) const;
+    /// Serials of the workers with a valid ticket, in rising order.
+    std::vector<uint32_t> fitWorkers(const StepKey& step, TimePoint now) const;
     /// Null unless the ticket is valid.
     const std::string* ticketFor(const StepKey& step, uint32_t worker, TimePoint now) const;
     /// A worker has refused the ticket.
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -77,10 +77,7 @@
     deactivate();
     m_active = true;
     m_term = term;
-    m_activeSince = m_clock.now();
-    refreshLinks();
-    for (auto& [serial, link] : m_links)
-        look(link);
+    refreshLinks(); // looks at every worker
     decide("leadership", absl::StrCat(term), "active",
         absl::StrCat("workers=", m_links.size(), " open_jobs=", m_state.openJobs().size()));
     wantPlan();
@@ -219,7 +216,7 @@
                 return WorkerHealthView {};
             return WorkerHealthView { isUsable(link->second), failuresOf(link->second), isProven(link->second) };
         },
-        now + ticketMargin, m_hooks.wallMs() };
+        [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
     auto result = plan(input);
     m_planLatency.record(m_clock.now() - now);
     m_nextDueMs = result.nextDueMs;
@@ -275,7 +272,7 @@
     const auto now = m_clock.now();
     for (const auto& request : requests) {
         const auto retry = m_adviceRetryAt.find(request.step);
-        if (m_adviceInFlight.contains(request.step) || (retry != m_adviceRetryAt.end() && now < retry->second))
+        if (retry != m_adviceRetryAt.end() && now < retry->second)
             continue;
         auto idle = m_helpers.begin();
         while (idle != m_helpers.end() && (idle->second.busy || now - idle->second.seenAt > helperLost))
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -1,6 +1,8 @@
 #include "turmericpier/cell/planner.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <tuple>
 
 namespace turmericpier::cell {
@@ -64,13 +66,17 @@
         explicit Round(const PlannerInput& input)
             : m_input(input)
         {
-            for (const auto& [serial, worker] : input.state.workers())
-                addCandidate(worker);
         }
 
         Plan run()
         {
             collect();
+            // Most rounds follow an end or a heartbeat and find nothing that waits.
+            if (m_work.empty())
+                return std::move(m_plan);
+            m_candidates.reserve(m_input.state.workers().size());
+            for (const auto& [serial, worker] : m_input.state.workers())
+                addCandidate(worker);
             std::ranges::sort(m_work, [](const StepWork& a, const StepWork& b) {
                 return std::tie(a.queue->priority, a.order) < std::tie(b.queue->priority, b.order);
             });
@@ -92,12 +98,8 @@
             candidate.free = Resources { MilliCpu { worker.worker.cpu }, MemoryMib { worker.worker.memory },
                 Accelerators { worker.worker.accelerators } }
                 - worker.used;
-            for (const auto& key : worker.placed) {
-                const auto* job = m_input.state.findJob(key.job);
-                const auto& step = *job->steps[key.step];
-                candidate.runsTarget |= step.target_ms > 0;
-                candidate.runsFilling |= step.fills;
-            }
+            candidate.runsTarget = worker.withTarget > 0;
+            candidate.runsFilling = worker.filling > 0;
             m_candidates.push_back(std::move(candidate));
         }
 
@@ -142,7 +144,7 @@
             }
         }
 
-        bool suits(const StepWork& work, const Candidate& candidate) const
+        static bool suits(const StepWork& work, const Candidate& candidate)
         {
             const auto& worker = candidate.record->worker;
             if (worker.service != work.queue->service)
@@ -151,7 +153,7 @@
             return needs.empty() || std::ranges::find(worker.labels, needs) != worker.labels.end();
         }
 
-        bool hasRoom(const StepWork& work, const Candidate& candidate) const
+        static bool hasRoom(const StepWork& work, const Candidate& candidate)
         {
             const auto& step = *work.step;
             if (!fits(occupancyOf(step), candidate.free))
@@ -162,10 +164,25 @@
             return step.max_per_worker == 0 || countOfStep(candidate, work.key) < step.max_per_worker;
         }
 
-        bool mayRun(const StepWork& work, const Candidate& candidate) const
+        /// The workers that may run the step; with advice only those with a valid ticket, which are few.
+        std::vector<Candidate*> eligible(const StepWork& work)
         {
-            return !work.queue->advice
-                || m_input.tickets.fitnessOf(work.key, candidate.record->worker.serial, m_input.now) == Fitness::Fit;
+            std::vector<Candidate*> found;
+            const auto add = [&](Candidate& candidate) {
+                if (suits(work, candidate))
+                    found.push_back(&candidate);
+            };
+            if (!work.queue->advice) {
+                std::ranges::for_each(m_candidates, add);
+                return found;
+            }
+            for (const auto serial : m_input.tickets.fitWorkers(work.key, m_input.now)) {
+                const auto it = std::ranges::lower_bound(m_candidates, serial, {},
+                    [](const Candidate& candidate) { return candidate.record->worker.serial; });
+                if (it != m_candidates.end() && it->record->worker.serial == serial)
+                    add(*it);
+            }
+            return found;
         }
 
         /// How many tasks of the step the worker can take, up to `count`.
@@ -189,7 +206,7 @@
         /// and to workers without recent failures. The `count` tasks of a step that are still to be placed share few
         /// workers, because a lost worker delays each job that it runs a task of. Among equal workers the fullest keeps
         /// the others free for large tasks and gangs.
-        double costOf(const StepWork& work, const Candidate& candidate, bool failedBefore, size_t count) const
+        static double costOf(const StepWork& work, const Candidate& candidate, bool failedBefore, size_t count)
         {
             const auto& worker = candidate.record->worker;
             double cost = candidate.penalty;
@@ -214,20 +231,20 @@
             return task ? Past { task->failures > 0, task->failed_on } : Past {};
         }
 
-        /// The best worker for the next of `count` tasks.
-        Candidate* choose(const StepWork& work, const Past& past, size_t count, const std::string* rack = nullptr)
+        /// The best of the workers for the next of `count` tasks.
+        static Candidate* choose(const StepWork& work, const Past& past, size_t count,
+            const std::vector<Candidate*>& workers, const std::string* rack = nullptr)
         {
             Candidate* best = nullptr;
             double bestCost = 0;
-            for (auto& candidate : m_candidates) {
-                const auto& worker = candidate.record->worker;
-                if ((rack && worker.rack != *rack) || (past.avoid != 0 && worker.serial == past.avoid))
+            for (auto* candidate : workers) {
+                const auto& worker = candidate->record->worker;
+                if ((rack && worker.rack != *rack) || (past.avoid != 0 && worker.serial == past.avoid)
+                    || !hasRoom(work, *candidate))
                     continue;
-                if (!suits(work, candidate) || !hasRoom(work, candidate) || !mayRun(work, candidate))
-                    continue;
-                const auto cost = costOf(work, candidate, past.failed, count);
+                const auto cost = costOf(work, *candidate, past.failed, count);
                 if (!best || cost < bestCost) {
-                    best = &candidate;
+                    best = candidate;
                     bestCost = cost;
                 }
             }
@@ -272,6 +289,7 @@
 
         void placeTasks(const StepWork& work)
         {
+            const auto workers = eligible(work);
             std::vector<uint32_t> left;
             uint32_t avoided = 0;
             Candidate* last = nullptr; // Took the task before, and is taken again while it has room.
@@ -281,7 +299,7 @@
                 const bool isFresh = !past.failed && past.avoid == 0;
                 if (left.empty()) {
                     if (!isFresh || !last || !hasRoom(work, *last))
-                        last = choose(work, past, work.waiting.size() - i);
+                        last = choose(work, past, work.waiting.size() - i, workers);
                     if (last) {
                         place(work, index, *last);
                         last = isFresh ? last : nullptr;
@@ -296,7 +314,7 @@
                 return;
             // No other worker is fit: a second run where the first has failed is better than none.
             for (const auto index : left) {
-                auto* candidate = choose(work, { .failed = true }, 1);
+                auto* candidate = choose(work, { .failed = true }, 1, workers);
                 if (!candidate)
                     return;
                 place(work, index, *candidate);
@@ -314,37 +332,37 @@
         {
             if (work.anyPlaced || work.waiting.size() != work.step->count)
                 return true; // An earlier run has not ended everywhere.
+            const auto workers = eligible(work);
             if (work.step->same_rack) {
-                std::vector<std::string> racks;
-                for (const auto& candidate : m_candidates)
-                    racks.push_back(candidate.record->worker.rack);
-                std::ranges::sort(racks);
-                racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
-                for (const auto& rack : racks) {
-                    if (placeGangIn(work, &rack))
+                std::set<std::string_view> racks;
+                for (const auto* candidate : workers)
+                    racks.insert(candidate->record->worker.rack);
+                for (const auto rack : racks) {
+                    const std::string name(rack);
+                    if (placeGangIn(work, workers, &name))
                         return true;
                 }
             }
-            return placeGangIn(work, nullptr);
+            return placeGangIn(work, workers, nullptr);
         }
 
-        bool placeGangIn(const StepWork& work, const std::string* rack)
+        bool placeGangIn(const StepWork& work, const std::vector<Candidate*>& workers, const std::string* rack)
         {
-            const auto before = m_candidates;
-            std::vector<std::pair<uint32_t, Candidate*>> chosen;
+            std::vector<std::pair<Candidate*, Candidate>> before; // In the order of the members.
             uint32_t run = 0;
             for (const auto index : work.waiting) {
-                auto* candidate = choose(work, {}, work.waiting.size() - chosen.size(), rack);
+                auto* candidate = choose(work, {}, work.waiting.size() - before.size(), workers, rack);
                 if (!candidate) {
-                    m_candidates = before;
+                    for (auto it = before.rbegin(); it != before.rend(); ++it)
+                        *it->first = std::move(it->second);
                     return false;
                 }
+                before.emplace_back(candidate, *candidate);
                 take(work, index, *candidate);
-                chosen.emplace_back(index, candidate);
                 run = std::max(run, lastRun(work, index));
             }
-            for (const auto& [index, candidate] : chosen)
-                emit(work, index, run + 1, *candidate);
+            for (size_t i = 0; i < before.size(); ++i)
+                emit(work, work.waiting[i], run + 1, *before[i].first);
             return true;
         }
 
@@ -354,6 +372,8 @@
         {
             if (!work.queue->advice)
                 return false;
+            if (m_input.isAsking(work.key))
+                return true;
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
             for (const auto& candidate : m_candidates) {
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -198,6 +198,8 @@
     auto& worker = m_workers.at(serial);
     worker.placed.insert(key);
     worker.used += occupancyOf(step);
+    worker.withTarget += step.target_ms > 0 ? 1 : 0;
+    worker.filling += step.fills ? 1 : 0;
 }
 
 void State::applyStart(const record::StartT& start)
@@ -219,8 +221,11 @@
 void State::release(const TaskKey& key, const record::StepT& step, record::TaskT& task)
 {
     const auto worker = m_workers.find(task.worker);
-    if (worker != m_workers.end() && worker->second.placed.erase(key) > 0)
+    if (worker != m_workers.end() && worker->second.placed.erase(key) > 0) {
         worker->second.used -= occupancyOf(step);
+        worker->second.withTarget -= step.target_ms > 0 ? 1 : 0;
+        worker->second.filling -= step.fills ? 1 : 0;
+    }
     task.worker = 0;
     task.state = TaskState::Waiting;
 }
--- a/src/cell/tickets.cc
+++ b/src/cell/tickets.cc
@@ -34,6 +34,19 @@
     return now < entry->validUntil ? Fitness::Fit : Fitness::Expired;
 }
 
+std::vector<uint32_t> TicketBook::fitWorkers(const StepKey& step, TimePoint now) const
+{
+    std::vector<uint32_t> workers;
+    const auto entries = m_steps.find(step);
+    if (entries == m_steps.end())
+        return workers;
+    for (const auto& [worker, entry] : entries->second) {
+        if (entry.fit && now < entry.validUntil)
+            workers.push_back(worker);
+    }
+    return workers;
+}
+
 const std::string* TicketBook::ticketFor(const StepKey& step, uint32_t worker, TimePoint now) const
 {
     const auto* entry = find(step, worker);
--- a/test/cell-planner-test.cc
+++ b/test/cell-planner-test.cc
@@ -19,6 +19,7 @@
     std::set<uint32_t> unusable;
     std::map<uint32_t, double> penalties;
     std::set<uint32_t> proven;
+    std::set<StepKey> asking;
     TimePoint now { std::chrono::seconds(100) };
     int64_t wallMs = 1'000'000;
 
@@ -30,7 +31,7 @@
             [this](uint32_t serial) {
                 return WorkerHealthView { !unusable.contains(serial), penalties[serial], proven.contains(serial) };
             },
-            now, wallMs });
+            [this](const StepKey& step) { return asking.contains(step); }, now, wallMs });
     }
     void carryOut(const Plan& made)
     {
@@ -227,6 +228,39 @@
     CHECK(made.advice[0].workers == std::vector<uint32_t> { w2 });
 }
 
+// Guards against a second call to the advisor about a step whose answer is awaited, and against tasks that wait for it
+// although a worker with a ticket has room.
+TEST_CASE("no advice is wanted for a step that is being asked about", "[cell]")
+{
+    Cell cell(true);
+    const auto w1 = addWorker(cell.state, worker("w1", 1, 1'000));
+    addWorker(cell.state, worker("w2"));
+    submit(cell.state, job(jobId(1), step(2)));
+    const StepKey key { jobId(1), 0, 0, 0 };
+    cell.tickets.record(key, { w1 }, { { w1, "ticket" } }, cell.now + std::chrono::seconds(2));
+    cell.asking.insert(key);
+    auto made = cell.run();
+    CHECK(workersOf(made) == std::set { w1 });
+    CHECK(made.advice.empty());
+    cell.asking.clear();
+    CHECK(cell.run().advice.size() == 1);
+}
+
+// Guards against a gang that is placed in part when a later member finds no worker.
+TEST_CASE("a gang without room for all members leaves the room to others", "[cell]")
+{
+    Cell cell;
+    addWorker(cell.state, worker("w1", 1, 2'000));
+    auto gang = step(3);
+    gang->gang = true;
+    submit(cell.state, job(jobId(1), std::move(gang)));
+    submit(cell.state, job(jobId(2), step(2)));
+    const auto made = cell.run();
+    REQUIRE(made.starts.size() == 2);
+    CHECK(made.starts[0].job == jobId(2));
+    CHECK(made.starts[1].job == jobId(2));
+}
+
 // Guards against occurrences that start before their time.
 TEST_CASE("an occurrence starts when it is due", "[cell]")
 {
--- a/test/cell-tickets-test.cc
+++ b/test/cell-tickets-test.cc
@@ -15,6 +15,8 @@
     book.record(step, { 1, 2 }, { { 1, "t" } }, now + seconds(2));
     CHECK(book.fitnessOf(step, 1, now) == Fitness::Fit);
     CHECK(*book.ticketFor(step, 1, now) == "t");
+    CHECK(book.fitWorkers(step, now) == std::vector<uint32_t> { 1 });
+    CHECK(book.fitWorkers(step, now + seconds(2)).empty());
     CHECK(book.fitnessOf(step, 2, now) == Fitness::Unfit);
     CHECK(book.fitnessOf(step, 3, now) == Fitness::Unknown);
     CHECK(book.fitnessOf({ "job", 0, 2, 0 }, 1, now) == Fitness::Unknown);
