Place nothing for a moment on a worker that leaves an order unanswered

Cause: after workers were cut off, the planner placed tasks on them until a look had failed, up to 1.4 s later; each such task holds its job until the lease of the worker has ended.

A plan follows when the time of a worker that is avoided is over: until now it waited for another event.

--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -21,6 +21,8 @@
     constexpr milliseconds lookPause { 30 };
     constexpr milliseconds lookRetry { 150 };
     constexpr milliseconds stopRetry { 100 }; // After an attempt without an answer.
+    // After an order without an answer other tasks are placed elsewhere until a copy of it can have been answered.
+    constexpr milliseconds silentPause { 400 };
     // Copies of a start order while none is answered. More would delay the start on another worker.
     constexpr uint32_t startCopies = 3;
     // A leader that was just elected may overlap with the orders of the one before for as long as its lease.
@@ -428,6 +430,7 @@
     case OrderResult::Fenced:
         return fenced(link);
     case OrderResult::NoAnswer:
+        link.avoidUntil = std::max(link.avoidUntil, m_clock.now() + silentPause);
         if (run.phase == RunPhase::Ordered && !run.stopWanted && !run.endProposed && !link.leaving
             && run.startsSent < startCopies && trySendStart(link, task, run))
             return;
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -354,6 +354,10 @@
         if (!link.lookInFlight && now >= link.lookDue && (!link.synced || !link.runs.empty() || link.leaving))
             look(link);
         checkRuns(link);
+        if (link.avoidUntil != TimePoint {} && now >= link.avoidUntil) {
+            link.avoidUntil = {};
+            wantPlan();
+        }
         const bool silent
             = link.runs.empty() ? now - link.heardAt > workerForgotten * m_options.beatInterval : now >= link.leaseEnd;
         if (!link.goneProposed && link.silentLooks > 0 && silent)
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -144,6 +144,20 @@
     CHECK(world.stateOf(task) == TaskState::Placed);
 }
 
+// Guards against tasks that are placed on a worker which has just been cut off.
+TEST_CASE("a worker that leaves an order unanswered gets no other task for a moment", "[cell]")
+{
+    Started world;
+    world.answerStart(OrderResult::NoAnswer);
+    REQUIRE(world.starts.size() == 1);
+    world.submitJob(job(jobId(2), step(1)));
+    CHECK(world.starts.size() == 1);
+    world.answerStart(OrderResult::Accepted);
+    world.pass(milliseconds(500));
+    REQUIRE(world.starts.size() == 1);
+    CHECK(world.starts.front().order.task.job == jobId(2));
+}
+
 // Guards against a task that runs twice because a copy of its start is refused after the first one was carried out.
 TEST_CASE("a refused copy of a start proves nothing about the first one", "[cell]")
 {
