--- a/test/cell-relay-test.cc
+++ b/test/cell-relay-test.cc
@@ -1,8 +1,8 @@
 #include "turmericpier/cell/relay.h"
 
 #include "cell-fixtures.h"
+#include "free-address.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
 using namespace turmericpier;
@@ -10,16 +10,10 @@
 using record::CallKind;
 using record::Verdict;
 using std::chrono::milliseconds;
+using turmericpier::test::freeAddress;
 
 namespace {
 
-std::string freeAddress()
-{
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /// A relay beside a process that says it leads; the test decides what it answers to other calls.
 struct Pair {
     boost::asio::io_context io;
--- a/test/cell-replica-test.cc
+++ b/test/cell-replica-test.cc
@@ -1,9 +1,9 @@
 #include "turmericpier/cell/replica.h"
 
 #include "cell-fixtures.h"
+#include "free-address.h"
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <unistd.h>
@@ -14,20 +14,12 @@
 using record::CallKind;
 using record::Verdict;
 using std::chrono::milliseconds;
+using turmericpier::test::freeAddress;
 
 namespace {
 
 namespace fs = std::filesystem;
 
-uint16_t freePort()
-{
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
-std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
-
 /// One process of a cell; all of a test share an event loop and run in real time.
 struct Process {
     boost::asio::io_context& io;
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/http/server.h"
 
+#include "free-address.h"
 #include "turmericpier/http/client.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,16 +10,11 @@
 using namespace turmericpier;
 using namespace turmericpier::http;
 using boost::asio::ip::tcp;
+using turmericpier::test::freeAddress;
+using turmericpier::test::freePort;
 
 namespace {
 
-uint16_t freePort()
-{
-    boost::asio::io_context io;
-    tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 struct Pair {
     boost::asio::io_context io;
     Metrics metrics;
@@ -97,7 +93,7 @@
 {
     Pair pair([](const Request&, const Respond& respond) { respond(std::nullopt); });
     CHECK(pair.call({ "GET", "/", "", {} }).fault == CallFault::NoAnswer);
-    const auto closed = "127.0.0.1:" + std::to_string(freePort());
+    const auto closed = freeAddress();
     std::optional<ClientAnswer> answer;
     pair.client->call(
         closed, { "GET", "/", "", {} }, std::chrono::seconds(60), [&](ClientAnswer given) { answer = given; });
