Keep one copy of what the platform work had written twice

Cause: a reading of the whole change.

One edge differs: the HTTP client now takes the same addresses as the settings, which allow white space around the port.

Not changed: admin/server.cc beside http::Server, the group options that control, ledger and cell each build, the atomic file replacement of the identity beside that of the log.

--- a/include/turmericpier/base/log.h
+++ b/include/turmericpier/base/log.h
@@ -5,18 +5,12 @@
 #include <string_view>
 #include <utility>
 
-/// Structured log lines for changes of state; everything that is frequent is a counter instead.
+/// Structured log lines: for changes of state, and a bounded number for decisions. What is more frequent is a counter.
 namespace turmericpier {
 
 /// One named value of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
-/// Sends JSON lines to standard error, each with the id of this process.
-void configureLog(std::string_view instance);
-
-/// Logs a change of state: logState("consensus", "became leader", { { "term", "7" } });
-void logState(std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
-
 /// Where log lines go.
 enum class LogTarget {
     StandardError,
@@ -24,7 +18,10 @@
 };
 
 /// Sends JSON lines to the target, each with the id of this process.
-void configureLog(std::string_view instance, LogTarget target);
+void configureLog(std::string_view instance, LogTarget target = LogTarget::StandardError);
+
+/// Logs a change of state: logState("consensus", "became leader", { { "term", "7" } });
+void logState(std::string_view component, std::string_view message, std::initializer_list<LogField> fields = {});
 
 /// Logs a decision about the request, task or worker `id`: its outcome and the inputs that led to it. Lines beyond 40 a
 /// second for one kind are left out; the next line of the kind tells how many.
--- a/include/turmericpier/cell/identity.h
+++ b/include/turmericpier/cell/identity.h
@@ -15,6 +15,9 @@
     std::vector<std::string> formedWith;
 };
 
+/// Draws the identity of a process at the address.
+std::string drawIdentity(const std::string& address);
+
 /// Reads the identity in the folder, or draws one and makes it durable. An identity of another address is replaced,
 /// because the disk belongs to another machine now.
 absl::StatusOr<Identity> openIdentity(const std::filesystem::path& folder, const std::string& address, bool mayForm);
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -126,6 +126,7 @@
 
     // Calls (leader-calls.cc).
     void submit(std::unique_ptr<record::CallT> call, Answer answer);
+    const record::QueueT* queueOf(const record::CallT& call, const Answer& answer) const;
     void status(const record::CallT& call, const Answer& answer) const;
     void cancel(const record::CallT& call, Answer answer);
     void waiting(const record::CallT& call, const Answer& answer) const;
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -30,6 +30,29 @@
     friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
 
+/// The task that a start or an end is about.
+template <typename RunRecord> TaskKey taskOf(const RunRecord& run)
+{
+    return { run.job, run.occurrence, run.step, run.index };
+}
+
+/// The start or the end of a run; what only an end has is left to the caller.
+template <typename RunRecord> RunRecord recordOf(const TaskKey& task, uint32_t run, uint32_t worker)
+{
+    RunRecord made;
+    made.job = task.job;
+    made.occurrence = task.occurrence;
+    made.step = task.step;
+    made.index = task.index;
+    made.run = run;
+    made.worker = worker;
+    return made;
+}
+
+/// Name of the step, "JOB.OCCURRENCE.STEP", and of the task, "JOB.OCCURRENCE.STEP.INDEX".
+std::string stepName(const TaskKey& task);
+std::string taskName(const TaskKey& task);
+
 /// A life of a worker with what stands on it.
 struct WorkerRecord {
     record::WorkerT worker;
--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -2,6 +2,7 @@
 
 #include "turmericpier/base/ids.h"
 #include "turmericpier/base/metrics.h"
+#include "turmericpier/peer/address.h"
 
 #include <absl/status/status.h>
 #include <chrono>
@@ -19,11 +20,8 @@
 
 using Envelope = wire::EnvelopeT;
 
-/// An IP address and a port.
-struct Address {
-    std::string host;
-    uint16_t port = 0;
-};
+/// Longer than an election (3 s), so that a short pause of a peer does not cost a reconnect.
+inline constexpr std::chrono::milliseconds defaultUserTimeout { 5'000 };
 
 struct TransportOptions {
     InstanceId self;
@@ -32,9 +30,8 @@
     std::map<InstanceId, Address> peers;
     size_t queuePerPeer = 4'096; ///< Messages waiting for one peer; more are dropped and counted.
     size_t queueBytesPerPeer = 16U << 20U; ///< No message is queued behind this many bytes.
-    /// After which a connection whose data is not acknowledged is closed. The default is longer than an election (3 s),
-    /// so that a short pause of a peer does not cost a reconnect.
-    std::chrono::milliseconds userTimeout { 5'000 };
+    /// After which a connection whose data is not acknowledged is closed.
+    std::chrono::milliseconds userTimeout = defaultUserTimeout;
     size_t maxIncoming = 256; ///< Incoming connections; more are closed and counted.
 };
 
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -83,27 +83,21 @@
     };
 } // namespace
 
-void configureLog(std::string_view instance)
-{
-    instanceName() = std::string(instance);
-    auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.err"));
-    log4cxx::BasicConfigurator::configure(appender);
-    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
-}
-
 void configureLog(std::string_view instance, LogTarget target)
 {
-    if (target == LogTarget::StandardError)
-        return configureLog(instance);
     instanceName() = std::string(instance);
-    auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, LOG4CXX_STR("System.out"));
-    auto queue = std::make_shared<log4cxx::AsyncAppender>();
-    queue->setBlocking(false);
-    queue->setBufferSize(queuedLines);
-    queue->addAppender(console);
-    log4cxx::BasicConfigurator::configure(queue);
+    const bool toOutput = target == LogTarget::StandardOutput;
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(
+        std::make_shared<log4cxx::JSONLayout>(), toOutput ? LOG4CXX_STR("System.out") : LOG4CXX_STR("System.err"));
+    if (toOutput) {
+        auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->setBlocking(false);
+        queue->setBufferSize(queuedLines);
+        queue->addAppender(console);
+        log4cxx::BasicConfigurator::configure(queue);
+    } else {
+        log4cxx::BasicConfigurator::configure(console);
+    }
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
 }
 
--- a/src/cell/identity.cc
+++ b/src/cell/identity.cc
@@ -33,15 +33,15 @@
         ::close(file);
         return synced ? absl::OkStatus() : fail(path, "cannot sync");
     }
-
-    std::string draw(const std::string& address)
-    {
-        std::random_device device;
-        const auto number = uint64_t { device() } << 32U | device();
-        return absl::StrCat(address, "/", absl::Hex(number, absl::kZeroPad16));
-    }
 } // namespace
 
+std::string drawIdentity(const std::string& address)
+{
+    std::random_device device;
+    const auto number = uint64_t { device() } << 32U | device();
+    return absl::StrCat(address, "/", absl::Hex(number, absl::kZeroPad16));
+}
+
 absl::Status saveIdentity(const std::filesystem::path& folder, const Identity& identity)
 {
     boost::json::array formedWith;
@@ -96,7 +96,7 @@
         if (addressOf(identity.replica) == address)
             return identity;
     }
-    Identity identity { .replica = draw(address), .mayForm = mayForm };
+    Identity identity { .replica = drawIdentity(address), .mayForm = mayForm };
     if (auto status = saveIdentity(folder, identity); !status.ok())
         return status;
     return identity;
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/cell/leader.h"
 
+#include "cell/reply.h"
 #include "turmericpier/base/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -12,20 +13,8 @@
 using record::Verdict;
 
 namespace {
-    // Clients that were refused because of a lack of leadership find a leader after an election, which takes about 1 s.
-    constexpr uint32_t retryAfterMs = 1'000;
     constexpr size_t jobIdLength = 16; // Hexadecimal digits.
 
-    record::ReplyT replyWith(Verdict verdict, std::string message = {})
-    {
-        record::ReplyT reply;
-        reply.verdict = verdict;
-        reply.message = std::move(message);
-        if (verdict == Verdict::NotRun)
-            reply.retry_after_ms = retryAfterMs;
-        return reply;
-    }
-
     bool isJobId(std::string_view id)
     {
         return id.size() == jobIdLength
@@ -125,11 +114,20 @@
         "submit", id);
 }
 
-void Leader::status(const record::CallT& call, const Answer& answer) const
+/// The queue of a call about an accepted job; null once the call is answered because there is none.
+const record::QueueT* Leader::queueOf(const record::CallT& call, const Answer& answer) const
 {
     const auto* queue = m_state.matchQueue(call.host, call.path);
     if (!queue)
-        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+        answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+    return queue;
+}
+
+void Leader::status(const record::CallT& call, const Answer& answer) const
+{
+    const auto* queue = queueOf(call, answer);
+    if (!queue)
+        return;
     const auto id = call.path.substr(queue->prefix.size());
     const auto* job = m_state.findJob(id);
     if (!job || job->queue != queueKey(queue->host, queue->prefix))
@@ -142,9 +140,9 @@
 
 void Leader::cancel(const record::CallT& call, Answer answer)
 {
-    const auto* queue = m_state.matchQueue(call.host, call.path);
+    const auto* queue = queueOf(call, answer);
     if (!queue)
-        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+        return;
     const auto id = call.path.substr(queue->prefix.size());
     const auto* job = m_state.findJob(id);
     if (!job && !m_submitting.contains(id))
@@ -158,9 +156,9 @@
 
 void Leader::waiting(const record::CallT& call, const Answer& answer) const
 {
-    const auto* queue = m_state.matchQueue(call.host, call.path);
+    const auto* queue = queueOf(call, answer);
     if (!queue)
-        return answer(replyWith(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
+        return;
     auto reply = replyWith(Verdict::Ok);
     reply.waiting = m_state.waitingJobs(queueKey(queue->host, queue->prefix));
     answer(std::move(reply));
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -37,11 +37,6 @@
     // A task whose progress stands still for this long, beside its expected time for a percent, is moved.
     constexpr milliseconds stallMin { 3'000 };
     constexpr int stallFactor = 10;
-
-    std::string taskName(const TaskKey& task)
-    {
-        return absl::StrCat(task.job, ".", task.occurrence, ".", task.step, ".", task.index);
-    }
 } // namespace
 
 WorkerAddress Leader::addressOf(const Link& link) const
@@ -53,13 +48,7 @@
 record::EndT Leader::endOf(
     const TaskKey& task, uint32_t run, uint32_t serial, EndKind how, const std::string& checkpoint) const
 {
-    record::EndT end;
-    end.job = task.job;
-    end.occurrence = task.occurrence;
-    end.step = task.step;
-    end.index = task.index;
-    end.run = run;
-    end.worker = serial;
+    auto end = recordOf<record::EndT>(task, run, serial);
     end.how = how;
     end.saved = checkpoint;
     return end;
@@ -322,7 +311,7 @@
 {
     auto keys = std::make_shared<std::vector<TaskKey>>();
     for (const auto& end : command.ends)
-        keys->push_back({ end->job, end->occurrence, end->step, end->index });
+        keys->push_back(taskOf(*end));
     m_hooks.propose(command, [this, serial, endsTaken, keys, generation = m_generation](const absl::Status& status) {
         const auto found = m_links.find(serial);
         if (generation != m_generation || found == m_links.end())
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -117,7 +117,7 @@
         const auto link = m_links.find(end->worker);
         if (link == m_links.end())
             continue;
-        const auto run = link->second.runs.find({ end->job, end->occurrence, end->step, end->index });
+        const auto run = link->second.runs.find(taskOf(*end));
         if (run != link->second.runs.end() && run->second.number == end->run)
             link->second.runs.erase(run);
         if (end->how == EndKind::Failed)
@@ -132,7 +132,7 @@
     stopClosedJobs(command);
     for (const auto& start : command.starts) {
         const auto link = m_links.find(start->worker);
-        const TaskKey key { start->job, start->occurrence, start->step, start->index };
+        const auto key = taskOf(*start);
         const auto* task = m_state.findTask(key);
         if (link == m_links.end() || !task || task->state != record::TaskState::Placed || task->run != start->run
             || task->worker != start->worker)
@@ -182,7 +182,7 @@
     if (end.how == EndKind::Done || !job || !job->steps[end.step]->gang)
         return;
     for (auto& [serial, link] : m_links) {
-        const TaskKey first { end.job, end.occurrence, end.step, 0 };
+        const auto first = stepOf(taskOf(end));
         for (auto it = link.runs.lower_bound(first); it != link.runs.end() && stepOf(it->first) == first; ++it) {
             if (it->second.number == end.run)
                 stopRun(link, it->first, it->second);
@@ -251,7 +251,7 @@
             absl::StrAppend(&workers, workers.empty() ? "" : ",", starts[next].worker);
             ++next;
         }
-        decide("start", absl::StrCat(start.job, ".", start.occurrence, ".", start.step), "placed",
+        decide("start", stepName(taskOf(start)), "placed",
             absl::StrCat("tasks=", next - first, " run=", start.run, " workers=", workers));
         first = next;
     }
@@ -262,8 +262,7 @@
     if (end.how == EndKind::Done)
         return;
     const auto* worker = m_state.findWorker(end.worker);
-    decide("end", absl::StrCat(end.job, ".", end.occurrence, ".", end.step, ".", end.index),
-        record::EnumNameEndKind(end.how),
+    decide("end", taskName(taskOf(end)), record::EnumNameEndKind(end.how),
         absl::StrCat("run=", end.run, " worker=", worker ? worker->worker.id : "gone"));
 }
 
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -1,11 +1,11 @@
 #include "turmericpier/cell/links.h"
 
+#include "cell/bytes.h"
 #include "peer_generated.h"
 #include "turmericpier/base/log.h"
 #include "turmericpier/peer/convert.h"
 
 #include <boost/asio/post.hpp>
-#include <charconv>
 
 namespace turmericpier::cell {
 
@@ -14,31 +14,18 @@
 namespace {
     const GroupId cellGroup("cell");
 
-    peer::Address parse(const std::string& address)
-    {
-        const auto colon = address.rfind(':');
-        peer::Address parsed;
-        if (colon == std::string::npos)
-            return parsed;
-        parsed.host = address.substr(0, colon);
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), parsed.port);
-        return parsed;
-    }
+    peer::Address parse(const std::string& address) { return peer::parseAddress(address).value_or(peer::Address {}); }
 
-    template <typename Table, typename Native> std::vector<uint8_t> pack(const Native& native)
+    template <typename Table> std::vector<uint8_t> packBody(const typename Table::NativeTableType& record)
     {
-        flatbuffers::FlatBufferBuilder builder;
-        builder.Finish(Table::Pack(builder, &native));
-        return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+        const auto bytes = pack<Table>(record);
+        return { bytes.begin(), bytes.end() };
     }
 
-    template <typename Table, typename Native> bool unpack(const std::vector<uint8_t>& bytes, Native& native)
+    template <typename Table>
+    bool unpackBody(const std::vector<uint8_t>& bytes, typename Table::NativeTableType& record)
     {
-        flatbuffers::Verifier verifier(bytes.data(), bytes.size(), 64, 10'000'000);
-        if (!verifier.VerifyBuffer<Table>(nullptr))
-            return false;
-        flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&native);
-        return true;
+        return unpack<Table>({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, record);
     }
 
     peer::TransportOptions transportOptions(const LinksOptions& options)
@@ -102,7 +89,7 @@
     m_calls.increment();
     const auto number = m_nextCall++;
     peer::wire::CellCallT body;
-    body.call = pack<record::Call>(call);
+    body.call = packBody<record::Call>(call);
     peer::Envelope envelope;
     envelope.correlation = number;
     envelope.body.Set(std::move(body));
@@ -148,7 +135,7 @@
 void Links::onCall(peer::Envelope& envelope)
 {
     auto call = std::make_unique<record::CallT>();
-    if (!unpack<record::Call>(envelope.body.AsCellCall()->call, *call)) {
+    if (!unpackBody<record::Call>(envelope.body.AsCellCall()->call, *call)) {
         logError("cell", "unreadable call", { { "peer", envelope.from } });
         return;
     }
@@ -157,7 +144,7 @@
     m_onCall(envelope.from, std::move(call),
         [this, from = envelope.from, number = envelope.correlation](const record::ReplyT& reply) {
             peer::wire::CellReplyT body;
-            body.reply = pack<record::Reply>(reply);
+            body.reply = packBody<record::Reply>(reply);
             peer::Envelope answer;
             answer.correlation = number;
             answer.body.Set(std::move(body));
@@ -171,7 +158,7 @@
     if (pending.empty())
         return;
     record::ReplyT reply;
-    if (unpack<record::Reply>(envelope.body.AsCellReply()->reply, reply))
+    if (unpackBody<record::Reply>(envelope.body.AsCellReply()->reply, reply))
         return pending.mapped().done(std::move(reply));
     logError("cell", "unreadable reply", { { "peer", envelope.from } });
     pending.mapped().done(std::nullopt);
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -261,14 +261,9 @@
 
         void emit(const StepWork& work, uint32_t index, uint32_t run, const Candidate& candidate)
         {
-            record::StartT start;
-            start.job = work.key.job;
-            start.occurrence = work.key.occurrence;
-            start.step = work.key.step;
-            start.index = index;
-            start.run = run;
-            start.worker = candidate.record->worker.serial;
-            m_plan.starts.push_back(std::move(start));
+            auto task = work.key;
+            task.index = index;
+            m_plan.starts.push_back(recordOf<record::StartT>(task, run, candidate.record->worker.serial));
         }
 
         uint32_t lastRun(const StepWork& work, uint32_t index) const
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/cell/relay.h"
 
+#include "cell/reply.h"
 #include "turmericpier/base/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -17,7 +18,6 @@
     constexpr milliseconds searchPause { 50 };
     // A leader that has not answered for this long is looked for again.
     constexpr milliseconds leaderSilent { 1'600 };
-    constexpr uint32_t retryAfterMs = 1'000; // An election takes about a second.
     // Without a leader a call is refused after two fifths of its caller's time, so that the rest is left for another
     // try.
     constexpr int refusalFraction = 5;
@@ -144,17 +144,9 @@
 /// Told at once when it is decided, so that the caller can come back while it still has time.
 void Relay::giveUp(const std::shared_ptr<Waiting>& waiting)
 {
-    record::ReplyT reply;
-    if (waiting->inDoubt) {
-        m_unknown.increment();
-        reply.verdict = Verdict::Unknown;
-        reply.message = "no leader has answered in time";
-    } else {
-        m_refused.increment();
-        reply.verdict = Verdict::NotRun;
-        reply.message = "no leader is known";
-        reply.retry_after_ms = retryAfterMs;
-    }
+    (waiting->inDoubt ? m_unknown : m_refused).increment();
+    auto reply = waiting->inDoubt ? replyWith(Verdict::Unknown, "no leader has answered in time")
+                                  : replyWith(Verdict::NotRun, "no leader is known");
     const auto waited = std::chrono::duration_cast<milliseconds>(m_clock.now() - waiting->since).count();
     logDecision("cell", "relay", waiting->call->path, waiting->inDoubt ? "in doubt" : "refused",
         { { "inputs",
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/cell/replica.h"
 
+#include "cell/bytes.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/log.h"
 
@@ -63,7 +64,7 @@
                         const std::function<void(AdviceAnswer)>& done) {
         record::CallT call;
         call.kind = record::CallKind::Advise;
-        call.step = absl::StrCat(step.job, ".", step.occurrence, ".", step.step);
+        call.step = stepName(step);
         call.workers = workers;
         m_links.call(helper, call, adviceTimeout, [done](const std::optional<record::ReplyT>& reply) {
             AdviceAnswer answer;
@@ -110,10 +111,9 @@
     m_leader.deactivate();
     // The group's thread may wait for a snapshot of the state, which is taken on this thread.
     if (m_group) {
-        std::thread stopper([this] { m_group->stop(); });
         std::atomic<bool> done = false;
-        std::thread waiter([&] {
-            stopper.join();
+        std::thread stopper([&] {
+            m_group->stop();
             done = true;
         });
         while (!done) {
@@ -122,7 +122,7 @@
             m_io.poll();
             std::this_thread::sleep_for(milliseconds(1));
         }
-        waiter.join();
+        stopper.join();
     }
 }
 
@@ -154,13 +154,11 @@
     hooks.send = [this](const InstanceId& to, const consensus::Message& message) { m_links.send(to, message); };
     hooks.apply = [this](Index, std::string_view data) {
         asio::post(m_io, [this, data = std::string(data)] {
-            flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(data.data()), data.size(), 64, 10'000'000);
-            if (!verifier.VerifyBuffer<record::Command>(nullptr)) {
+            record::CommandT command;
+            if (!unpack<record::Command>(data, command)) {
                 logError("cell", "unreadable entry of the log", { { "bytes", std::to_string(data.size()) } });
                 return;
             }
-            record::CommandT command;
-            flatbuffers::GetRoot<record::Command>(data.data())->UnPackTo(&command);
             m_state.apply(command);
             m_leader.applied(command);
         });
@@ -213,10 +211,7 @@
         });
         return;
     }
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(record::Command::Pack(builder, &command));
-    std::string data(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
-    m_group->propose(std::move(data), [this, done](const absl::StatusOr<consensus::Applied>& result) {
+    m_group->propose(pack<record::Command>(command), [this, done](const absl::StatusOr<consensus::Applied>& result) {
         asio::post(m_io, [done, status = result.status()] { done(status); });
     });
 }
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -1,7 +1,9 @@
 #include "turmericpier/cell/state.h"
 
+#include "cell/bytes.h"
 #include "turmericpier/base/error.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
 
@@ -51,6 +53,10 @@
     }
 } // namespace
 
+std::string stepName(const TaskKey& task) { return absl::StrCat(task.job, ".", task.occurrence, ".", task.step); }
+
+std::string taskName(const TaskKey& task) { return absl::StrCat(stepName(task), ".", task.index); }
+
 std::string queueKey(std::string_view host, std::string_view prefix)
 {
     std::string key(host);
@@ -215,7 +221,7 @@
     task->run = start.run;
     task->worker = start.worker;
     job.started = true;
-    place({ start.job, start.occurrence, start.step, start.index }, *job.steps[start.step], start.worker);
+    place(taskOf(start), *job.steps[start.step], start.worker);
 }
 
 void State::release(const TaskKey& key, const record::StepT& step, record::TaskT& task)
@@ -239,7 +245,7 @@
     auto* task = taskIn(findMutable(job, end.occurrence), end.step, end.index);
     if (!task || task->state != TaskState::Placed || task->run != end.run || task->worker != end.worker)
         return;
-    const TaskKey key { end.job, end.occurrence, end.step, end.index };
+    const auto key = taskOf(end);
     release(key, *job.steps[end.step], *task);
     endTask(job, key, end.how, end.saved, end.worker);
 }
@@ -396,20 +402,17 @@
             out.jobs.push_back(std::make_unique<record::JobT>(*job));
     }
     out.next_serial = m_nextSerial;
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(record::Snapshot::Pack(builder, &out));
-    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+    return pack<record::Snapshot>(out);
 }
 
 absl::Status State::restore(std::string_view data)
 {
-    flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(data.data()), data.size(), 64, 100'000'000);
-    if (!verifier.VerifyBuffer<record::Snapshot>(nullptr)) {
+    constexpr uint32_t maxTables = 100'000'000; // A snapshot holds all jobs, and each task is a table.
+    record::SnapshotT in;
+    if (!unpack<record::Snapshot>(data, in, maxTables)) {
         return makeError({ absl::StatusCode::kDataLoss, Outcome::Unknown, "BAD_SNAPSHOT", "restore", "" },
             "the snapshot of the cell is not readable");
     }
-    record::SnapshotT in;
-    flatbuffers::GetRoot<record::Snapshot>(data.data())->UnPackTo(&in);
     *this = State {};
     m_config = std::move(in.config);
     for (auto& queue : in.queues)
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,12 +1,13 @@
 #include "turmericpier/http/client.h"
 
+#include "turmericpier/peer/address.h"
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -22,17 +23,10 @@
 namespace {
     std::optional<tcp::endpoint> endpointOf(const std::string& address)
     {
-        const auto colon = address.rfind(':');
-        if (colon == std::string::npos)
-            return std::nullopt;
-        error_code error;
-        const auto host = asio::ip::make_address(address.substr(0, colon), error);
-        uint16_t port = 0;
-        const auto* end = address.data() + address.size();
-        const auto result = std::from_chars(address.data() + colon + 1, end, port);
-        if (error || result.ec != std::errc {} || result.ptr != end)
+        const auto parsed = peer::parseAddress(address);
+        if (!parsed)
             return std::nullopt;
-        return tcp::endpoint(host, port);
+        return tcp::endpoint(asio::ip::make_address(parsed->host), parsed->port);
     }
 } // namespace
 
--- a/src/peer/outgoing.h
+++ b/src/peer/outgoing.h
@@ -23,7 +23,7 @@
     struct Limits {
         size_t messages = 0;
         size_t bytes = 0;
-        std::chrono::milliseconds userTimeout { 5'000 };
+        std::chrono::milliseconds userTimeout = defaultUserTimeout;
     };
 
     Outgoing(boost::asio::io_context& io, InstanceId peer, Address address, Limits limits, Metrics& metrics,
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -3,10 +3,8 @@
 #include "settings/object-reader.h"
 #include "turmericpier/base/error.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <fstream>
 #include <sstream>
 
@@ -171,16 +169,9 @@
 
 absl::StatusOr<peer::Address> parseAddress(std::string_view text)
 {
-    const auto colon = text.rfind(':');
-    uint32_t port = 0;
-    boost::system::error_code error;
-    if (colon != std::string_view::npos)
-        boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    if (colon == std::string_view::npos || error
-        || !absl::SimpleAtoi(absl::string_view(text.data() + colon + 1, text.size() - colon - 1), &port)
-        || port > 65'535)
-        return invalid("\"" + std::string(text) + "\" is not an address; accepted: IP address, colon and port");
-    return peer::Address { std::string(text.substr(0, colon)), static_cast<uint16_t>(port) };
+    if (auto address = peer::parseAddress(text))
+        return *std::move(address);
+    return invalid("\"" + std::string(text) + "\" is not an address; accepted: IP address, colon and port");
 }
 
 absl::StatusOr<Settings> parseSettings(std::string_view json, const std::string& name)
--- a/test/cell-fixtures.h
+++ b/test/cell-fixtures.h
@@ -104,28 +104,15 @@
 
 inline void start(State& state, const TaskKey& task, uint32_t run, uint32_t serial)
 {
-    auto made = std::make_unique<record::StartT>();
-    made->job = task.job;
-    made->occurrence = task.occurrence;
-    made->step = task.step;
-    made->index = task.index;
-    made->run = run;
-    made->worker = serial;
     record::CommandT command;
-    command.starts.push_back(std::move(made));
+    command.starts.push_back(std::make_unique<record::StartT>(recordOf<record::StartT>(task, run, serial)));
     state.apply(command);
 }
 
 inline void end(State& state, const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how,
     const std::string& saved = {})
 {
-    auto made = std::make_unique<record::EndT>();
-    made->job = task.job;
-    made->occurrence = task.occurrence;
-    made->step = task.step;
-    made->index = task.index;
-    made->run = run;
-    made->worker = serial;
+    auto made = std::make_unique<record::EndT>(recordOf<record::EndT>(task, run, serial));
     made->how = how;
     made->saved = saved;
     record::CommandT command;
