--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -27,6 +27,7 @@
     /// Time after which a connection that does not acknowledge data is replaced. It is shorter than an election,
     /// because a connection may stop delivering for good while new ones work.
     std::chrono::milliseconds userTimeout { 1'000 };
+    size_t maxIncoming = 256; ///< Connections accepted from other processes; further ones are closed and counted.
 };
 
 /// Calls must be made on the event loop, and callbacks run on it, unless stated otherwise.
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 /// The replicated state of the cell: configuration, jobs, runs of tasks and incarnations of workers. It is
@@ -96,6 +97,8 @@
 private:
     void applyConfig(const record::ConfigT& config);
     void applyWorker(const record::WorkerT& worker);
+    void addWorker(WorkerRecord record);
+    void removeWorker(uint32_t serial);
     void applyGone(uint32_t serial);
     void applySubmit(const record::JobT& job);
     void applyCancel(const std::string& id);
@@ -116,6 +119,9 @@
     std::map<std::string, uint64_t> m_openJobOrder; ///< Keys of `m_openJobs` by job id.
     uint64_t m_nextOrder = 1;
     std::map<uint32_t, WorkerRecord> m_workers;
+    // Heartbeats of all workers look their sender up, so these keep the cost independent of the number of workers.
+    std::unordered_map<std::string, uint32_t> m_workersById; ///< Serials of the workers by id.
+    std::unordered_map<std::string, std::set<uint32_t>> m_workersByAddress; ///< Serials of the workers by address.
     uint32_t m_nextSerial = 1;
 };
 
--- a/include/turmericpier/http/client.h
+++ b/include/turmericpier/http/client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "turmericpier/base/clock.h"
 #include "turmericpier/base/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -9,7 +10,7 @@
 #include <string>
 #include <vector>
 
-/// HTTP/1.1 client with a bounded pool of keep-alive connections for each address.
+/// HTTP/1.1 client with a bounded pool of keep-alive connections for each address, and a bound on all of them together.
 namespace turmericpier::http {
 
 struct ClientRequest {
@@ -36,6 +37,9 @@
 struct ClientOptions {
     /// Further requests are queued. A long poll occupies one connection most of the time.
     size_t connectionsPerAddress = 6;
+    /// Connections to all addresses. At the limit the connection that has been idle longest is closed for a new one,
+    /// and while none is idle, requests to addresses without a connection are queued.
+    size_t maxConnections = 2'000;
     size_t queuePerAddress = 512; ///< Queued requests; more fail with Unreachable.
     std::chrono::milliseconds connectTimeout { 700 }; ///< Allows for many round trips of 16 ms and one lost packet.
     std::chrono::milliseconds idleTimeout { 20'000 }; ///< Time for which an unused connection is kept.
@@ -46,12 +50,16 @@
 public:
     using Done = std::function<void(ClientResponse)>;
 
-    Client(boost::asio::io_context& io, ClientOptions options, Metrics& metrics);
+    Client(boost::asio::io_context& io, ClientOptions options, const Clock& clock, Metrics& metrics);
     ~Client(); ///< Closes all connections and drops queued requests without calling `done`.
 
     /// Sends a request to an "IP:PORT". `timeout` starts once there is a connection; `done` is called exactly once, and
     /// may be called before this function returns.
     void call(const std::string& address, ClientRequest request, std::chrono::milliseconds timeout, Done done);
+    /// Closes the connections that have been idle for the idle timeout. The client does so by itself four times during
+    /// each idle timeout.
+    void closeIdleConnections();
+    size_t openConnections() const;
 
 private:
     struct Impl;
--- a/include/turmericpier/http/server.h
+++ b/include/turmericpier/http/server.h
@@ -26,7 +26,9 @@
     std::chrono::milliseconds requestTimeout { 3'000 };
     /// For the arrival of a request header, including that of the next request on a connection.
     std::chrono::milliseconds idleTimeout { 15'000 };
-    size_t maxConnections = 2'000; ///< Further connections are closed and counted.
+    /// At the limit the connection that has been idle longest is closed for a new one. If none is idle, the new one is
+    /// closed and counted.
+    size_t maxConnections = 2'000;
 };
 
 struct Request {
@@ -63,6 +65,7 @@
     void drain();
     /// Returns the number of requests passed to the handler and not answered yet.
     size_t requestsInFlight() const;
+    size_t openConnections() const;
 
 private:
     struct Impl;
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -37,6 +37,7 @@
         transport.self = InstanceId(options.self);
         transport.listen = parseOrEmpty(addressOf(options.self));
         transport.userTimeout = options.userTimeout;
+        transport.maxIncoming = options.maxIncoming;
         return transport;
     }
 } // namespace
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -122,29 +122,54 @@
     }
 }
 
+void State::addWorker(WorkerRecord record)
+{
+    const auto serial = record.worker.serial;
+    m_workersById[record.worker.id] = serial;
+    m_workersByAddress[record.worker.address].insert(serial);
+    m_workers.insert_or_assign(serial, std::move(record));
+}
+
+void State::removeWorker(uint32_t serial)
+{
+    const auto found = m_workers.find(serial);
+    const auto& worker = found->second.worker;
+    const auto byId = m_workersById.find(worker.id);
+    if (byId != m_workersById.end() && byId->second == serial)
+        m_workersById.erase(byId);
+    const auto byAddress = m_workersByAddress.find(worker.address);
+    byAddress->second.erase(serial);
+    if (byAddress->second.empty())
+        m_workersByAddress.erase(byAddress);
+    m_workers.erase(found);
+}
+
 void State::applyWorker(const record::WorkerT& worker)
 {
-    for (auto& [serial, known] : m_workers) {
-        if (known.worker.id != worker.id || known.worker.born_ms != worker.born_ms)
-            continue;
-        known.worker = worker;
-        known.worker.serial = serial;
+    const auto* known = findWorkerById(worker.id);
+    if (known && known->worker.born_ms == worker.born_ms) {
+        auto updated = *known;
+        const auto serial = updated.worker.serial;
+        updated.worker = worker;
+        updated.worker.serial = serial;
+        removeWorker(serial);
+        addWorker(std::move(updated));
         return;
     }
     // A report of an earlier incarnation may arrive after a later one has registered under the same id or address.
-    std::vector<uint32_t> ended;
-    for (const auto& [serial, known] : m_workers) {
-        if (known.worker.id != worker.id && known.worker.address != worker.address)
-            continue;
-        if (known.worker.born_ms > worker.born_ms)
-            return;
-        ended.push_back(serial);
-    }
+    std::set<uint32_t> ended;
+    if (known)
+        ended.insert(known->worker.serial);
+    if (const auto at = m_workersByAddress.find(worker.address); at != m_workersByAddress.end())
+        ended.insert(at->second.begin(), at->second.end());
+    if (std::ranges::any_of(
+            ended, [&](uint32_t serial) { return m_workers.at(serial).worker.born_ms > worker.born_ms; }))
+        return;
     for (const auto serial : ended)
         applyGone(serial);
     WorkerRecord added { worker, {}, {} };
-    added.worker.serial = m_nextSerial;
-    m_workers.emplace(m_nextSerial++, std::move(added));
+    added.worker.serial = m_nextSerial++;
+    addWorker(std::move(added));
 }
 
 void State::applyGone(uint32_t serial)
@@ -159,7 +184,7 @@
         release(key, *job.steps[key.step], *task);
         endTask(job, key, EndKind::Lapsed, "", serial);
     }
-    m_workers.erase(serial);
+    removeWorker(serial);
 }
 
 void State::applySubmit(const record::JobT& job)
@@ -368,19 +393,20 @@
 
 const WorkerRecord* State::findWorkerById(const std::string& id) const
 {
-    for (const auto& [serial, worker] : m_workers) {
-        if (worker.worker.id == id)
-            return &worker;
-    }
-    return nullptr;
+    const auto found = m_workersById.find(id);
+    return found == m_workersById.end() ? nullptr : findWorker(found->second);
 }
 
 const WorkerRecord* State::findWorkerAt(const std::string& address) const
 {
+    const auto found = m_workersByAddress.find(address);
+    if (found == m_workersByAddress.end())
+        return nullptr;
     const WorkerRecord* latest = nullptr;
-    for (const auto& [serial, worker] : m_workers) {
-        if (worker.worker.address == address && (!latest || worker.worker.born_ms > latest->worker.born_ms))
-            latest = &worker;
+    for (const auto serial : found->second) {
+        const auto* worker = findWorker(serial);
+        if (!latest || worker->worker.born_ms > latest->worker.born_ms)
+            latest = worker;
     }
     return latest;
 }
@@ -418,7 +444,7 @@
     for (auto& queue : in.queues)
         m_queues[queueKey(queue->host, queue->prefix)] = *queue;
     for (auto& worker : in.workers)
-        m_workers[worker->serial] = { *worker, {}, {} };
+        addWorker({ *worker, {}, {} });
     m_nextSerial = std::max<uint32_t>(1, in.next_serial);
     for (auto& job : in.jobs) {
         auto& stored = *(m_jobs[job->id] = std::move(job));
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -16,6 +16,8 @@
 namespace {
     // Elections and heartbeats are delayed by at most a quarter of a heartbeat interval.
     constexpr int ticksPerHeartbeat = 4;
+    // Delay before another snapshot is tried after one could not be written.
+    constexpr std::chrono::milliseconds snapshotRetryDelay { 1'000 };
 
     CoreOptions coreOptions(const GroupOptions& options)
     {
@@ -69,6 +71,7 @@
         , syncs(metrics.counter("consensus_syncs_total"))
         , appliedEntries(metrics.counter("consensus_entries_applied_total"))
         , snapshots(metrics.counter("consensus_snapshots_total"))
+        , snapshotFailures(metrics.counter("consensus_snapshot_failures_total"))
         , roleChanges(metrics.counter("consensus_role_changes_total"))
         , refusedPosts(metrics.counter("consensus_ring_full_total"))
         , commitLatency(metrics.latency("consensus_commit_seconds"))
@@ -199,11 +202,12 @@
     void startSnapshotIfDue()
     {
         const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
-        const bool due
-            = applied.value - previous.value >= options.snapshotEvery || appliedBytes >= options.snapshotBytes;
-        if (snapshotBeingWritten || !due || applied == previous)
+        const bool due = snapshotFailed || applied.value - previous.value >= options.snapshotEvery
+            || appliedBytes >= options.snapshotBytes;
+        if (snapshotBeingWritten || !due || applied == previous || clock.now() < nextSnapshotAt)
             return;
         appliedBytes = 0;
+        snapshotFailed = false;
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->index = applied;
         snapshot->term = *core.log().termAt(applied);
@@ -231,9 +235,16 @@
         const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
         if (result->ok() && snapshot->index <= previous) // a later one was received from the leader meanwhile
             return wal->discardSnapshot(snapshot->index);
-        auto status = *result;
-        if (status.ok())
-            status = wal->activateSnapshot(snapshot->index, snapshot->term, hardState, false);
+        if (!result->ok()) {
+            // The log still holds every entry, so the replica goes on and writes another snapshot later.
+            snapshotFailures.increment();
+            snapshotFailed = true;
+            nextSnapshotAt = clock.now() + snapshotRetryDelay;
+            logError("consensus", "snapshot not written",
+                { { "group", options.group.str() }, { "message", std::string(result->message()) } });
+            return;
+        }
+        auto status = wal->activateSnapshot(snapshot->index, snapshot->term, hardState, false);
         if (status.ok())
             status = wal->compact(previous, hardState);
         if (!status.ok())
@@ -343,6 +354,7 @@
     Counter& syncs;
     Counter& appliedEntries;
     Counter& snapshots;
+    Counter& snapshotFailures;
     Counter& roleChanges;
     Counter& refusedPosts;
     Latency& commitLatency; ///< Time from a proposal until its entry is applied.
@@ -356,6 +368,8 @@
     std::map<uint64_t, ProposalCallback> pendingChanges; ///< Membership changes that are not in the log yet.
     std::map<uint64_t, std::function<void(absl::Status)>> pendingReads;
     std::shared_ptr<const Snapshot> snapshotBeingWritten; ///< May be null.
+    bool snapshotFailed = false; ///< The last snapshot could not be written.
+    TimePoint nextSnapshotAt; ///< No snapshot is started before this time.
     mutable std::mutex mutex;
     std::atomic<int64_t> leaseEnd { 0 }; ///< End of the leader lease on `clock` in ns; 0 without a lease.
     std::optional<absl::Status> snapshotWriteResult; ///< Guarded by `mutex`.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -37,29 +38,50 @@
         Done done;
     };
     class Connection;
+    using ConnectionList = std::list<std::shared_ptr<Connection>>;
     struct Pool {
         std::deque<PendingRequest> queue;
         std::vector<std::shared_ptr<Connection>> connections;
+        bool starved = false; ///< Waits in `starved` for a connection.
     };
 
-    Impl(asio::io_context& io, ClientOptions options, Metrics& metrics)
+    Impl(asio::io_context& io, ClientOptions options, const Clock& clock, Metrics& metrics)
         : io(io)
         , options(options)
+        , clock(clock)
         , calls(metrics.counter("http_client_calls_total"))
         , connects(metrics.counter("http_client_connects_total"))
         , faults(metrics.counter("http_client_faults_total"))
+        , evictions(metrics.counter("http_client_evictions_total"))
+        , starvations(metrics.counter("http_client_starved_total"))
+        , openGauge(metrics.gauge("http_client_connections"))
+        , idleTimer(io)
     {
     }
 
     void dispatch(const std::string& address);
+    void dispatchStarved();
     void removeConnection(const std::string& address, const std::shared_ptr<Connection>& connection);
+    bool evictIdleConnection();
+    void closeIdleConnections();
+    void scheduleIdleCheck();
 
     asio::io_context& io;
     const ClientOptions options;
+    const Clock& clock;
     Counter& calls;
     Counter& connects;
     Counter& faults;
+    Counter& evictions;
+    Counter& starvations;
+    Gauge& openGauge;
     std::map<std::string, Pool> pools;
+    ConnectionList idle; ///< Idle connections, the one that has been idle longest first.
+    /// Addresses with queued requests and no connection, because the limit of all connections was reached.
+    std::deque<std::string> starved;
+    size_t openCount = 0;
+    asio::steady_timer idleTimer;
+    bool idleCheckScheduled = false;
     bool closed = false;
 };
 
@@ -74,6 +96,7 @@
     }
 
     bool isBusy() const { return m_pending.has_value(); }
+    TimePoint idleSince() const { return m_idleSince; }
 
     void open(PendingRequest pending)
     {
@@ -98,6 +121,7 @@
     void reuse(PendingRequest pending)
     {
         m_pending = std::move(pending);
+        leaveIdleList();
         ++m_useCount;
         send();
     }
@@ -108,6 +132,13 @@
         m_stream.socket().close(ignored);
     }
 
+    void discard()
+    {
+        leaveIdleList();
+        close();
+        m_owner->removeConnection(m_address, shared_from_this());
+    }
+
 private:
     void send()
     {
@@ -151,12 +182,17 @@
             discard();
         pending->done(std::move(response));
         m_owner->dispatch(m_address);
+        m_owner->dispatchStarved();
     }
 
     /// Keeps the connection for the next request and discards it when the server closes it.
     void awaitReuse()
     {
-        m_stream.expires_after(m_owner->options.idleTimeout);
+        // The timer of the stream does not apply to a wait on its socket, so the owner closes idle connections.
+        m_stream.expires_never();
+        m_idleSince = m_owner->clock.now();
+        m_idlePosition = m_owner->idle.insert(m_owner->idle.end(), shared_from_this());
+        m_owner->scheduleIdleCheck();
         const auto useCount = ++m_useCount;
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), useCount](error_code) {
             if (!self->m_pending && self->m_useCount == useCount)
@@ -164,10 +200,10 @@
         });
     }
 
-    void discard()
+    void leaveIdleList()
     {
-        close();
-        m_owner->removeConnection(m_address, shared_from_this());
+        if (const auto position = std::exchange(m_idlePosition, std::nullopt))
+            m_owner->idle.erase(*position);
     }
 
     void fail(CallFault fault)
@@ -178,6 +214,7 @@
         if (pending)
             pending->done({ fault, 0, {} });
         m_owner->dispatch(m_address);
+        m_owner->dispatchStarved();
     }
 
     // A poll response lists up to 500 ended tasks and all running ones; this leaves headroom.
@@ -191,6 +228,8 @@
     std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
     std::optional<PendingRequest> m_pending;
     uint64_t m_useCount = 0;
+    TimePoint m_idleSince;
+    std::optional<ConnectionList::iterator> m_idlePosition; ///< Position in the owner's list while idle.
 };
 
 void Client::Impl::dispatch(const std::string& address)
@@ -201,8 +240,17 @@
     while (!pool.queue.empty()) {
         const auto idle = std::ranges::find_if(pool.connections, [](const auto& c) { return !c->isBusy(); });
         const bool isFull = pool.connections.size() >= options.connectionsPerAddress;
-        if (idle == pool.connections.end() && isFull)
-            return;
+        if (idle == pool.connections.end()) {
+            if (isFull)
+                return;
+            if (openCount >= options.maxConnections && !evictIdleConnection()) {
+                if (pool.connections.empty() && !std::exchange(pool.starved, true)) {
+                    starvations.increment();
+                    starved.push_back(address);
+                }
+                return;
+            }
+        }
         auto pending = std::move(pool.queue.front());
         pool.queue.pop_front();
         if (idle != pool.connections.end()) {
@@ -210,6 +258,7 @@
         } else {
             auto connection = std::make_shared<Connection>(shared_from_this(), address);
             pool.connections.push_back(connection);
+            openGauge.set(static_cast<int64_t>(++openCount));
             connection->open(std::move(pending));
         }
     }
@@ -220,18 +269,70 @@
 void Client::Impl::removeConnection(const std::string& address, const std::shared_ptr<Connection>& connection)
 {
     const auto found = pools.find(address);
-    if (found != pools.end())
-        std::erase(found->second.connections, connection);
+    if (found == pools.end() || std::erase(found->second.connections, connection) == 0)
+        return;
+    openGauge.set(static_cast<int64_t>(--openCount));
+    if (found->second.connections.empty() && found->second.queue.empty())
+        pools.erase(found);
+}
+
+/// Opens connections to addresses that have none, as far as the limit of all connections allows.
+void Client::Impl::dispatchStarved()
+{
+    while (!starved.empty() && (openCount < options.maxConnections || !idle.empty())) {
+        const auto address = std::move(starved.front());
+        starved.pop_front();
+        pools[address].starved = false;
+        dispatch(address);
+    }
+}
+
+/// Closes the connection that has been idle longest. Returns false if none is idle.
+bool Client::Impl::evictIdleConnection()
+{
+    if (idle.empty())
+        return false;
+    evictions.increment();
+    const auto longest = idle.front();
+    longest->discard();
+    return true;
 }
 
-Client::Client(asio::io_context& io, ClientOptions options, Metrics& metrics)
-    : m_impl(std::make_shared<Impl>(io, options, metrics))
+void Client::Impl::closeIdleConnections()
+{
+    const auto now = clock.now();
+    while (!idle.empty() && now - idle.front()->idleSince() >= options.idleTimeout) {
+        const auto connection = idle.front();
+        connection->discard();
+    }
+}
+
+void Client::Impl::scheduleIdleCheck()
+{
+    constexpr int checksPerTimeout = 4;
+    if (closed || idle.empty() || std::exchange(idleCheckScheduled, true))
+        return;
+    idleTimer.expires_after(options.idleTimeout / checksPerTimeout);
+    idleTimer.async_wait([weak = weak_from_this()](error_code error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        self->idleCheckScheduled = false;
+        self->closeIdleConnections();
+        self->scheduleIdleCheck();
+    });
+}
+
+Client::Client(asio::io_context& io, ClientOptions options, const Clock& clock, Metrics& metrics)
+    : m_impl(std::make_shared<Impl>(io, options, clock, metrics))
 {
 }
 
 Client::~Client()
 {
     m_impl->closed = true;
+    m_impl->idleTimer.cancel();
+    m_impl->idle.clear();
     // Breaks the reference cycle between the connections and the pools that contain them.
     const auto pools = std::exchange(m_impl->pools, {});
     for (const auto& [address, pool] : pools) {
@@ -252,4 +353,8 @@
     m_impl->dispatch(address);
 }
 
+void Client::closeIdleConnections() { m_impl->closeIdleConnections(); }
+
+size_t Client::openConnections() const { return m_impl->openCount; }
+
 } // namespace turmericpier::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -7,7 +7,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <list>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace turmericpier::http {
 
@@ -32,6 +35,7 @@
         , deadlineHeader(std::move(header))
         , requests(metrics.counter("http_requests_total"))
         , overLimit(metrics.counter("http_connections_over_limit_total"))
+        , evictions(metrics.counter("http_connections_evicted_total"))
         , broken(metrics.counter("http_connections_broken_total"))
         , acceptor(io)
         , acceptRetry(io)
@@ -39,6 +43,7 @@
     }
 
     void accept();
+    bool evictIdleSession();
 
     asio::io_context& io;
     const ServerOptions options;
@@ -46,10 +51,12 @@
     const std::string deadlineHeader;
     Counter& requests;
     Counter& overLimit;
+    Counter& evictions;
     Counter& broken;
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetry;
     std::set<std::shared_ptr<Session>> sessions;
+    std::list<Session*> idle; ///< Sessions that wait for a request, the one that waits longest first.
     size_t inFlight = 0;
     bool draining = false;
 };
@@ -65,30 +72,25 @@
 
     void read()
     {
+        m_idlePosition = m_owner->idle.insert(m_owner->idle.end(), this);
         m_parser.emplace();
         m_parser->header_limit(static_cast<uint32_t>(m_owner->options.maxHeaderBytes));
         m_parser->body_limit(m_owner->options.maxBodyBytes);
-        m_idle = true;
         m_stream.expires_after(m_owner->options.idleTimeout);
         beast::http::async_read_header(
             m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
                 if (error)
                     return self->onReadError(error);
-                self->m_idle = false;
+                self->leaveIdleList();
                 self->m_stream.expires_after(self->m_owner->options.requestTimeout);
                 beast::http::async_read(self->m_stream, self->m_buffer, *self->m_parser,
                     [self](error_code failure, size_t) { self->onRequest(failure); });
             });
     }
 
-    void closeIfIdle()
-    {
-        if (m_idle)
-            close();
-    }
-
     void close()
     {
+        leaveIdleList();
         error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.socket().close(ignored);
@@ -96,13 +98,21 @@
     }
 
 private:
+    void leaveIdleList()
+    {
+        if (const auto position = std::exchange(m_idlePosition, std::nullopt))
+            m_owner->idle.erase(*position);
+    }
+
     void onReadError(error_code error)
     {
+        const bool wasIdle = m_idlePosition.has_value();
+        leaveIdleList();
         if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
             m_keepAlive = false;
             return write({ .status = error == beast::http::error::body_limit ? 413U : 431U });
         }
-        if (error != beast::http::error::end_of_stream && !m_idle)
+        if (error != beast::http::error::end_of_stream && !wasIdle)
             m_owner->broken.increment();
         close();
     }
@@ -167,7 +177,7 @@
     beast::flat_buffer m_buffer;
     std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
     bool m_keepAlive = false;
-    bool m_idle = false;
+    std::optional<std::list<Session*>::iterator> m_idlePosition; ///< Position in the owner's list while idle.
 };
 
 void Server::Impl::accept()
@@ -183,7 +193,7 @@
             });
             return;
         }
-        if (self->sessions.size() >= self->options.maxConnections) {
+        if (self->sessions.size() >= self->options.maxConnections && !self->evictIdleSession()) {
             self->overLimit.increment();
         } else {
             error_code ignored;
@@ -196,6 +206,16 @@
     });
 }
 
+/// Closes the session that has been idle longest. Returns false if none is idle.
+bool Server::Impl::evictIdleSession()
+{
+    if (idle.empty())
+        return false;
+    evictions.increment();
+    idle.front()->close();
+    return true;
+}
+
 Server::Server(
     asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics, std::string deadlineHeader)
     : m_impl(std::make_shared<Impl>(io, std::move(options), std::move(handler), metrics, std::move(deadlineHeader)))
@@ -239,4 +259,6 @@
 
 size_t Server::requestsInFlight() const { return m_impl->inFlight; }
 
+size_t Server::openConnections() const { return m_impl->sessions.size(); }
+
 } // namespace turmericpier::http
--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -311,6 +311,31 @@
     CHECK(groups.advanceUntil([&] { return groups.number(a, "snapshot") > 0; }));
 }
 
+// Guards against a replica that stops for good because a snapshot file could not be created, as happened to the leader
+// of a fleet with too many open files, and to each of its successors.
+TEST_CASE("a replica whose snapshot cannot be written goes on and tries again", "[consensus]")
+{
+    Groups groups({ a }, 100'000, 10'000);
+    groups.leader();
+    // A folder with the name of the temporary file prevents its creation.
+    constexpr int blockedIndexes = 40;
+    std::vector<std::filesystem::path> obstacles;
+    for (int i = 1; i <= blockedIndexes; ++i) {
+        const auto digits = std::to_string(i);
+        obstacles.push_back(
+            groups.folder() / a.str() / ("snapshot-" + std::string(20 - digits.size(), '0') + digits + ".tmp"));
+        std::filesystem::create_directories(obstacles.back());
+    }
+    for (int i = 0; i < 12; ++i)
+        REQUIRE(groups.propose(a, std::string(1'000, 'x')).ok());
+    REQUIRE(groups.advanceUntil([&] { return groups.counter("consensus_snapshot_failures_total").value() > 0; }));
+    REQUIRE(groups.propose(a, "one").ok());
+    CHECK(groups.number(a, "snapshot") == 0);
+    for (const auto& obstacle : obstacles)
+        std::filesystem::remove_all(obstacle);
+    CHECK(groups.advanceUntil([&] { return groups.propose(a, "two").ok() && groups.number(a, "snapshot") > 0; }));
+}
+
 // Guards against a replacement of a replica that requires stopping the group.
 TEST_CASE("a lost replica is replaced by an empty disk or by a membership change", "[consensus]")
 {
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -19,6 +19,7 @@
 struct Fixture {
     boost::asio::io_context io;
     Metrics metrics;
+    ManualClock clock;
     uint16_t port = freePort();
     std::string address = "127.0.0.1:" + std::to_string(port);
     std::unique_ptr<Server> server;
@@ -29,7 +30,7 @@
         serverOptions.listen = { "127.0.0.1", port };
         server = std::make_unique<Server>(io, serverOptions, std::move(handler), metrics, "X-Deadline");
         REQUIRE(server->start().ok());
-        client = std::make_unique<Client>(io, options, metrics);
+        client = std::make_unique<Client>(io, options, clock, metrics);
     }
     /// Runs the event loop until `done` holds.
     void runUntil(const std::function<bool()>& done)
@@ -132,3 +133,67 @@
         [](const Request&, const Respond& respond) { respond(Response {}); }, {}, { .maxBodyBytes = 1'000 });
     CHECK(fixture.call({ "PUT", "/", std::string(2'000, 'x'), {} }).status == 413);
 }
+
+// Guards against connections that stay open for good: six were kept to each of 1,100 workers, more than a process may
+// open.
+TEST_CASE("idle connections are closed after the idle timeout", "[http]")
+{
+    Fixture fixture([](const Request&, const Respond& respond) { respond(Response {}); },
+        { .idleTimeout = std::chrono::seconds(20) });
+    REQUIRE(fixture.call({ "GET", "/", "", {} }).status == 200);
+    fixture.clock.advance(std::chrono::seconds(19));
+    fixture.client->closeIdleConnections();
+    CHECK(fixture.client->openConnections() == 1);
+    fixture.clock.advance(std::chrono::seconds(1));
+    fixture.client->closeIdleConnections();
+    CHECK(fixture.client->openConnections() == 0);
+    CHECK(fixture.call({ "GET", "/", "", {} }).status == 200);
+}
+
+// Guards against a client that opens more connections than its share of the descriptors, and against requests that are
+// never sent because other addresses hold all connections.
+TEST_CASE("the connections of a client to all addresses are bounded", "[http]")
+{
+    std::vector<Respond> pending;
+    const auto hold = [&](const Request&, const Respond& respond) { pending.push_back(respond); };
+    Fixture fixture(hold, { .maxConnections = 2 });
+    std::vector<std::unique_ptr<Server>> servers;
+    std::vector<std::string> addresses { fixture.address };
+    for (int i = 0; i < 3; ++i) {
+        const auto port = freePort();
+        addresses.push_back("127.0.0.1:" + std::to_string(port));
+        servers.push_back(std::make_unique<Server>(
+            fixture.io, ServerOptions { .listen = { "127.0.0.1", port } }, hold, fixture.metrics));
+        REQUIRE(servers.back()->start().ok());
+    }
+    int answered = 0;
+    for (const auto& address : addresses) {
+        fixture.client->call(address, { "GET", "/", "", {} }, std::chrono::seconds(60),
+            [&](const ClientResponse& response) { answered += response.status == 200 ? 1 : 0; });
+    }
+    while (answered < 4) {
+        fixture.runUntil([&] { return !pending.empty(); });
+        CHECK(fixture.client->openConnections() <= 2);
+        const auto respond = pending.front();
+        pending.erase(pending.begin());
+        respond(Response {});
+        const int before = answered;
+        fixture.runUntil([&] { return answered > before; });
+    }
+    CHECK(fixture.metrics.counter("http_client_evictions_total").value() == 2);
+}
+
+// Guards against a server that refuses new callers while it keeps connections on which nothing is sent.
+TEST_CASE("a server at its limit closes the connection that has been idle longest", "[http]")
+{
+    Fixture fixture([](const Request&, const Respond& respond) { respond(Response {}); }, {}, { .maxConnections = 1 });
+    REQUIRE(fixture.call({ "GET", "/", "", {} }).status == 200);
+    Client other(fixture.io, {}, fixture.clock, fixture.metrics);
+    std::optional<ClientResponse> response;
+    other.call(fixture.address, { "GET", "/", "", {} }, std::chrono::seconds(60),
+        [&](ClientResponse received) { response = std::move(received); });
+    fixture.runUntil([&] { return response.has_value(); });
+    CHECK(response->status == 200);
+    CHECK(fixture.server->openConnections() == 1);
+    CHECK(fixture.metrics.counter("http_connections_evicted_total").value() == 1);
+}
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -19,6 +19,8 @@
 new-field = "ignored"
 [listen]
 control = "10.1.0.16:8166"
+[limits]
+max-fds = 4324
 [bounds]
 grace-s = 6
 max-hold-ms = 10000
@@ -48,6 +50,7 @@
     CHECK(settings->node == "core-1");
     CHECK(settings->internalPort == 7'720);
     CHECK(settings->seeds.size() == 2);
+    CHECK(settings->maxDescriptors == 4'324);
     CHECK(settings->firstStart);
     CHECK(settings->grace == std::chrono::seconds(6));
     CHECK(settings->maxLease == std::chrono::seconds(10));
@@ -64,6 +67,8 @@
     CHECK(errorOf(replaced(control, "max-hold-ms = 10000", "max-hold-ms = -5"))
               .find("bounds.max-hold-ms: is out of range")
         == 0);
+    CHECK(errorOf(replaced(control, "max-fds = 4324", "max-fds = 100"))
+        == "limits.max-fds: is out of range; accepted: 512 to 1048576");
     CHECK(errorOf(replaced(control, "data-dir = \"/data/control\"\n", "")).find("data-dir") == 0);
     CHECK(errorOf(replaced(control, "control = \"10.1.0.16:8166\"\n", "")).find("listen") == 0);
     CHECK(errorOf(replaced(control, "bootstrap = true", "bootstrap = \"yes\"")).find("bootstrap") == 0);
