Answer unchanged heartbeats where they arrive and bound the time spent planning

Cause: with 1,100 workers the leader's processor is the limit. The leader alone received 730 heartbeats a second, and planning took most of the time of its own logic.

Change: workers keep sending heartbeats to the replica that received the first one. It answers those that change nothing while the leader accepts its reports, and reports their senders four times a second. The planner looks up the tickets of a step once instead of once for each worker, sorts only as many workers as it asks about, and computes the failure count of a worker once. A plan is followed by a pause of four times its duration, 40 ms at most.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -116,6 +116,7 @@
         uint64_t lastEndCommitted = 0; ///< Number of the last end that is committed or concerns no run of the log.
         uint64_t lastEndAcknowledged = 0; ///< Value of `lastEndCommitted` in the last poll that was sent.
         bool leaving = false; ///< The worker has announced that it leaves.
+        TimePoint leavingSince;
         bool removalProposed = false; ///< The removal of the worker from the state was proposed.
         uint32_t failedPolls = 0; ///< Number of polls that failed since the last answer.
         TimePoint lastContactAt; ///< Time of the last answer or heartbeat.
@@ -140,6 +141,7 @@
     void waiting(const record::CallT& call, const Answer& answer) const;
     void putConfig(std::unique_ptr<record::CallT> call, Answer answer);
     void heartbeat(std::unique_ptr<record::CallT> call, Answer answer);
+    void seen(const record::CallT& call, const Answer& answer);
     void leave(const record::CallT& call, const Answer& answer);
     void proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id);
 
@@ -169,7 +171,7 @@
     void recordSuccess(WorkerSession& session);
     bool hasRecentSuccess(const WorkerSession& session) const;
     void checkRuns(WorkerSession& session);
-    bool isUsable(const WorkerSession& session) const;
+    bool isUsable(const WorkerSession& session, double failures, TimePoint now) const;
     WorkerAddress addressOf(const WorkerSession& session) const;
     record::EndT makeEnd(
         const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
@@ -207,6 +209,7 @@
     bool m_fenced = false;
     bool m_planRequested = false;
     bool m_planScheduled = false;
+    TimePoint m_nextPlanAt; ///< No plan is made before this time.
     bool m_startsProposed = false;
     TicketCache m_tickets;
     std::set<StepKey> m_adviceInFlight;
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "turmericpier/base/clock.h"
+#include "turmericpier/cell/heartbeats.h"
 #include "turmericpier/cell/identity.h"
 #include "turmericpier/cell/leader.h"
 #include "turmericpier/cell/links.h"
@@ -24,7 +25,7 @@
     std::filesystem::path folder;
     std::set<std::string> seeds; ///< Addresses of the replicas that form the group at the first start of the system.
     LeaderOptions leader;
-    std::string heartbeatAddress; ///< Address that workers are told to send heartbeats to while this replica leads.
+    std::string heartbeatAddress; ///< Address of this replica to which workers send later heartbeats.
     std::chrono::milliseconds electionTimeoutMin { 500 };
     std::chrono::milliseconds electionTimeoutMax { 1'000 };
     /// A voter that was not heard of for this long is removed. It is longer than a network partition or the suspension
@@ -59,6 +60,8 @@
     std::string dump() const;
 
 private:
+    bool answerHeartbeat(const record::CallT& call, const Links::Answer& answer);
+    void reportHeartbeats();
     void handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer);
     record::CallT locateCall() const;
     absl::Status openGroup();
@@ -85,6 +88,7 @@
     Metrics& m_metrics;
     State m_state;
     Leader m_leader;
+    Counter& m_heartbeatsAnswered;
     std::unique_ptr<consensus::Group> m_group;
     std::atomic<consensus::Group*> m_receiver { nullptr }; ///< The group, once it may receive messages; null before.
     boost::asio::steady_timer m_timer;
@@ -94,6 +98,8 @@
     std::map<std::string, std::string> m_seedReplicas;
     TimePoint m_nextFormation;
     std::map<std::string, TimePoint> m_candidates; ///< Replicas that ask to join, with the time of their last request.
+    HeartbeatCollector m_heartbeats;
+    bool m_reportInFlight = false;
     bool m_changingVoters = false;
     TimePoint m_nextVoterCheck;
     bool m_stopped = false;
--- a/include/turmericpier/cell/tickets.h
+++ b/include/turmericpier/cell/tickets.h
@@ -32,6 +32,8 @@
     void record(const StepKey& step, const std::vector<uint32_t>& asked, const std::map<uint32_t, std::string>& fit,
         TimePoint validUntil);
     Fitness fitnessOf(const StepKey& step, uint32_t worker, TimePoint now) const;
+    /// Returns the workers that the advisor was asked about, with their fitness, in ascending order of the serials.
+    std::vector<std::pair<uint32_t, Fitness>> askedWorkers(const StepKey& step, TimePoint now) const;
     /// Returns the serials of the workers with a valid ticket, in ascending order.
     std::vector<uint32_t> fitWorkers(const StepKey& step, TimePoint now) const;
     /// Returns null unless there is a valid ticket.
@@ -47,6 +49,7 @@
         std::string ticket;
         TimePoint validUntil;
     };
+    static Fitness fitnessOf(const Entry& entry, TimePoint now);
     const Entry* find(const StepKey& step, uint32_t worker) const;
 
     std::map<StepKey, std::map<uint32_t, Entry>> m_steps; ///< Entries by step and serial of the worker.
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -2,6 +2,7 @@
 
 #include "cell/reply.h"
 #include "turmericpier/base/error.h"
+#include "turmericpier/cell/heartbeats.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -14,6 +15,8 @@
 
 namespace {
     constexpr size_t jobIdLength = 16; // In hexadecimal digits.
+    // A heartbeat that another replica has answered is reported within this time, also after a failed report.
+    constexpr std::chrono::milliseconds maxReportAge { 2'000 };
 
     bool isJobId(std::string_view id)
     {
@@ -54,6 +57,8 @@
     }
     case CallKind::Beat:
         return heartbeat(std::move(call), std::move(answer));
+    case CallKind::Seen:
+        return seen(*call, answer);
     case CallKind::Leave:
         return leave(*call, answer);
     case CallKind::Advise:
@@ -188,13 +193,9 @@
             session->second.lastContactAt = m_clock.now();
             session->second.leaving = false;
         }
-        // An incarnation that drains never becomes ready again, so a heartbeat that says so is a delayed one.
-        worker.draining |= known->worker.draining;
-        const auto& old = known->worker;
-        if (old.address == worker.address && old.draining == worker.draining && old.service == worker.service
-            && old.cpu == worker.cpu && old.memory == worker.memory && old.accelerators == worker.accelerators
-            && old.labels == worker.labels)
+        if (isUnchanged(known->worker, worker))
             return answer(makeReply(Verdict::Ok));
+        worker.draining |= known->worker.draining;
     }
     const auto* atAddress = m_state.findWorkerAt(worker.address);
     if (!known && atAddress && atAddress->worker.born_ms > worker.born_ms)
@@ -205,6 +206,23 @@
     proposeFor(command, std::move(answer), "worker", id);
 }
 
+/// Processes a report of heartbeats that other replicas have answered.
+void Leader::seen(const record::CallT& call, const Answer& answer)
+{
+    const auto now = m_clock.now();
+    for (const auto serial : call.seen) {
+        const auto found = m_sessions.find(serial);
+        if (found == m_sessions.end())
+            continue; // Removed since, or unknown here; the worker registers again with a later heartbeat.
+        auto& session = found->second;
+        session.lastContactAt = now;
+        // A heartbeat in a report may be older than the worker's leave.
+        if (session.leaving && now - session.leavingSince > maxReportAge)
+            session.leaving = false;
+    }
+    answer(makeReply(Verdict::Ok));
+}
+
 void Leader::leave(const record::CallT& call, const Answer& answer)
 {
     const auto* known = m_state.findWorkerById(call.worker->id);
@@ -214,6 +232,7 @@
         const auto session = m_sessions.find(known->worker.serial);
         if (session != m_sessions.end()) {
             session->second.leaving = true;
+            session->second.leavingSince = m_clock.now();
             session->second.pollDueAt = m_clock.now();
             recordDecision("worker", known->worker.id, "leaving");
         }
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -530,6 +530,8 @@
 
 double Leader::decayedFailures(const WorkerSession& session) const
 {
+    if (session.failures == 0)
+        return 0;
     const auto seconds = std::chrono::duration<double>(m_clock.now() - session.failuresUpdatedAt).count();
     return session.failures * std::exp2(-seconds / failureHalfLifeSeconds);
 }
@@ -554,11 +556,11 @@
         && (session.failures == 0 || *session.lastSuccessAt >= session.failuresUpdatedAt);
 }
 
-bool Leader::isUsable(const WorkerSession& session) const
+/// `failures` is the current failure count of the worker.
+bool Leader::isUsable(const WorkerSession& session, double failures, TimePoint now) const
 {
-    const auto now = m_clock.now();
     return session.synced && session.failedPolls == 0 && !session.leaving && !session.removalProposed
-        && now >= session.backoffUntil && decayedFailures(session) < maxRecentFailures
+        && now >= session.backoffUntil && failures < maxRecentFailures
         && now - session.lastContactAt <= 3 * m_options.heartbeatInterval;
 }
 
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -23,6 +23,10 @@
     constexpr milliseconds ticketMargin { 250 };
     // A worker without runs is removed after this many heartbeat intervals of silence.
     constexpr int idleWorkerTimeoutIntervals = 6;
+    // Pause after a plan, as a multiple of the time that the plan took. Planning then takes at most a fifth of the
+    // processor, so that a long queue does not delay the answers and orders that would shorten it.
+    constexpr int planPauseFactor = 4;
+    constexpr milliseconds maxPlanPause { 40 };
     // Proxies announce themselves every second.
     constexpr milliseconds advisorProxyTimeout { 3'000 };
 } // namespace
@@ -198,7 +202,7 @@
     if (m_planScheduled || m_startsProposed || !m_active)
         return;
     m_planScheduled = true;
-    m_hooks.runAfter(Duration::zero(), [this] {
+    m_hooks.runAfter(std::max(Duration::zero(), m_nextPlanAt - m_clock.now()), [this] {
         m_planScheduled = false;
         runPlan();
     });
@@ -212,16 +216,19 @@
     m_plans.increment();
     const auto now = m_clock.now();
     const PlannerInput input { m_state, m_tickets,
-        [this](uint32_t serial) {
+        [this, now](uint32_t serial) {
             const auto session = m_sessions.find(serial);
             if (session == m_sessions.end())
                 return WorkerHealthView {};
-            return WorkerHealthView { isUsable(session->second), decayedFailures(session->second),
+            const auto failures = decayedFailures(session->second);
+            return WorkerHealthView { isUsable(session->second, failures, now), failures,
                 hasRecentSuccess(session->second) };
         },
         [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
     auto result = plan(input);
-    m_planLatency.record(m_clock.now() - now);
+    const auto planTime = m_clock.now() - now;
+    m_planLatency.record(planTime);
+    m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
     m_nextDueMs = result.nextDueMs;
     askAdvisor(result.advice);
     if (result.starts.empty())
@@ -386,7 +393,8 @@
         const auto* record = m_state.findWorker(serial);
         workers.push_back(boost::json::object { { "serial", serial }, { "id", record ? record->worker.id : "" },
             { "synced", session.synced }, { "silent_looks", session.failedPolls }, { "runs", session.runs.size() },
-            { "usable", isUsable(session) }, { "failures", decayedFailures(session) } });
+            { "usable", isUsable(session, decayedFailures(session), m_clock.now()) },
+            { "failures", decayedFailures(session) } });
     }
     return boost::json::serialize(boost::json::object { { "active", m_active }, { "term", m_term },
         { "open_jobs", m_state.openJobs().size() }, { "jobs", m_state.jobs().size() },
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -379,22 +379,29 @@
                 return true;
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
+            // Candidates and the workers asked about are both in ascending order of the serials.
+            const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
+            auto nextAsked = asked.begin();
             for (const auto& candidate : m_candidates) {
-                if (!isCompatible(pending, candidate) || !hasCapacity(pending, candidate))
-                    continue;
                 const auto serial = candidate.record->worker.serial;
-                if (avoidedByAll != 0 && serial == avoidedByAll)
+                while (nextAsked != asked.end() && nextAsked->first < serial)
+                    ++nextAsked;
+                const auto fitness
+                    = nextAsked != asked.end() && nextAsked->first == serial ? nextAsked->second : Fitness::Unknown;
+                if (fitness == Fitness::Unfit || fitness == Fitness::Fit || !isCompatible(pending, candidate)
+                    || !hasCapacity(pending, candidate) || (avoidedByAll != 0 && serial == avoidedByAll))
                     continue;
-                const auto fitness = m_input.tickets.fitnessOf(pending.key, serial, m_input.now);
                 if (fitness == Fitness::Expired)
                     expired.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
-                else if (fitness == Fitness::Unknown)
+                else
                     unknown.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
             }
-            std::ranges::sort(expired);
-            std::ranges::sort(unknown);
             const auto wanted
                 = std::clamp(adviceWorkersPerTask * pending.waiting.size(), minAdviceWorkers, maxAdviceWorkers);
+            for (auto* list : { &expired, &unknown }) {
+                const auto used = std::min(wanted, list->size());
+                std::ranges::partial_sort(*list, list->begin() + static_cast<std::ptrdiff_t>(used));
+            }
             AdviceRequest request { .step = pending.key };
             for (const auto* list : { &expired, &unknown }) {
                 for (const auto& [cost, serial] : *list) {
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -27,6 +27,7 @@
     // Longer than any call to the advisor for which the leader waits.
     constexpr milliseconds adviceTimeout { 4'000 };
     constexpr milliseconds voterCheckInterval { 300 };
+    constexpr milliseconds heartbeatReportTimeout { 600 };
     // A candidate repeats its request every second.
     constexpr milliseconds candidateTimeout { 3'000 };
     constexpr uint64_t snapshotBytes = 8U << 20U;
@@ -42,6 +43,7 @@
     , m_clock(clock)
     , m_metrics(metrics)
     , m_leader(m_options.leader, leaderHooks(std::move(workerHooks)), m_state, clock, metrics)
+    , m_heartbeatsAnswered(metrics.counter("cell_heartbeats_answered_total"))
     , m_timer(io)
 {
     m_links.setMessageHandler([this](InstanceId from, consensus::Message message) {
@@ -218,7 +220,47 @@
 
 void Replica::handle(std::unique_ptr<record::CallT> call, milliseconds deadline, Links::Answer answer)
 {
-    m_relay.handle(std::move(call), deadline, std::move(answer));
+    if (call->kind != record::CallKind::Beat)
+        return m_relay.handle(std::move(call), deadline, std::move(answer));
+    if (answerHeartbeat(*call, answer))
+        return;
+    // Later heartbeats come here and not to the leader, so that the load of heartbeats is spread.
+    m_relay.handle(std::move(call), deadline, [this, answer = std::move(answer)](record::ReplyT reply) {
+        reply.beat_address = m_options.heartbeatAddress;
+        answer(std::move(reply));
+    });
+}
+
+/// Answers a heartbeat without the leader if it changes nothing. Returns false if the leader must see it.
+bool Replica::answerHeartbeat(const record::CallT& call, const Links::Answer& answer)
+{
+    if (!m_group || m_role.isLeader || !m_heartbeats.collect(m_state, *call.worker, m_clock.now()))
+        return false;
+    m_heartbeatsAnswered.increment();
+    record::ReplyT reply;
+    reply.verdict = record::Verdict::Ok;
+    reply.beat_address = m_options.heartbeatAddress;
+    answer(std::move(reply));
+    return true;
+}
+
+/// Tells the leader which workers have sent heartbeats here since the last report.
+void Replica::reportHeartbeats()
+{
+    if (m_reportInFlight || m_role.isLeader || m_role.leader.empty())
+        return;
+    auto serials = m_heartbeats.take();
+    if (serials.empty())
+        return;
+    record::CallT call;
+    call.kind = record::CallKind::Seen;
+    call.seen = serials;
+    m_reportInFlight = true;
+    m_links.call(m_role.leader.str(), call, heartbeatReportTimeout,
+        [this, serials = std::move(serials), sentAt = m_clock.now()](const std::optional<record::ReplyT>& reply) {
+            m_reportInFlight = false;
+            m_heartbeats.onReported(serials, sentAt, reply && reply->verdict == record::Verdict::Ok);
+        });
 }
 
 void Replica::handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer)
@@ -273,6 +315,7 @@
         m_leader.recordAdvisorProxy(m_links.self());
         maintainVoters();
     }
+    reportHeartbeats();
     m_timer.expires_after(m_group && !m_leader.isActive() ? followerTickInterval : tickInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
--- a/src/cell/tickets.cc
+++ b/src/cell/tickets.cc
@@ -27,11 +27,25 @@
 Fitness TicketCache::fitnessOf(const StepKey& step, uint32_t worker, TimePoint now) const
 {
     const auto* entry = find(step, worker);
-    if (!entry)
-        return Fitness::Unknown;
-    if (!entry->fit)
+    return entry ? fitnessOf(*entry, now) : Fitness::Unknown;
+}
+
+Fitness TicketCache::fitnessOf(const Entry& entry, TimePoint now)
+{
+    if (!entry.fit)
         return Fitness::Unfit;
-    return now < entry->validUntil ? Fitness::Fit : Fitness::Expired;
+    return now < entry.validUntil ? Fitness::Fit : Fitness::Expired;
+}
+
+std::vector<std::pair<uint32_t, Fitness>> TicketCache::askedWorkers(const StepKey& step, TimePoint now) const
+{
+    std::vector<std::pair<uint32_t, Fitness>> asked;
+    const auto entries = m_steps.find(step);
+    if (entries == m_steps.end())
+        return asked;
+    for (const auto& [worker, entry] : entries->second)
+        asked.emplace_back(worker, fitnessOf(entry, now));
+    return asked;
 }
 
 std::vector<uint32_t> TicketCache::fitWorkers(const StepKey& step, TimePoint now) const
--- a/test/cell-fake-world.h
+++ b/test/cell-fake-world.h
@@ -25,6 +25,7 @@
     bool holdsLease = true;
     bool commits = true;
     int64_t wallMs = 1'000'000;
+    Duration planTime { 0 }; ///< Time that each plan takes.
     std::list<Sent<StartOrder, OrderAnswer>> starts;
     std::list<Sent<StopOrder, OrderAnswer>> stops;
     std::list<Sent<PollOrder, PollAnswer>> polls;
@@ -66,7 +67,10 @@
                            std::function<void(AdviceAnswer)> done) {
             advice.push_back({ proxy, step, workers, std::move(done) });
         };
-        hooks.wallMs = [this] { return wallMs; };
+        hooks.wallMs = [this] { // The leader reads this clock once in each plan.
+            clock.advance(planTime);
+            return wallMs;
+        };
         hooks.runAfter = [this](Duration delay, std::function<void()> function) {
             timers.emplace_back(clock.now() + delay, std::move(function));
         };
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -475,3 +475,51 @@
     fixture.advanceTime(milliseconds(100)); // Only time passes.
     CHECK(fixture.starts.size() == 1);
 }
+
+// Guards against a worker that is taken for silent while another replica answers its heartbeats, and against a report
+// that undoes the leave of a worker.
+TEST_CASE("reported heartbeats count as contact and do not undo a leave", "[cell]")
+{
+    LeaderFixture fixture;
+    fixture.activate();
+    fixture.addReadyWorker("w1");
+    const auto report = [&] {
+        auto call = std::make_unique<record::CallT>();
+        call->kind = record::CallKind::Seen;
+        call->seen = { fixture.state.findWorkerById("w1")->worker.serial, 4'711 }; // The second one is unknown.
+        CHECK(fixture.call(std::move(call))->verdict == record::Verdict::Ok);
+    };
+    for (int i = 0; i < 10; ++i) {
+        fixture.advanceTime(milliseconds(1'000)); // Ten seconds without a heartbeat of its own.
+        report();
+    }
+    fixture.submitJob(job(jobId(1), step(1)));
+    REQUIRE(fixture.starts.size() == 1);
+    fixture.answerStart(OrderResult::Accepted);
+    auto leave = std::make_unique<record::CallT>();
+    leave->kind = record::CallKind::Leave;
+    leave->worker = test::worker("w1");
+    fixture.call(std::move(leave));
+    report(); // Contains a heartbeat from before the leave.
+    fixture.submitJob(job(jobId(2), step(1)));
+    CHECK(fixture.starts.empty());
+}
+
+// Guards against planning that takes the whole processor while many steps wait, so that ends and answers are late.
+TEST_CASE("a long plan is followed by a pause", "[cell]")
+{
+    LeaderFixture fixture;
+    fixture.activate();
+    fixture.addReadyWorker("w1");
+    const auto plans = [&] { return fixture.metrics.counter("cell_plans_total").value(); };
+    fixture.planTime = milliseconds(5);
+    fixture.submitJob(job(jobId(1), step(1)));
+    const auto before = plans();
+    fixture.submitJob(job(jobId(2), step(1)));
+    CHECK(plans() == before);
+    CHECK(fixture.starts.size() == 1);
+    fixture.clock.advance(milliseconds(20));
+    fixture.runPending();
+    CHECK(plans() == before + 1);
+    CHECK(fixture.starts.size() == 2);
+}
--- a/test/cell-replica-test.cc
+++ b/test/cell-replica-test.cc
@@ -83,7 +83,9 @@
         LeaderHooks orders;
         orders.wallMs = [] { return int64_t { 0 }; };
         orders.poll = [](const WorkerAddress&, const PollOrder&, const std::function<void(PollAnswer)>&) {};
-        ReplicaOptions options { .folder = folderOf(address), .seeds = seeds, .snapshotEvery = snapshotEvery };
+        ReplicaOptions options {
+            .folder = folderOf(address), .seeds = seeds, .heartbeatAddress = address, .snapshotEvery = snapshotEvery
+        };
         process->replica = std::make_unique<Replica>(io, std::move(options), *identity, std::move(orders),
             *process->links, *process->relay, process->clock, process->metrics);
         process->links->setCallHandler(
@@ -231,6 +233,27 @@
     CHECK_FALSE(group.processes.at(former)->replica->leads());
 }
 
+// Guards against heartbeats of all workers that load the leader alone.
+TEST_CASE("a follower answers unchanged heartbeats and names its own address", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    REQUIRE(group.callUntilLeader(group.leader(), group.putConfig(1)).verdict == Verdict::Ok);
+    std::string follower;
+    for (const auto& seed : group.seeds)
+        follower = seed == group.leader() ? follower : seed;
+    record::CallT beat;
+    beat.kind = CallKind::Beat;
+    beat.worker = worker("w1", 5);
+    auto& answered = group.processes.at(follower)->metrics.counter("cell_heartbeats_answered_total");
+    CHECK(group.callUntilLeader(follower, beat).beat_address == follower);
+    CHECK(answered.value() == 0); // The leader had to record the worker.
+    while (answered.value() == 0)
+        CHECK(group.call(follower, std::make_unique<record::CallT>(beat)).verdict == Verdict::Ok);
+    CHECK(group.call(follower, std::make_unique<record::CallT>(beat)).beat_address == follower);
+}
+
 // Guards against a process that hangs at a planned stop, because the thread of the log waits for a snapshot from an
 // event loop that has been stopped.
 TEST_CASE("a replica stops while its log waits for a snapshot", "[cell]")
--- a/test/cell-tickets-test.cc
+++ b/test/cell-tickets-test.cc
@@ -22,6 +22,11 @@
     CHECK(book.fitnessOf({ "job", 0, 2, 0 }, 1, now) == Fitness::Unknown);
     CHECK(book.fitnessOf(step, 1, now + seconds(2)) == Fitness::Expired);
     CHECK_FALSE(book.ticketFor(step, 1, now + seconds(2)));
+    const auto asked = book.askedWorkers(step, now + seconds(2));
+    REQUIRE(asked.size() == 2);
+    CHECK(asked.front() == std::pair(uint32_t { 1 }, Fitness::Expired));
+    CHECK(asked.back() == std::pair(uint32_t { 2 }, Fitness::Unfit));
+    CHECK(book.askedWorkers({ "job", 0, 2, 0 }, now).empty());
 }
 
 // Guards against reusing a refused ticket, and against entries that outlive their worker or job.
