Ask the advisor again about the only worker that may run a failed task

Cause: a task that has failed avoids the worker on which it failed. If no other worker may run it, it runs there again, but only while the ticket for that worker is valid; the advisor was never asked about an avoided worker. The task then waited for good, and an accepted job never ended.

Change: if nothing else can be asked or started, the question to the advisor includes the avoided worker.

Measured: the new planner test fails before the change and passes after it.

--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -317,8 +317,12 @@
             // No other worker may run the task: a second run on the worker where it failed is better than none.
             for (const auto index : unplaced) {
                 auto* candidate = chooseCandidate(pending, { .failed = true }, 1, workers);
-                if (!candidate)
+                if (!candidate) {
+                    // The ticket for the worker that all unplaced tasks avoid may have expired.
+                    if (avoidedByAll != 0)
+                        requestAdvice(pending, 0);
                     return;
+                }
                 place(pending, index, *candidate);
             }
         }
--- a/test/cell-planner-test.cc
+++ b/test/cell-planner-test.cc
@@ -362,3 +362,24 @@
         CHECK(workersOf(fixture.run()) == std::set<uint32_t> { w2 });
     }
 }
+
+// Guards against an accepted job that never ends: its task had failed on the only worker that may run it, the ticket
+// for that worker had expired meanwhile, and the advisor was not asked about it again.
+TEST_CASE("a failed task asks again about the only worker that may run it", "[cell]")
+{
+    PlannerFixture fixture(true);
+    const auto w1 = addWorker(fixture.state, worker("w1"));
+    const auto w2 = addWorker(fixture.state, worker("w2"));
+    submit(fixture.state, job(jobId(1), step(1)));
+    const StepKey key { jobId(1), 0, 0, 0 };
+    fixture.tickets.record(key, { w1, w2 }, { { w1, "t" } }, fixture.now + std::chrono::seconds(2));
+    fixture.applyStarts(fixture.run());
+    end(fixture.state, { jobId(1), 0, 0, 0 }, 1, w1, EndKind::Failed);
+    fixture.now = fixture.now + std::chrono::seconds(3);
+    const auto asked = fixture.run();
+    CHECK(asked.starts.empty());
+    REQUIRE(asked.advice.size() == 1);
+    CHECK(asked.advice[0].workers == std::vector<uint32_t> { w1 });
+    fixture.tickets.record(key, { w1 }, { { w1, "u" } }, fixture.now + std::chrono::seconds(2));
+    CHECK(workersOf(fixture.run()) == std::set<uint32_t> { w1 });
+}
