--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -362,7 +362,7 @@
     const auto now = m_clock.now();
     for (auto& [serial, session] : m_sessions) {
         if (!session.pollInFlight && now >= session.pollDueAt
-            && (!session.synced || !session.runs.empty() || session.leaving))
+            && (!session.synced || session.failedPolls > 0 || !session.runs.empty() || session.leaving))
             poll(session);
         checkRuns(session);
         if (session.backoffUntil != TimePoint {} && now >= session.backoffUntil) {
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -523,3 +523,20 @@
     CHECK(plans() == before + 1);
     CHECK(fixture.starts.size() == 2);
 }
+
+// Guards against an idle worker that gets no tasks for good because its last poll was not answered: only workers with
+// runs were polled again.
+TEST_CASE("an idle worker is polled again after a failed poll", "[cell]")
+{
+    LeaderFixture fixture;
+    fixture.activate();
+    fixture.addReadyWorker("w1");
+    fixture.submitJob(job(jobId(1), step(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    fixture.answerPoll("w1", {}, { { 1, { jobId(1), 0, 0, 0 }, 1, record::EndKind::Done, {} } });
+    REQUIRE(fixture.answerPollWith("w1", {})); // No answer; the worker has no runs any more.
+    fixture.advanceTime(milliseconds(500));
+    REQUIRE(fixture.answerPoll("w1"));
+    fixture.submitJob(job(jobId(2), step(1)));
+    CHECK(fixture.starts.size() == 1);
+}
