Drop heartbeats that could not be reported in time

Cause: a replica kept the workers of a failed report and reported them again without limit, also after it had led in between. The leader takes a report for at most 2 s old and lets it undo the leave of a worker, so a heartbeat from long ago could bring back a worker that had gone.

Change: the collector keeps the time of each heartbeat and drops those older than 1 s. It also keeps the report that is on its way, so that the caller does not hand its serials back.

--- a/src/cell/heartbeats.cc
+++ b/src/cell/heartbeats.cc
@@ -1,7 +1,5 @@
 #include "turmericpier/cell/heartbeats.h"
 
-#include <algorithm>
-
 namespace turmericpier::cell {
 
 namespace {
@@ -13,8 +11,8 @@
 bool isUnchanged(const record::WorkerT& known, const record::WorkerT& reported)
 {
     return known.id == reported.id && known.born_ms == reported.born_ms && known.address == reported.address
-        && known.draining == (reported.draining || known.draining) && known.service == reported.service
-        && known.cpu == reported.cpu && known.memory == reported.memory && known.accelerators == reported.accelerators
+        && (known.draining || !reported.draining) && known.service == reported.service && known.cpu == reported.cpu
+        && known.memory == reported.memory && known.accelerators == reported.accelerators
         && known.labels == reported.labels;
 }
 
@@ -23,23 +21,29 @@
     const auto* known = state.findWorkerById(reported.id);
     if (!known || !isUnchanged(known->worker, reported))
         return false;
-    m_serials.insert(known->worker.serial);
+    m_collected[known->worker.serial] = now;
     return m_acceptedAt && now - *m_acceptedAt <= acceptanceValidity;
 }
 
-std::vector<uint32_t> HeartbeatCollector::take()
+std::vector<uint32_t> HeartbeatCollector::take(TimePoint now)
 {
-    std::vector<uint32_t> serials(m_serials.begin(), m_serials.end());
-    m_serials.clear();
+    std::erase_if(m_collected, [&](const auto& entry) { return now - entry.second > maxHeartbeatAge; });
+    std::vector<uint32_t> serials;
+    for (const auto& [serial, receivedAt] : m_collected) {
+        serials.push_back(serial);
+        m_reported[serial] = receivedAt;
+    }
+    m_collected.clear();
     return serials;
 }
 
-void HeartbeatCollector::onReported(const std::vector<uint32_t>& serials, TimePoint sentAt, bool accepted)
+void HeartbeatCollector::onReported(TimePoint sentAt, bool accepted)
 {
     if (accepted)
-        m_acceptedAt = std::max(m_acceptedAt.value_or(sentAt), sentAt);
+        m_acceptedAt = sentAt;
     else
-        m_serials.insert(serials.begin(), serials.end());
+        m_collected.merge(m_reported); // Keeps the later heartbeats of workers that have sent another one since.
+    m_reported.clear();
 }
 
 } // namespace turmericpier::cell
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -15,8 +15,8 @@
 
 namespace {
     constexpr size_t jobIdLength = 16; // In hexadecimal digits.
-    // A heartbeat that another replica has answered is reported within this time, also after a failed report.
-    constexpr std::chrono::milliseconds maxReportAge { 2'000 };
+    // Age of the oldest heartbeat in a report, plus the time for which a connection that delivers nothing is kept.
+    constexpr std::chrono::milliseconds maxReportAge = maxHeartbeatAge + std::chrono::milliseconds(1'000);
 
     bool isJobId(std::string_view id)
     {
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -249,17 +249,18 @@
 {
     if (m_reportInFlight || m_role.isLeader || m_role.leader.empty())
         return;
-    auto serials = m_heartbeats.take();
+    const auto sentAt = m_clock.now();
+    auto serials = m_heartbeats.take(sentAt);
     if (serials.empty())
         return;
     record::CallT call;
     call.kind = record::CallKind::Seen;
-    call.seen = serials;
+    call.seen = std::move(serials);
     m_reportInFlight = true;
-    m_links.call(m_role.leader.str(), call, heartbeatReportTimeout,
-        [this, serials = std::move(serials), sentAt = m_clock.now()](const std::optional<record::ReplyT>& reply) {
+    m_links.call(
+        m_role.leader.str(), call, heartbeatReportTimeout, [this, sentAt](const std::optional<record::ReplyT>& reply) {
             m_reportInFlight = false;
-            m_heartbeats.onReported(serials, sentAt, reply && reply->verdict == record::Verdict::Ok);
+            m_heartbeats.onReported(sentAt, reply && reply->verdict == record::Verdict::Ok);
         });
 }
 
--- a/test/cell-heartbeats-test.cc
+++ b/test/cell-heartbeats-test.cc
@@ -27,7 +27,12 @@
     {
         return collector.collect(state, *reported, clock.now());
     }
-    void accept() { collector.onReported(collector.take(), clock.now(), true); }
+    std::vector<uint32_t> take() { return collector.take(clock.now()); }
+    void accept()
+    {
+        take();
+        collector.onReported(clock.now(), true);
+    }
 };
 
 } // namespace
@@ -40,7 +45,7 @@
     CHECK_FALSE(fixture.collect(worker("w1", 5)));
     fixture.accept();
     CHECK(fixture.collect(worker("w1", 5)));
-    CHECK(fixture.collector.take() == std::vector<uint32_t> { fixture.serial });
+    CHECK(fixture.take() == std::vector<uint32_t> { fixture.serial });
     fixture.clock.advance(milliseconds(1'001)); // For example because this process was paused.
     CHECK_FALSE(fixture.collect(worker("w1", 5)));
 }
@@ -57,7 +62,7 @@
     auto draining = worker("w1", 5);
     draining->draining = true;
     CHECK_FALSE(fixture.collect(draining));
-    CHECK(fixture.collector.take().empty());
+    CHECK(fixture.take().empty());
     addWorker(fixture.state, std::move(draining));
     CHECK(fixture.collect(worker("w1", 5))); // A delayed heartbeat from before the drain.
 }
@@ -68,8 +73,22 @@
     Fixture fixture;
     fixture.accept();
     REQUIRE(fixture.collect(worker("w1", 5)));
-    const auto serials = fixture.collector.take();
-    CHECK(fixture.collector.take().empty());
-    fixture.collector.onReported(serials, fixture.clock.now(), false);
-    CHECK(fixture.collector.take() == serials);
+    const auto serials = fixture.take();
+    CHECK(serials == std::vector<uint32_t> { fixture.serial });
+    CHECK(fixture.take().empty());
+    fixture.collector.onReported(fixture.clock.now(), false);
+    CHECK(fixture.take() == serials);
+}
+
+// Guards against a leader that takes a heartbeat from long ago for a sign of life, and with it undoes the leave of a
+// worker that has gone since. Reports may fail for long, and a replica may lead in between.
+TEST_CASE("a heartbeat that could not be reported in time is dropped", "[cell]")
+{
+    Fixture fixture;
+    fixture.accept();
+    REQUIRE(fixture.collect(worker("w1", 5)));
+    fixture.take();
+    fixture.collector.onReported(fixture.clock.now(), false);
+    fixture.clock.advance(milliseconds(1'001));
+    CHECK(fixture.take().empty());
 }
