Share idle lists, excess of resources and ticket checks instead of writing them twice

Change, without change of behaviour: - The HTTP client and server each kept a list of idle connections with positions and an eviction. Both use http/idle-list.h, an intrusive list that a connection leaves by itself. - shortfall(), excessOver() and the clamp of a team's excess are one function beside Resources. - The planner asked the advisor a second time, with another look at all workers, for the worker that all tasks avoid. The leader no longer sets the address in its replies. - All ticket checks use the fitness of the entry. New tests use the fixtures that the file had. A member of the benchmark that nothing read is gone.

--- a/bench/cell-bench.cc
+++ b/bench/cell-bench.cc
@@ -24,7 +24,6 @@
 class Simulation {
 public:
     explicit Simulation(int workers)
-        : m_workerCount(workers)
     {
         m_clock.advance(std::chrono::seconds(1'000));
         test::configure(m_state, test::config(1, 2, true));
@@ -189,7 +188,6 @@
         at(roundTrip / 2, [done = std::exchange(worker.poll, nullptr), answer = std::move(answer)] { done(answer); });
     }
 
-    const int m_workerCount;
     ManualClock m_clock;
     Metrics m_metrics;
     State m_state;
--- a/include/turmericpier/base/units.h
+++ b/include/turmericpier/base/units.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -53,6 +54,14 @@
     return request.cpu <= free.cpu && request.memory <= free.memory && request.accelerators <= free.accelerators;
 }
 
+/// Returns by how much `amount` exceeds `limit` in each dimension, and zero where it does not.
+inline Resources excessOver(const Resources& amount, const Resources& limit)
+{
+    const auto over = amount - limit;
+    return { std::max(over.cpu, MilliCpu {}), std::max(over.memory, MemoryMib {}),
+        std::max(over.accelerators, Accelerators {}) };
+}
+
 /// Returns true if no dimension is negative.
 inline bool isValid(const Resources& resources) { return fits(Resources {}, resources); }
 
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -60,7 +60,6 @@
     std::string dump() const;
 
 private:
-    bool answerHeartbeat(const record::CallT& call, const Links::Answer& answer);
     void reportHeartbeats();
     void handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer);
     record::CallT locateCall() const;
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -97,8 +97,8 @@
 private:
     void applyConfig(const record::ConfigT& config);
     void applyWorker(const record::WorkerT& worker);
-    void addWorker(WorkerRecord record);
-    void removeWorker(uint32_t serial);
+    void storeWorker(const record::WorkerT& worker, uint32_t serial);
+    void removeAddress(const record::WorkerT& worker);
     void applyGone(uint32_t serial);
     void applySubmit(const record::JobT& job);
     void applyCancel(const std::string& id);
--- a/include/turmericpier/cell/tickets.h
+++ b/include/turmericpier/cell/tickets.h
@@ -15,8 +15,8 @@
 using StepKey = TaskKey;
 
 inline StepKey stepOf(const TaskKey& task) { return { task.job, task.occurrence, task.step, 0 }; }
-/// What is known about whether a worker may run a step.
 
+/// What is known about whether a worker may run a step.
 enum class Fitness {
     Unknown, ///< The advisor was not asked.
     Unfit,
--- a/include/turmericpier/http/connection-budget.h
+++ b/include/turmericpier/http/connection-budget.h
@@ -17,7 +17,7 @@
 
 /// Greatest number of connections of each kind.
 struct ConnectionBudget {
-    size_t served = 0; ///< Accepted by the HTTP servers, except by that of the readiness probe and of the metrics.
+    size_t served = 0; ///< Accepted by each HTTP server; those for probes and metrics have few.
     size_t outgoing = 0; ///< Opened by the HTTP client.
     size_t peersIn = 0; ///< Accepted from other processes of the system.
     size_t peersOut = 0; ///< Opened to other processes of the system; not enforced, one for each process.
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -317,12 +317,8 @@
             // No other worker may run the task: a second run on the worker where it failed is better than none.
             for (const auto index : unplaced) {
                 auto* candidate = chooseCandidate(pending, { .failed = true }, 1, workers);
-                if (!candidate) {
-                    // The ticket for the worker that all unplaced tasks avoid may have expired.
-                    if (avoidedByAll != 0)
-                        requestAdvice(pending, 0);
+                if (!candidate)
                     return;
-                }
                 place(pending, index, *candidate);
             }
         }
@@ -374,7 +370,8 @@
         }
 
         /// Requests advice about workers with capacity. Those known to be fit come first, as they only need a new
-        /// ticket. Returns false if there is no worker to ask about.
+        /// ticket. A worker that all tasks avoid comes last, if there is no other one to ask about. Returns false if
+        /// there is no worker to ask about.
         bool requestAdvice(const PendingStep& pending, uint32_t avoidedByAll)
         {
             if (!pending.queue->advice)
@@ -383,6 +380,7 @@
                 return true;
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
+            bool mayAskAvoided = false;
             // Candidates and the workers asked about are both in ascending order of the serials.
             const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
             auto nextAsked = asked.begin();
@@ -393,9 +391,11 @@
                 const auto fitness
                     = nextAsked != asked.end() && nextAsked->first == serial ? nextAsked->second : Fitness::Unknown;
                 if (fitness == Fitness::Unfit || fitness == Fitness::Fit || !isCompatible(pending, candidate)
-                    || !hasCapacity(pending, candidate) || (avoidedByAll != 0 && serial == avoidedByAll))
+                    || !hasCapacity(pending, candidate))
                     continue;
-                if (fitness == Fitness::Expired)
+                if (serial == avoidedByAll)
+                    mayAskAvoided = true;
+                else if (fitness == Fitness::Expired)
                     expired.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
                 else
                     unknown.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
@@ -415,6 +415,8 @@
                 if (request.workers.size() >= pending.waiting.size() && !request.workers.empty())
                     break;
             }
+            if (request.workers.empty() && mayAskAvoided)
+                request.workers.push_back(avoidedByAll);
             if (request.workers.empty())
                 return false;
             const auto& advice = *pending.queue->advice;
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -1,6 +1,7 @@
 #include "turmericpier/cell/replica.h"
 
 #include "cell/bytes.h"
+#include "cell/reply.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/log.h"
 
@@ -220,28 +221,18 @@
 
 void Replica::handle(std::unique_ptr<record::CallT> call, milliseconds deadline, Links::Answer answer)
 {
-    if (call->kind != record::CallKind::Beat)
-        return m_relay.handle(std::move(call), deadline, std::move(answer));
-    if (answerHeartbeat(*call, answer))
-        return;
-    // Later heartbeats come here and not to the leader, so that the load of heartbeats is spread.
-    m_relay.handle(std::move(call), deadline, [this, answer = std::move(answer)](record::ReplyT reply) {
-        reply.beat_address = m_options.heartbeatAddress;
-        answer(std::move(reply));
-    });
-}
-
-/// Answers a heartbeat without the leader if it changes nothing. Returns false if the leader must see it.
-bool Replica::answerHeartbeat(const record::CallT& call, const Links::Answer& answer)
-{
-    if (!m_group || m_role.isLeader || !m_heartbeats.collect(m_state, *call.worker, m_clock.now()))
-        return false;
-    m_heartbeatsAnswered.increment();
-    record::ReplyT reply;
-    reply.verdict = record::Verdict::Ok;
-    reply.beat_address = m_options.heartbeatAddress;
-    answer(std::move(reply));
-    return true;
+    if (call->kind == record::CallKind::Beat) {
+        // Later heartbeats come here and not to the leader, so that the load of heartbeats is spread.
+        answer = [this, answer = std::move(answer)](record::ReplyT reply) {
+            reply.beat_address = m_options.heartbeatAddress;
+            answer(std::move(reply));
+        };
+        if (!m_role.isLeader && m_heartbeats.collect(m_state, *call->worker, m_clock.now())) {
+            m_heartbeatsAnswered.increment();
+            return answer(makeReply(record::Verdict::Ok));
+        }
+    }
+    m_relay.handle(std::move(call), deadline, std::move(answer));
 }
 
 /// Tells the leader which workers have sent heartbeats here since the last report.
@@ -269,7 +260,6 @@
     m_leader.handle(std::move(call), [this, answer = std::move(answer)](record::ReplyT reply) {
         if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader)
             reply.leader = m_role.leader.str();
-        reply.beat_address = m_options.heartbeatAddress;
         answer(std::move(reply));
     });
 }
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -122,39 +122,30 @@
     }
 }
 
-void State::addWorker(WorkerRecord record)
+/// Stores a worker under its serial and its id, which no other worker has, and under its address.
+void State::storeWorker(const record::WorkerT& worker, uint32_t serial)
 {
-    const auto serial = record.worker.serial;
-    m_workersById[record.worker.id] = serial;
-    m_workersByAddress[record.worker.address].insert(serial);
-    m_workers.insert_or_assign(serial, std::move(record));
+    auto& stored = m_workers[serial].worker;
+    stored = worker;
+    stored.serial = serial;
+    m_workersById[worker.id] = serial;
+    m_workersByAddress[worker.address].insert(serial);
 }
 
-void State::removeWorker(uint32_t serial)
+void State::removeAddress(const record::WorkerT& worker)
 {
-    const auto found = m_workers.find(serial);
-    const auto& worker = found->second.worker;
-    const auto byId = m_workersById.find(worker.id);
-    if (byId != m_workersById.end() && byId->second == serial)
-        m_workersById.erase(byId);
-    const auto byAddress = m_workersByAddress.find(worker.address);
-    byAddress->second.erase(serial);
-    if (byAddress->second.empty())
-        m_workersByAddress.erase(byAddress);
-    m_workers.erase(found);
+    const auto found = m_workersByAddress.find(worker.address);
+    found->second.erase(worker.serial);
+    if (found->second.empty())
+        m_workersByAddress.erase(found);
 }
 
 void State::applyWorker(const record::WorkerT& worker)
 {
     const auto* known = findWorkerById(worker.id);
     if (known && known->worker.born_ms == worker.born_ms) {
-        auto updated = *known;
-        const auto serial = updated.worker.serial;
-        updated.worker = worker;
-        updated.worker.serial = serial;
-        removeWorker(serial);
-        addWorker(std::move(updated));
-        return;
+        removeAddress(known->worker);
+        return storeWorker(worker, known->worker.serial);
     }
     // A report of an earlier incarnation may arrive after a later one has registered under the same id or address.
     std::set<uint32_t> ended;
@@ -167,9 +158,7 @@
         return;
     for (const auto serial : ended)
         applyGone(serial);
-    WorkerRecord added { worker, {}, {} };
-    added.worker.serial = m_nextSerial++;
-    addWorker(std::move(added));
+    storeWorker(worker, m_nextSerial++);
 }
 
 void State::applyGone(uint32_t serial)
@@ -184,7 +173,9 @@
         release(key, *job.steps[key.step], *task);
         endTask(job, key, EndKind::Lapsed, "", serial);
     }
-    removeWorker(serial);
+    removeAddress(found->second.worker);
+    m_workersById.erase(found->second.worker.id);
+    m_workers.erase(found);
 }
 
 void State::applySubmit(const record::JobT& job)
@@ -444,7 +435,7 @@
     for (auto& queue : in.queues)
         m_queues[queueKey(queue->host, queue->prefix)] = *queue;
     for (auto& worker : in.workers)
-        addWorker({ *worker, {}, {} });
+        storeWorker(*worker, worker->serial);
     m_nextSerial = std::max<uint32_t>(1, in.next_serial);
     for (auto& job : in.jobs) {
         auto& stored = *(m_jobs[job->id] = std::move(job));
--- a/src/cell/tickets.cc
+++ b/src/cell/tickets.cc
@@ -55,7 +55,7 @@
     if (entries == m_steps.end())
         return workers;
     for (const auto& [worker, entry] : entries->second) {
-        if (entry.fit && now < entry.validUntil)
+        if (fitnessOf(entry, now) == Fitness::Fit)
             workers.push_back(worker);
     }
     return workers;
@@ -64,7 +64,7 @@
 const std::string* TicketCache::ticketFor(const StepKey& step, uint32_t worker, TimePoint now) const
 {
     const auto* entry = find(step, worker);
-    return entry && entry->fit && now < entry->validUntil ? &entry->ticket : nullptr;
+    return entry && fitnessOf(*entry, now) == Fitness::Fit ? &entry->ticket : nullptr;
 }
 
 void TicketCache::expire(const StepKey& step, uint32_t worker)
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -202,12 +202,13 @@
     void startSnapshotIfDue()
     {
         const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
-        const bool due = snapshotFailed || applied.value - previous.value >= options.snapshotEvery
-            || appliedBytes >= options.snapshotBytes;
-        if (snapshotBeingWritten || !due || applied == previous || clock.now() < nextSnapshotAt)
+        const bool due = snapshotRetryAt
+            ? clock.now() >= *snapshotRetryAt
+            : applied.value - previous.value >= options.snapshotEvery || appliedBytes >= options.snapshotBytes;
+        if (snapshotBeingWritten || !due || applied == previous)
             return;
         appliedBytes = 0;
-        snapshotFailed = false;
+        snapshotRetryAt.reset();
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->index = applied;
         snapshot->term = *core.log().termAt(applied);
@@ -238,8 +239,7 @@
         if (!result->ok()) {
             // The log still holds every entry, so the replica goes on and writes another snapshot later.
             snapshotFailures.increment();
-            snapshotFailed = true;
-            nextSnapshotAt = clock.now() + snapshotRetryDelay;
+            snapshotRetryAt = clock.now() + snapshotRetryDelay;
             logError("consensus", "snapshot not written",
                 { { "group", options.group.str() }, { "message", std::string(result->message()) } });
             return;
@@ -368,8 +368,7 @@
     std::map<uint64_t, ProposalCallback> pendingChanges; ///< Membership changes that are not in the log yet.
     std::map<uint64_t, std::function<void(absl::Status)>> pendingReads;
     std::shared_ptr<const Snapshot> snapshotBeingWritten; ///< May be null.
-    bool snapshotFailed = false; ///< The last snapshot could not be written.
-    TimePoint nextSnapshotAt; ///< No snapshot is started before this time.
+    std::optional<TimePoint> snapshotRetryAt; ///< Time of the next snapshot if the last one could not be written.
     mutable std::mutex mutex;
     std::atomic<int64_t> leaseEnd { 0 }; ///< End of the leader lease on `clock` in ns; 0 without a lease.
     std::optional<absl::Status> snapshotWriteResult; ///< Guarded by `mutex`.
--- a/src/decision/engine-preemption.cc
+++ b/src/decision/engine-preemption.cc
@@ -170,11 +170,9 @@
     };
     out.excess = [this](const TeamId& team) {
         const auto number = tables.teams.find(team);
-        auto excess = shares.excess(team);
-        if (number && *number < teamTotals.size())
-            excess -= teamTotals[*number].stopping; // Tasks that are being stopped already reduce the excess.
-        return Resources { std::max(excess.cpu, MilliCpu {}), std::max(excess.memory, MemoryMib {}),
-            std::max(excess.accelerators, Accelerators {}) };
+        // Tasks that are being stopped already reduce the excess.
+        const bool hasTotals = number && *number < teamTotals.size();
+        return excessOver(shares.excess(team), hasTotals ? teamTotals[*number].stopping : Resources {});
     };
     return out;
 }
--- a/src/decision/fair-share.cc
+++ b/src/decision/fair-share.cc
@@ -10,15 +10,6 @@
     // quota. They still rank after every team within a quota.
     constexpr double minQuotaShare = 1e-6;
 
-    int64_t excessOver(int64_t usage, int64_t quota) { return std::max<int64_t>(0, usage - quota); }
-
-    Resources excessOver(const Resources& usage, const Resources& quota)
-    {
-        return { MilliCpu { excessOver(usage.cpu.value, quota.cpu.value) },
-            MemoryMib { excessOver(usage.memory.value, quota.memory.value) },
-            Accelerators { excessOver(usage.accelerators.value, quota.accelerators.value) } };
-    }
-
     double ratio(int64_t part, int64_t whole)
     {
         return part <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(std::max<int64_t>(whole, 1));
--- a/src/decision/preemption.cc
+++ b/src/decision/preemption.cc
@@ -22,15 +22,6 @@
 
     bool isUrgent(const PreemptionRequest& request) { return request.priority >= urgentPriority; }
 
-    int64_t shortfall(int64_t request, int64_t free) { return std::max<int64_t>(0, request - free); }
-
-    Resources shortfall(const Resources& request, const Resources& free)
-    {
-        return { MilliCpu { shortfall(request.cpu.value, free.cpu.value) },
-            MemoryMib { shortfall(request.memory.value, free.memory.value) },
-            Accelerators { shortfall(request.accelerators.value, free.accelerators.value) } };
-    }
-
     double coveredFraction(int64_t need, int64_t limit)
     {
         return need <= 0 ? 0.0 : static_cast<double>(std::min(need, limit)) / static_cast<double>(need);
@@ -102,7 +93,7 @@
         {
             if (!m_options.excess)
                 return {};
-            return shortfall(m_options.excess(team), PlannedStops::findOrDefault(planned.teams, team));
+            return excessOver(m_options.excess(team), PlannedStops::findOrDefault(planned.teams, team));
         }
         bool isOverQuota(const TeamId& team, const PlannedStops& planned) const
         {
@@ -170,7 +161,7 @@
                 return {};
             victims.push_back(best);
             planned.add(*best);
-            need = shortfall(need, best->limit);
+            need = excessOver(need, best->limit);
         }
         return victims;
     }
@@ -222,7 +213,7 @@
     std::optional<PreemptionPlan> Planner::plan(
         const PreemptionCandidate& candidate, double limit, const PlannedStops& planned) const
     {
-        const Resources need = shortfall(m_request.request, candidate.free + candidate.releasing);
+        const Resources need = excessOver(m_request.request, candidate.free + candidate.releasing);
         if (need == Resources {})
             return limit > 0 ? std::optional(PreemptionPlan { candidate.worker, {}, 0 }) : std::nullopt;
         Victims victims = chooseGreedily(candidate, need, planned);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/http/client.h"
 
+#include "http/idle-list.h"
 #include "turmericpier/peer/address.h"
 
 #include <algorithm>
@@ -9,7 +10,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -38,7 +38,6 @@
         Done done;
     };
     class Connection;
-    using ConnectionList = std::list<std::shared_ptr<Connection>>;
     struct Pool {
         std::deque<PendingRequest> queue;
         std::vector<std::shared_ptr<Connection>> connections;
@@ -62,7 +61,6 @@
     void dispatch(const std::string& address);
     void dispatchStarved();
     void removeConnection(const std::string& address, const std::shared_ptr<Connection>& connection);
-    bool evictIdleConnection();
     void closeIdleConnections();
     void scheduleIdleCheck();
 
@@ -76,7 +74,7 @@
     Counter& starvations;
     Gauge& openGauge;
     std::map<std::string, Pool> pools;
-    ConnectionList idle; ///< Idle connections, the one that has been idle longest first.
+    IdleList idle;
     /// Addresses with queued requests and no connection, because the limit of all connections was reached.
     std::deque<std::string> starved;
     size_t openCount = 0;
@@ -86,7 +84,7 @@
 };
 
 /// A connection that carries at most one request at a time.
-class Client::Impl::Connection : public std::enable_shared_from_this<Connection> {
+class Client::Impl::Connection final : public IdleConnection, public std::enable_shared_from_this<Connection> {
 public:
     Connection(std::shared_ptr<Impl> owner, std::string address)
         : m_owner(std::move(owner))
@@ -95,7 +93,6 @@
     {
     }
 
-    bool isBusy() const { return m_pending.has_value(); }
     TimePoint idleSince() const { return m_idleSince; }
 
     void open(PendingRequest pending)
@@ -121,7 +118,7 @@
     void reuse(PendingRequest pending)
     {
         m_pending = std::move(pending);
-        leaveIdleList();
+        unlink();
         ++m_useCount;
         send();
     }
@@ -132,9 +129,9 @@
         m_stream.socket().close(ignored);
     }
 
-    void discard()
+    void discard() override
     {
-        leaveIdleList();
+        unlink();
         close();
         m_owner->removeConnection(m_address, shared_from_this());
     }
@@ -191,7 +188,7 @@
         // The timer of the stream does not apply to a wait on its socket, so the owner closes idle connections.
         m_stream.expires_never();
         m_idleSince = m_owner->clock.now();
-        m_idlePosition = m_owner->idle.insert(m_owner->idle.end(), shared_from_this());
+        m_owner->idle.push_back(*this);
         m_owner->scheduleIdleCheck();
         const auto useCount = ++m_useCount;
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), useCount](error_code) {
@@ -200,12 +197,6 @@
         });
     }
 
-    void leaveIdleList()
-    {
-        if (const auto position = std::exchange(m_idlePosition, std::nullopt))
-            m_owner->idle.erase(*position);
-    }
-
     void fail(CallFault fault)
     {
         m_owner->faults.increment();
@@ -229,7 +220,6 @@
     std::optional<PendingRequest> m_pending;
     uint64_t m_useCount = 0;
     TimePoint m_idleSince;
-    std::optional<ConnectionList::iterator> m_idlePosition; ///< Position in the owner's list while idle.
 };
 
 void Client::Impl::dispatch(const std::string& address)
@@ -238,12 +228,12 @@
         return;
     auto& pool = pools[address];
     while (!pool.queue.empty()) {
-        const auto idle = std::ranges::find_if(pool.connections, [](const auto& c) { return !c->isBusy(); });
+        const auto reusable = std::ranges::find_if(pool.connections, [](const auto& c) { return c->isIdle(); });
         const bool isFull = pool.connections.size() >= options.connectionsPerAddress;
-        if (idle == pool.connections.end()) {
+        if (reusable == pool.connections.end()) {
             if (isFull)
                 return;
-            if (openCount >= options.maxConnections && !evictIdleConnection()) {
+            if (openCount >= options.maxConnections && !evictLongestIdle(idle, evictions)) {
                 if (pool.connections.empty() && !std::exchange(pool.starved, true)) {
                     starvations.increment();
                     starved.push_back(address);
@@ -253,8 +243,8 @@
         }
         auto pending = std::move(pool.queue.front());
         pool.queue.pop_front();
-        if (idle != pool.connections.end()) {
-            (*idle)->reuse(std::move(pending));
+        if (reusable != pool.connections.end()) {
+            (*reusable)->reuse(std::move(pending));
         } else {
             auto connection = std::make_shared<Connection>(shared_from_this(), address);
             pool.connections.push_back(connection);
@@ -287,24 +277,11 @@
     }
 }
 
-/// Closes the connection that has been idle longest. Returns false if none is idle.
-bool Client::Impl::evictIdleConnection()
-{
-    if (idle.empty())
-        return false;
-    evictions.increment();
-    const auto longest = idle.front();
-    longest->discard();
-    return true;
-}
-
 void Client::Impl::closeIdleConnections()
 {
     const auto now = clock.now();
-    while (!idle.empty() && now - idle.front()->idleSince() >= options.idleTimeout) {
-        const auto connection = idle.front();
-        connection->discard();
-    }
+    while (!idle.empty() && now - static_cast<const Connection&>(idle.front()).idleSince() >= options.idleTimeout)
+        idle.front().discard();
 }
 
 void Client::Impl::scheduleIdleCheck()
@@ -332,7 +309,6 @@
 {
     m_impl->closed = true;
     m_impl->idleTimer.cancel();
-    m_impl->idle.clear();
     // Breaks the reference cycle between the connections and the pools that contain them.
     const auto pools = std::exchange(m_impl->pools, {});
     for (const auto& [address, pool] : pools) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/http/server.h"
 
+#include "http/idle-list.h"
 #include "turmericpier/base/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -7,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <list>
 #include <optional>
 #include <set>
 #include <utility>
@@ -43,7 +43,6 @@
     }
 
     void accept();
-    bool evictIdleSession();
 
     asio::io_context& io;
     const ServerOptions options;
@@ -56,13 +55,13 @@
     tcp::acceptor acceptor;
     asio::steady_timer acceptRetry;
     std::set<std::shared_ptr<Session>> sessions;
-    std::list<Session*> idle; ///< Sessions that wait for a request, the one that waits longest first.
+    IdleList idle;
     size_t inFlight = 0;
     bool draining = false;
 };
 
 /// A connection, whose requests are answered in order, one at a time.
-class Server::Impl::Session : public std::enable_shared_from_this<Session> {
+class Server::Impl::Session final : public IdleConnection, public std::enable_shared_from_this<Session> {
 public:
     Session(std::shared_ptr<Impl> owner, tcp::socket socket)
         : m_owner(std::move(owner))
@@ -72,7 +71,7 @@
 
     void read()
     {
-        m_idlePosition = m_owner->idle.insert(m_owner->idle.end(), this);
+        m_owner->idle.push_back(*this);
         m_parser.emplace();
         m_parser->header_limit(static_cast<uint32_t>(m_owner->options.maxHeaderBytes));
         m_parser->body_limit(m_owner->options.maxBodyBytes);
@@ -81,16 +80,16 @@
             m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
                 if (error)
                     return self->onReadError(error);
-                self->leaveIdleList();
+                self->unlink();
                 self->m_stream.expires_after(self->m_owner->options.requestTimeout);
                 beast::http::async_read(self->m_stream, self->m_buffer, *self->m_parser,
                     [self](error_code failure, size_t) { self->onRequest(failure); });
             });
     }
 
-    void close()
+    void discard() override
     {
-        leaveIdleList();
+        unlink();
         error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         m_stream.socket().close(ignored);
@@ -98,23 +97,17 @@
     }
 
 private:
-    void leaveIdleList()
-    {
-        if (const auto position = std::exchange(m_idlePosition, std::nullopt))
-            m_owner->idle.erase(*position);
-    }
-
     void onReadError(error_code error)
     {
-        const bool wasIdle = m_idlePosition.has_value();
-        leaveIdleList();
+        const bool wasIdle = isIdle();
+        unlink();
         if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
             m_keepAlive = false;
             return write({ .status = error == beast::http::error::body_limit ? 413U : 431U });
         }
         if (error != beast::http::error::end_of_stream && !wasIdle)
             m_owner->broken.increment();
-        close();
+        discard();
     }
 
     void onRequest(error_code error)
@@ -145,7 +138,7 @@
             if (response)
                 self->write(*std::move(response));
             else
-                self->close();
+                self->discard();
         });
     }
 
@@ -166,7 +159,7 @@
             if (error || !self->m_keepAlive) {
                 if (error)
                     self->m_owner->broken.increment();
-                return self->close();
+                return self->discard();
             }
             self->read();
         });
@@ -177,7 +170,6 @@
     beast::flat_buffer m_buffer;
     std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
     bool m_keepAlive = false;
-    std::optional<std::list<Session*>::iterator> m_idlePosition; ///< Position in the owner's list while idle.
 };
 
 void Server::Impl::accept()
@@ -193,7 +185,7 @@
             });
             return;
         }
-        if (self->sessions.size() >= self->options.maxConnections && !self->evictIdleSession()) {
+        if (self->sessions.size() >= self->options.maxConnections && !evictLongestIdle(self->idle, self->evictions)) {
             self->overLimit.increment();
         } else {
             error_code ignored;
@@ -206,16 +198,6 @@
     });
 }
 
-/// Closes the session that has been idle longest. Returns false if none is idle.
-bool Server::Impl::evictIdleSession()
-{
-    if (idle.empty())
-        return false;
-    evictions.increment();
-    idle.front()->close();
-    return true;
-}
-
 Server::Server(
     asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics, std::string deadlineHeader)
     : m_impl(std::make_shared<Impl>(io, std::move(options), std::move(handler), metrics, std::move(deadlineHeader)))
@@ -229,7 +211,7 @@
     m_impl->acceptRetry.cancel();
     const auto sessions = m_impl->sessions;
     for (const auto& session : sessions)
-        session->close();
+        session->discard();
 }
 
 absl::Status Server::start()
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -484,10 +484,9 @@
     fixture.activate();
     fixture.addReadyWorker("w1");
     const auto report = [&] {
-        auto call = std::make_unique<record::CallT>();
-        call->kind = record::CallKind::Seen;
+        auto call = LeaderFixture::callFor(CallKind::Seen, "");
         call->seen = { fixture.state.findWorkerById("w1")->worker.serial, 4'711 }; // The second one is unknown.
-        CHECK(fixture.call(std::move(call))->verdict == record::Verdict::Ok);
+        CHECK(fixture.call(std::move(call))->verdict == Verdict::Ok);
     };
     for (int i = 0; i < 10; ++i) {
         fixture.advanceTime(milliseconds(1'000)); // Ten seconds without a heartbeat of its own.
@@ -496,9 +495,8 @@
     fixture.submitJob(job(jobId(1), step(1)));
     REQUIRE(fixture.starts.size() == 1);
     fixture.answerStart(OrderResult::Accepted);
-    auto leave = std::make_unique<record::CallT>();
-    leave->kind = record::CallKind::Leave;
-    leave->worker = test::worker("w1");
+    auto leave = LeaderFixture::callFor(CallKind::Leave, "");
+    leave->worker = worker("w1");
     fixture.call(std::move(leave));
     report(); // Contains a heartbeat from before the leave.
     fixture.submitJob(job(jobId(2), step(1)));
@@ -528,12 +526,9 @@
 // runs were polled again.
 TEST_CASE("an idle worker is polled again after a failed poll", "[cell]")
 {
-    LeaderFixture fixture;
-    fixture.activate();
-    fixture.addReadyWorker("w1");
-    fixture.submitJob(job(jobId(1), step(1)));
-    fixture.answerStart(OrderResult::Accepted);
-    fixture.answerPoll("w1", {}, { { 1, { jobId(1), 0, 0, 0 }, 1, record::EndKind::Done, {} } });
+    SentStartFixture fixture;
+    fixture.acceptStart();
+    fixture.answerPoll("w1", {}, { ended(1, EndKind::Done) });
     REQUIRE(fixture.answerPollWith("w1", {})); // No answer; the worker has no runs any more.
     fixture.advanceTime(milliseconds(500));
     REQUIRE(fixture.answerPoll("w1"));
