Log the load of the leader once a second

The logs could not tell a busy leader from a slow advisor or full workers. Change: the leader writes a line of the kind load each second, with the gap between its ticks, the answer times of start orders and the advisor, and the waiting tasks of a plan by what they wait for. Three latency metrics.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -3,6 +3,7 @@
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/metrics.h"
 #include "turmericpier/cell/orders.h"
+#include "turmericpier/cell/planner.h"
 #include "turmericpier/cell/state.h"
 #include "turmericpier/cell/tickets.h"
 
@@ -126,6 +127,20 @@
         std::optional<TimePoint> lastSuccessAt; ///< Time of the last successful end of a run.
         std::map<TaskKey, Run> runs;
     };
+    /// Figures since the last line of the log about the load, which tell a busy leader from slow workers and advisors.
+    struct LoadFigures {
+        Duration maxTickGap { 0 }; ///< Longest time between two ticks; far above their interval on a busy thread.
+        Duration planTime { 0 };
+        uint32_t plans = 0;
+        UnplacedTasks unplaced; ///< Totals over all plans.
+        uint32_t starts = 0;
+        uint32_t polls = 0;
+        uint32_t adviceCalls = 0;
+        uint32_t startAnswers = 0;
+        Duration startTime { 0 }; ///< Total time from sending start orders to their answers.
+        uint32_t adviceAnswers = 0;
+        Duration adviceTime { 0 };
+    };
     /// A process that calls the advisor on behalf of the leader, one call at a time.
     struct AdvisorProxy {
         bool busy = false;
@@ -186,6 +201,8 @@
     void stopJob(const record::JobT& job);
     void stopGangMembers(const record::EndT& end);
     void forgetOldJobs();
+    void recordTick();
+    void reportLoad();
     void recordDecision(
         std::string_view what, std::string_view id, std::string_view outcome, std::string detail = "") const;
 
@@ -200,6 +217,9 @@
     Counter& m_plans;
     Counter& m_callsHandled;
     Latency& m_planLatency;
+    Latency& m_tickGap;
+    Latency& m_startLatency;
+    Latency& m_adviceLatency;
 
     bool m_active = false;
     uint64_t m_term = 0;
@@ -222,6 +242,9 @@
     /// Ended jobs, with the time at which this leader learned of their end.
     std::map<std::string, TimePoint> m_endedSince;
     int64_t m_nextDueMs = 0;
+    LoadFigures m_load;
+    TimePoint m_loadReportedAt;
+    std::optional<TimePoint> m_lastTickAt;
 };
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -25,12 +25,20 @@
     Duration expectedDuration { 0 }; ///< Duration of the call, as computed from the queue's configuration.
 };
 
+/// Number of waiting tasks that a plan did not place, by reason.
+struct UnplacedTasks {
+    uint32_t awaitingAdvice = 0; ///< A question to the advisor is in flight or is part of the plan.
+    uint32_t withoutWorker = 0; ///< No worker that may run the task has the capacity.
+    uint32_t overLimit = 0; ///< The plan has reached its limit of starts.
+};
+
 /// The starts to commit and the questions to ask the advisor.
 struct Plan {
     std::vector<record::StartT> starts;
     std::vector<AdviceRequest> advice; ///< In order of urgency, the most urgent first.
     /// Due time, in Unix milliseconds, of the earliest occurrence that is not due yet; 0 if there is none.
     int64_t nextDueMs = 0;
+    UnplacedTasks unplaced;
 };
 
 /// Everything that a plan depends on.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -138,6 +138,7 @@
     session.pollInFlight = true;
     session.lastEndAcknowledged = session.lastEndCommitted;
     m_polls.increment();
+    ++m_load.polls;
     m_hooks.poll(
         addressOf(session), order, [this, serial = session.serial, generation = m_generation, now](PollAnswer answer) {
             onPollAnswer(serial, generation, now, std::move(answer));
@@ -366,6 +367,7 @@
     if (m_fenced || !m_hooks.holdsLease() || (queue && queue->advice && !ticket))
         return false;
     m_starts.increment();
+    ++m_load.starts;
     ++run.startAttempts;
     const auto now = m_clock.now();
     StartOrder order { .task = task, .run = run.number, .spec = job.spec, .leaseUntilMs = run.leaseUntilMs };
@@ -400,6 +402,9 @@
     if (found == m_sessions.end())
         return;
     auto& session = found->second;
+    m_startLatency.record(m_clock.now() - sentAt);
+    ++m_load.startAnswers;
+    m_load.startTime += m_clock.now() - sentAt;
     if (answer.clockMs)
         recordClock(session, *answer.clockMs, sentAt);
     const auto entry = session.runs.find(task);
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -1,7 +1,6 @@
 #include "turmericpier/cell/leader.h"
 
 #include "turmericpier/base/log.h"
-#include "turmericpier/cell/planner.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
@@ -27,8 +26,15 @@
     // processor, so that a long queue does not delay the answers and orders that would shorten it.
     constexpr int planPauseFactor = 4;
     constexpr milliseconds maxPlanPause { 40 };
+    constexpr milliseconds loadReportInterval { 1'000 };
     // Proxies announce themselves every second.
     constexpr milliseconds advisorProxyTimeout { 3'000 };
+
+    int64_t toMs(Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); }
+
+    int64_t meanOf(int64_t total, uint32_t count) { return count == 0 ? 0 : total / count; }
+
+    int64_t meanMs(Duration total, uint32_t count) { return meanOf(toMs(total), count); }
 } // namespace
 
 std::string_view toString(OrderResult result)
@@ -72,6 +78,9 @@
     , m_plans(metrics.counter("cell_plans_total"))
     , m_callsHandled(metrics.counter("cell_calls_total"))
     , m_planLatency(metrics.latency("cell_plan_seconds"))
+    , m_tickGap(metrics.latency("cell_tick_gap_seconds"))
+    , m_startLatency(metrics.latency("cell_start_order_seconds"))
+    , m_adviceLatency(metrics.latency("cell_advice_seconds"))
 {
 }
 
@@ -105,6 +114,8 @@
     m_pendingSubmits.clear();
     m_endedSince.clear();
     m_nextDueMs = 0;
+    m_load = {};
+    m_lastTickAt.reset();
 }
 
 void Leader::recordDecision(
@@ -228,6 +239,11 @@
     auto result = plan(input);
     const auto planTime = m_clock.now() - now;
     m_planLatency.record(planTime);
+    ++m_load.plans;
+    m_load.planTime += planTime;
+    m_load.unplaced.awaitingAdvice += result.unplaced.awaitingAdvice;
+    m_load.unplaced.withoutWorker += result.unplaced.withoutWorker;
+    m_load.unplaced.overLimit += result.unplaced.overLimit;
     m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
     m_nextDueMs = result.nextDueMs;
     askAdvisor(result.advice);
@@ -299,14 +315,19 @@
         const auto call = proxy.call = m_nextAdvice++;
         m_adviceInFlight.insert(request.step);
         m_adviceCalls.increment();
+        ++m_load.adviceCalls;
         const auto generation = m_generation;
-        const auto finish = [this, generation, call, name = idle->first, request, validUntil](AdviceAnswer answer) {
+        const auto finish = [this, generation, call, name = idle->first, request, validUntil, now](
+                                AdviceAnswer answer) {
             const auto found = m_advisorProxies.find(name);
             if (found == m_advisorProxies.end() || found->second.call != call || !found->second.busy
                 || generation != m_generation)
                 return;
             found->second.busy = false;
             m_adviceInFlight.erase(request.step);
+            m_adviceLatency.record(m_clock.now() - now);
+            ++m_load.adviceAnswers;
+            m_load.adviceTime += m_clock.now() - now;
             if (!answer.ok) {
                 m_adviceRetryAt[request.step] = m_clock.now() + adviceRetryDelay;
                 recordDecision("advice", absl::StrCat(request.step.job, ".", request.step.step), "no answer", name);
@@ -355,10 +376,40 @@
     });
 }
 
+/// Records the time since the last tick, which shows how long events wait for the leader's thread.
+void Leader::recordTick()
+{
+    const auto now = m_clock.now();
+    if (m_lastTickAt) {
+        m_tickGap.record(now - *m_lastTickAt);
+        m_load.maxTickGap = std::max(m_load.maxTickGap, now - *m_lastTickAt);
+    } else {
+        m_loadReportedAt = now;
+    }
+    m_lastTickAt = now;
+    if (now - m_loadReportedAt >= loadReportInterval)
+        reportLoad();
+}
+
+void Leader::reportLoad()
+{
+    m_loadReportedAt = m_clock.now();
+    const auto load = std::exchange(m_load, {});
+    recordDecision("load", absl::StrCat("term ", m_term), "report",
+        absl::StrCat("tick_gap_ms=", toMs(load.maxTickGap), " plans=", load.plans, " plan_ms=", toMs(load.planTime),
+            " starts=", load.starts, " start_answer_ms=", meanMs(load.startTime, load.startAnswers),
+            " looks=", load.polls, " advice=", load.adviceCalls,
+            " advice_ms=", meanMs(load.adviceTime, load.adviceAnswers), " open_jobs=", m_state.openJobs().size(),
+            " unplaced_advice=", meanOf(load.unplaced.awaitingAdvice, load.plans),
+            " unplaced_room=", meanOf(load.unplaced.withoutWorker, load.plans),
+            " unplaced_limit=", meanOf(load.unplaced.overLimit, load.plans)));
+}
+
 void Leader::tick()
 {
     if (!m_active)
         return;
+    recordTick();
     const auto now = m_clock.now();
     for (auto& [serial, session] : m_sessions) {
         if (!session.pollInFlight && now >= session.pollDueAt
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -83,8 +83,9 @@
             });
             for (const auto& pending : m_pendingSteps) {
                 if (m_plan.starts.size() >= m_input.maxStarts)
-                    break;
-                placeStep(pending);
+                    m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waiting.size());
+                else
+                    placeStep(pending);
             }
             return std::move(m_plan);
         }
@@ -283,12 +284,18 @@
         {
             if (pending.step->gang) {
                 if (!placeGang(pending))
-                    requestAdvice(pending, 0);
+                    countUnplaced(pending.waiting.size(), requestAdvice(pending, 0));
             } else {
                 placeTasks(pending);
             }
         }
 
+        void countUnplaced(size_t tasks, bool awaitingAdvice)
+        {
+            auto& counter = awaitingAdvice ? m_plan.unplaced.awaitingAdvice : m_plan.unplaced.withoutWorker;
+            counter += static_cast<uint32_t>(tasks);
+        }
+
         void placeTasks(const PendingStep& pending)
         {
             const auto workers = eligibleCandidates(pending);
@@ -312,15 +319,19 @@
                 avoidedByAll = unplaced.empty() || avoidedByAll == history.avoidedWorker ? history.avoidedWorker : 0;
                 unplaced.push_back(index);
             }
-            if (unplaced.empty() || requestAdvice(pending, avoidedByAll))
+            if (unplaced.empty())
                 return;
+            if (requestAdvice(pending, avoidedByAll))
+                return countUnplaced(unplaced.size(), true);
             // No other worker may run the task: a second run on the worker where it failed is better than none.
-            for (const auto index : unplaced) {
+            size_t placed = 0;
+            while (placed < unplaced.size()) {
                 auto* candidate = chooseCandidate(pending, { .failed = true }, 1, workers);
                 if (!candidate)
-                    return;
-                place(pending, index, *candidate);
+                    break;
+                place(pending, unplaced[placed++], *candidate);
             }
+            countUnplaced(unplaced.size() - placed, false);
         }
 
         void place(const PendingStep& pending, uint32_t index, Candidate& candidate)
