Send the orders of a large cell through the other control replicas

Cause: one process, the leader, called all workers: 2,000 starts and 4,000 polls a second in a burst, on 0.6 cores. Once its thread was saturated, orders and ends waited for it: 250 ms between ticks, 290 ms for the answer to a start order. Change: above 200 workers, orders go in batches to the control replicas, which offer themselves with the calls that look for the leader; a worker's proxy is in its zone if there is one. The state and all decisions stay with the leader. Orders carry the term, which fences them as before, and a time on the proxy's clock after which they are dropped, so that a suspended proxy does not act on old ones. Orders of a proxy that is silent for 500 ms count as unanswered and are sent again.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -31,16 +31,13 @@
 };
 
 /// Callbacks through which the leader reaches the log, the workers and the advisor. All run on the leader's thread.
-struct LeaderHooks {
+struct LeaderHooks : OrderHooks {
     using ProposeCallback = std::function<void(absl::Status status)>;
     /// Appends a command to the log and calls `done` after the command is applied. The outcome in an error's details is
     /// NotRun or Unknown.
     std::function<void(const record::CommandT& command, ProposeCallback done)> propose;
     /// Returns true while no other replica can lead.
     std::function<bool()> holdsLease;
-    std::function<void(const WorkerAddress&, const StartOrder&, std::function<void(OrderAnswer)>)> start;
-    std::function<void(const WorkerAddress&, const StopOrder&, std::function<void(OrderAnswer)>)> stop;
-    std::function<void(const WorkerAddress&, const PollOrder&, std::function<void(PollAnswer)>)> poll;
     /// Asks the advisor through `proxy` which workers may run the step. The answer maps worker ids to tickets.
     std::function<void(const std::string& proxy, const StepKey& step, const std::vector<std::string>& workers,
         std::function<void(AdviceAnswer)>)>
--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -50,6 +50,8 @@
     /// Calls a process by its identity, or by its address if the identity is not known. `done` gets no reply if none
     /// came within the timeout.
     void call(const std::string& to, const record::CallT& call, std::chrono::milliseconds timeout, ReplyCallback done);
+    /// Sends a call that is not replied to. It is lost if the process cannot be reached.
+    void notify(const std::string& to, const record::CallT& call);
     /// Sends a consensus message. May be called from any thread.
     void send(const InstanceId& to, const consensus::Message& message);
 
--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -14,6 +14,7 @@
 struct WorkerAddress {
     std::string id;
     std::string address; ///< IP address and port.
+    std::string zone;
 };
 
 /// Result of an order.
@@ -87,6 +88,13 @@
     std::vector<EndedRun> ended;
 };
 
+/// Functions that send orders to workers. Each calls `done` exactly once.
+struct OrderHooks {
+    std::function<void(const WorkerAddress&, const StartOrder&, std::function<void(OrderAnswer)> done)> start;
+    std::function<void(const WorkerAddress&, const StopOrder&, std::function<void(OrderAnswer)> done)> stop;
+    std::function<void(const WorkerAddress&, const PollOrder&, std::function<void(PollAnswer)> done)> poll;
+};
+
 struct AdviceAnswer {
     bool ok = false;
     std::map<std::string, std::string> tickets; ///< Tickets by the ids of the workers that may run the step.
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -5,6 +5,8 @@
 #include "turmericpier/cell/identity.h"
 #include "turmericpier/cell/leader.h"
 #include "turmericpier/cell/links.h"
+#include "turmericpier/cell/order-dispatcher.h"
+#include "turmericpier/cell/order-proxy.h"
 #include "turmericpier/cell/relay.h"
 #include "turmericpier/consensus/group.h"
 
@@ -25,6 +27,7 @@
     std::filesystem::path folder;
     std::set<std::string> seeds; ///< Addresses of the replicas that form the group at the first start of the system.
     LeaderOptions leader;
+    std::string zone;
     std::string heartbeatAddress; ///< Address of this replica to which workers send later heartbeats.
     std::chrono::milliseconds electionTimeoutMin { 500 };
     std::chrono::milliseconds electionTimeoutMax { 1'000 };
@@ -78,6 +81,13 @@
     void changeVoters(const std::string& what, const std::string& replica, bool add);
     bool isVoter(const std::string& replica) const;
 
+    // Orders to workers through other replicas.
+    DispatcherHooks dispatcherHooks(const OrderHooks& direct);
+    OrderProxyHooks proxyHooks(const OrderHooks& direct);
+    void runAfter(Duration delay, std::function<void()> function);
+    bool isHeardFrom(const std::string& replica) const;
+    void removeSilentProxies();
+
     boost::asio::io_context& m_io;
     const ReplicaOptions m_options;
     Identity m_identity;
@@ -86,6 +96,8 @@
     const Clock& m_clock;
     Metrics& m_metrics;
     State m_state;
+    OrderProxy m_orderProxy;
+    OrderDispatcher m_dispatcher;
     Leader m_leader;
     Counter& m_heartbeatsAnswered;
     std::unique_ptr<consensus::Group> m_group;
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -64,6 +64,8 @@
     case CallKind::Advise:
     case CallKind::Locate:
     case CallKind::Join:
+    case CallKind::Orders:
+    case CallKind::OrderAnswers:
         break;
     }
     answer(makeReply(Verdict::Invalid, "not a call for the leader"));
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -43,7 +43,7 @@
 WorkerAddress Leader::addressOf(const WorkerSession& session) const
 {
     const auto& worker = m_state.findWorker(session.serial)->worker;
-    return { worker.id, worker.address };
+    return { worker.id, worker.address, worker.zone };
 }
 
 record::EndT Leader::makeEnd(
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -13,6 +13,7 @@
 
 namespace {
     const GroupId cellGroup("cell");
+    constexpr uint64_t noCorrelation = 0; // Marks a call that is not replied to.
 
     peer::Address parseOrEmpty(const std::string& address)
     {
@@ -25,6 +26,16 @@
         return { bytes.begin(), bytes.end() };
     }
 
+    peer::Envelope envelopeOf(const record::CallT& call, uint64_t correlation)
+    {
+        peer::wire::CellCallT body;
+        body.call = packBody<record::Call>(call);
+        peer::Envelope envelope;
+        envelope.correlation = correlation;
+        envelope.body.Set(std::move(body));
+        return envelope;
+    }
+
     template <typename Table>
     bool unpackBody(const std::vector<uint8_t>& bytes, typename Table::NativeTableType& record)
     {
@@ -93,11 +104,6 @@
 {
     m_calls.increment();
     const auto number = m_nextCall++;
-    peer::wire::CellCallT body;
-    body.call = packBody<record::Call>(call);
-    peer::Envelope envelope;
-    envelope.correlation = number;
-    envelope.body.Set(std::move(body));
     auto& pending = m_pending[number];
     pending.done = std::move(done);
     pending.timer = std::make_unique<asio::steady_timer>(m_io, timeout);
@@ -110,7 +116,13 @@
         m_timeouts.increment();
         expired.mapped().done(std::nullopt);
     });
-    sendEnvelope(to, std::move(envelope));
+    sendEnvelope(to, envelopeOf(call, number));
+}
+
+void Links::notify(const std::string& to, const record::CallT& call)
+{
+    m_calls.increment();
+    sendEnvelope(to, envelopeOf(call, noCorrelation));
 }
 
 void Links::receive(peer::Envelope envelope)
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -32,6 +32,8 @@
     // A candidate repeats its request every second.
     constexpr milliseconds candidateTimeout { 3'000 };
     constexpr uint64_t snapshotBytes = 8U << 20U;
+    // Voters answer heartbeats every 100 ms. Orders that a silent one may hold are sent again through another replica.
+    constexpr milliseconds maxProxySilence { 500 };
 } // namespace
 
 Replica::Replica(asio::io_context& io, ReplicaOptions options, Identity identity, LeaderHooks workerHooks, Links& links,
@@ -43,6 +45,8 @@
     , m_relay(relay)
     , m_clock(clock)
     , m_metrics(metrics)
+    , m_orderProxy(proxyHooks(workerHooks), clock, metrics)
+    , m_dispatcher(dispatcherHooks(workerHooks), clock, metrics)
     , m_leader(m_options.leader, leaderHooks(std::move(workerHooks)), m_state, clock, metrics)
     , m_heartbeatsAnswered(metrics.counter("cell_heartbeats_answered_total"))
     , m_timer(io)
@@ -59,8 +63,34 @@
 
 Replica::~Replica() { stop(); }
 
+void Replica::runAfter(Duration delay, std::function<void()> function)
+{
+    if (delay <= Duration::zero()) {
+        asio::post(m_io, std::move(function));
+        return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
+    timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& error) {
+        if (!error)
+            function();
+    });
+}
+
+DispatcherHooks Replica::dispatcherHooks(const OrderHooks& direct)
+{
+    return { direct, [this](const std::string& proxy, const record::CallT& call) { m_links.notify(proxy, call); },
+        [this](Duration delay, std::function<void()> function) { runAfter(delay, std::move(function)); } };
+}
+
+OrderProxyHooks Replica::proxyHooks(const OrderHooks& direct)
+{
+    return { direct, [this](const std::string& leader, const record::CallT& call) { m_links.notify(leader, call); },
+        [this](Duration delay, std::function<void()> function) { runAfter(delay, std::move(function)); } };
+}
+
 LeaderHooks Replica::leaderHooks(LeaderHooks workerHooks)
 {
+    static_cast<OrderHooks&>(workerHooks) = m_dispatcher.orderHooks();
     workerHooks.propose
         = [this](const record::CommandT& command, const LeaderHooks::ProposeCallback& done) { propose(command, done); };
     workerHooks.advise = [this](const std::string& proxy, const StepKey& step, const std::vector<std::string>& workers,
@@ -79,17 +109,8 @@
             done(std::move(answer));
         });
     };
-    workerHooks.runAfter = [this](Duration delay, std::function<void()> function) {
-        if (delay <= Duration::zero()) {
-            asio::post(m_io, std::move(function));
-            return;
-        }
-        auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
-        timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& error) {
-            if (!error)
-                function();
-        });
-    };
+    workerHooks.runAfter
+        = [this](Duration delay, std::function<void()> function) { runAfter(delay, std::move(function)); };
     workerHooks.holdsLease = [this] { return m_group && m_group->holdsLease(); };
     return workerHooks;
 }
@@ -112,6 +133,7 @@
         return;
     m_timer.cancel();
     m_leader.deactivate();
+    m_dispatcher.deactivate();
     // The group's thread may wait for a snapshot of the state, which is taken on this thread.
     if (m_group) {
         std::atomic<bool> done = false;
@@ -194,13 +216,16 @@
         return;
     const auto number = ++m_roleChanges;
     m_leader.deactivate();
+    m_dispatcher.deactivate();
     if (!change.isLeader || m_stopped)
         return;
     // Everything that earlier leaders have committed must be applied before this one acts.
     m_group->read([this, number, term = change.term](const absl::Status& status) {
         asio::post(m_io, [this, number, term, ok = status.ok()] {
-            if (number == m_roleChanges && ok && !m_stopped)
-                m_leader.activate(term.value);
+            if (number != m_roleChanges || !ok || m_stopped)
+                return;
+            m_dispatcher.activate(term.value);
+            m_leader.activate(term.value);
         });
     });
 }
@@ -268,11 +293,17 @@
 {
     record::CallT call;
     call.replica = m_identity.replica;
+    call.zone = m_options.zone;
+    call.clock_ms = m_orderProxy.clockMs();
     return call;
 }
 
 void Replica::onPeerCall(const std::string& from, std::unique_ptr<record::CallT> call, Links::Answer answer)
 {
+    if (call->kind == record::CallKind::Orders)
+        return m_orderProxy.handle(from, *call, m_role.term.value);
+    if (call->kind == record::CallKind::OrderAnswers)
+        return m_dispatcher.onAnswers(from, *call);
     if (call->kind != record::CallKind::Locate)
         return handleHere(std::move(call), std::move(answer));
     record::ReplyT reply;
@@ -288,6 +319,8 @@
         reply.members = m_identity.initialVoters;
     } else if (m_leader.isActive()) {
         m_leader.recordAdvisorProxy(from);
+        if (call->clock_ms.has_value() && isHeardFrom(from))
+            m_dispatcher.recordProxy(from, call->zone, call->clock_ms.value());
         // Only replicas send their identity; entries merely offer to call the advisor.
         if (!call->replica.empty() && !isVoter(call->replica))
             m_candidates[call->replica] = m_clock.now();
@@ -303,6 +336,8 @@
         tryFormGroup();
     m_leader.tick();
     if (m_leader.isActive()) {
+        removeSilentProxies();
+        m_dispatcher.tick(m_state.workers().size());
         m_leader.recordAdvisorProxy(m_links.self());
         maintainVoters();
     }
@@ -373,6 +408,21 @@
     return std::ranges::any_of(m_group->voters(), [&](const auto& voter) { return voter.id.str() == replica; });
 }
 
+/// Returns true if the voter has answered this leader recently.
+bool Replica::isHeardFrom(const std::string& replica) const
+{
+    return std::ranges::any_of(m_group->voters(),
+        [&](const auto& voter) { return voter.id.str() == replica && voter.silentFor <= maxProxySilence; });
+}
+
+void Replica::removeSilentProxies()
+{
+    for (const auto& proxy : m_dispatcher.proxies()) {
+        if (!isHeardFrom(proxy))
+            m_dispatcher.removeProxy(proxy);
+    }
+}
+
 /// Makes one change at a time: removes a voter whose disk was lost, adds a replica that asks to join, or removes a
 /// voter that has been silent for too long.
 void Replica::maintainVoters()
