Propose the ends of several workers as one entry of the log

Cause: each answer to a poll with ends was an entry of the log of its own, 1,400 a second, which the leader encodes, sends and applies one by one. Each tick also looked up the job of every run. Change: ends are collected until the events that wait for the leader's thread are processed; anything proposed later comes after them. A tick looks up the job only of runs that may have to move. The planner's question for the health of the next worker needs no lookup.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -138,6 +138,12 @@
         uint32_t adviceAnswers = 0;
         Duration adviceTime { 0 };
     };
+    /// Ends of runs on one worker that are proposed together with those of other workers.
+    struct PendingEnds {
+        uint32_t serial = 0;
+        uint64_t lastEndCommitted = 0; ///< Value for the session once the ends are committed.
+        std::vector<TaskKey> tasks;
+    };
     /// A process that calls the advisor on behalf of the leader, one call at a time.
     struct AdvisorProxy {
         bool busy = false;
@@ -155,6 +161,7 @@
     void heartbeat(std::unique_ptr<record::CallT> call, Answer answer);
     void seen(const record::CallT& call, const Answer& answer);
     void leave(const record::CallT& call, const Answer& answer);
+    void propose(const record::CommandT& command, LeaderHooks::ProposeCallback done);
     void proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id);
 
     // Orders to workers, their answers and leases (leader-workers.cc).
@@ -173,7 +180,9 @@
     void proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run);
     void stopRun(WorkerSession& session, const TaskKey& task, Run& run);
     void sendStop(WorkerSession& session, const TaskKey& task, uint32_t number);
-    void proposeEnds(uint32_t serial, const record::CommandT& command, uint64_t lastEndCommitted);
+    void proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted);
+    void flushEnds();
+    void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session);
     void onFenced(const WorkerSession& session);
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
@@ -228,6 +237,8 @@
     bool m_planScheduled = false;
     TimePoint m_nextPlanAt; ///< No plan is made before this time.
     bool m_startsProposed = false;
+    record::CommandT m_endsCommand; ///< Ends that were not proposed yet.
+    std::vector<PendingEnds> m_pendingEnds; ///< The sources of the ends in `m_endsCommand`.
     TicketCache m_tickets;
     std::set<StepKey> m_adviceInFlight;
     std::map<StepKey, TimePoint> m_adviceRetryAt;
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -71,9 +71,16 @@
     answer(makeReply(Verdict::Invalid, "not a call for the leader"));
 }
 
+/// Proposes a command after the ends that were collected before it, so that the log keeps their order.
+void Leader::propose(const record::CommandT& command, LeaderHooks::ProposeCallback done)
+{
+    flushEnds();
+    m_hooks.propose(command, std::move(done));
+}
+
 void Leader::proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id)
 {
-    m_hooks.propose(command,
+    propose(command,
         [this, answer = std::move(answer), what = std::move(what), id = std::move(id)](const absl::Status& status) {
             const auto verdict = verdictOf(status);
             recordDecision(what, id,
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -212,7 +212,7 @@
     command.gone.push_back(session.serial);
     recordDecision(
         "worker", m_state.findWorker(session.serial)->worker.id, "gone", absl::StrCat("runs=", session.runs.size()));
-    m_hooks.propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
+    propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
         const auto found = m_sessions.find(serial);
         if (!status.ok() && generation == m_generation && found != m_sessions.end())
             found->second.removalProposed = false;
@@ -288,7 +288,7 @@
     record::CommandT command;
     command.ends.push_back(std::make_unique<record::EndT>(
         makeEnd(task, run.number, session.serial, EndKind::NeverStarted, run.checkpoint)));
-    proposeEnds(session.serial, command, 0);
+    proposeEnds(session.serial, std::move(command), 0);
 }
 
 void Leader::processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows)
@@ -313,38 +313,61 @@
     if (command.ends.empty())
         session.lastEndCommitted = last;
     else
-        proposeEnds(session.serial, command, last);
+        proposeEnds(session.serial, std::move(command), last);
 }
 
-void Leader::proposeEnds(uint32_t serial, const record::CommandT& command, uint64_t lastEndCommitted)
+/// Collects ends until the events that wait for the thread are processed. A busy leader then proposes the ends of many
+/// workers as one entry of the log, which costs each replica far less than an entry for each worker.
+void Leader::proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted)
 {
-    auto keys = std::make_shared<std::vector<TaskKey>>();
-    for (const auto& end : command.ends)
-        keys->push_back(taskOf(*end));
-    m_hooks.propose(
-        command, [this, serial, lastEndCommitted, keys, generation = m_generation](const absl::Status& status) {
-            const auto found = m_sessions.find(serial);
-            if (generation != m_generation || found == m_sessions.end())
-                return;
-            auto& session = found->second;
-            if (status.ok()) {
-                session.lastEndCommitted = std::max(session.lastEndCommitted, lastEndCommitted);
-                if (!session.pollInFlight && session.lastEndCommitted > session.lastEndAcknowledged)
-                    poll(session);
+    PendingEnds pending { serial, lastEndCommitted, {} };
+    for (auto& end : command.ends) {
+        pending.tasks.push_back(taskOf(*end));
+        m_endsCommand.ends.push_back(std::move(end));
+    }
+    m_pendingEnds.push_back(std::move(pending));
+    if (m_pendingEnds.size() > 1)
+        return;
+    m_hooks.runAfter(Duration::zero(), [this] { flushEnds(); });
+}
+
+void Leader::flushEnds()
+{
+    if (m_pendingEnds.empty())
+        return;
+    const auto command = std::exchange(m_endsCommand, {});
+    m_hooks.propose(command,
+        [this, pending = std::exchange(m_pendingEnds, {}), generation = m_generation](const absl::Status& status) {
+            if (generation != m_generation)
                 return;
-            }
-            logError("cell", "ends were not committed",
-                { { "worker", addressOf(session).id }, { "message", std::string(status.message()) } });
-            // The worker lists the ends again.
-            session.lastEndSeen = session.lastEndCommitted;
-            for (const auto& key : *keys) {
-                const auto run = session.runs.find(key);
-                if (run != session.runs.end())
-                    run->second.endProposed = false;
-            }
+            for (const auto& ends : pending)
+                onEndsCommitted(ends, status);
         });
 }
 
+void Leader::onEndsCommitted(const PendingEnds& ends, const absl::Status& status)
+{
+    const auto found = m_sessions.find(ends.serial);
+    if (found == m_sessions.end())
+        return;
+    auto& session = found->second;
+    if (status.ok()) {
+        session.lastEndCommitted = std::max(session.lastEndCommitted, ends.lastEndCommitted);
+        if (!session.pollInFlight && session.lastEndCommitted > session.lastEndAcknowledged)
+            poll(session);
+        return;
+    }
+    logError("cell", "ends were not committed",
+        { { "worker", addressOf(session).id }, { "message", std::string(status.message()) } });
+    // The worker lists the ends again.
+    session.lastEndSeen = session.lastEndCommitted;
+    for (const auto& task : ends.tasks) {
+        const auto run = session.runs.find(task);
+        if (run != session.runs.end())
+            run->second.endProposed = false;
+    }
+}
+
 void Leader::sendStart(WorkerSession& session, const TaskKey& task, Run& run)
 {
     const auto until = leaseUntil(session);
@@ -513,22 +536,26 @@
     const auto now = m_clock.now();
     const auto* record = m_state.findWorker(session.serial);
     for (auto& [key, run] : session.runs) {
-        const auto& job = *m_state.findJob(key.job);
-        const auto& step = *job.steps[key.step];
+        if (run.stopWanted) {
+            if (!run.stopInFlight && now - run.stopSentAt >= stopRetryDelay && run.phase != RunPhase::StopAcknowledged)
+                stopRun(session, key, run);
+            continue;
+        }
+        // Most runs need no more than this check, which is made often for each of them.
+        if (!record->worker.draining && now - run.progressSince <= minStallTimeout)
+            continue;
+        const auto& step = *m_state.findJob(key.job)->steps[key.step];
         const bool mustMove = record->worker.draining && (step.checkpoints || step.long_running) && !step.gang;
         const auto stallTimeout
             = std::max<Duration>(minStallTimeout, stallTimeoutFactor * milliseconds(step.estimate_ms) / 100);
         const bool isStalled = session.synced && session.failedPolls == 0 && !step.long_running && !step.gang
             && run.phase == RunPhase::Running && run.progress < 100 && now - run.progressSince > stallTimeout;
-        if (isStalled && !run.stopWanted) {
+        if (isStalled) {
             recordFailure(session, 2);
             recordDecision(
                 "stop", taskName(key), "stalled", absl::StrCat("progress=", run.progress, " run=", run.number));
         }
-        const bool isFirst = (mustMove || isStalled) && !run.stopWanted;
-        const bool isRepeat = run.stopWanted && !run.stopInFlight && now - run.stopSentAt >= stopRetryDelay
-            && run.phase != RunPhase::StopAcknowledged;
-        if (isFirst || isRepeat)
+        if (mustMove || isStalled)
             stopRun(session, key, run);
     }
 }
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -111,6 +111,8 @@
     for (auto& [name, proxy] : m_advisorProxies)
         proxy.busy = false;
     m_startsProposed = false;
+    m_endsCommand = {};
+    m_pendingEnds.clear();
     m_pendingSubmits.clear();
     m_endedSince.clear();
     m_nextDueMs = 0;
@@ -227,10 +229,13 @@
     m_plans.increment();
     const auto now = m_clock.now();
     const PlannerInput input { m_state, m_tickets,
-        [this, now](uint32_t serial) {
-            const auto session = m_sessions.find(serial);
-            if (session == m_sessions.end())
+        // The planner asks in the order of the serials, so the next session is mostly the one asked for.
+        [this, now, next = m_sessions.begin()](uint32_t serial) mutable {
+            if (next == m_sessions.end() || next->first != serial)
+                next = m_sessions.find(serial);
+            if (next == m_sessions.end())
                 return WorkerHealthView {};
+            const auto session = next++;
             const auto failures = decayedFailures(session->second);
             return WorkerHealthView { isUsable(session->second, failures, now), failures,
                 hasRecentSuccess(session->second) };
@@ -255,7 +260,7 @@
         command.starts.push_back(std::make_unique<record::StartT>(std::move(start)));
     m_startsProposed = true;
     const auto generation = m_generation;
-    m_hooks.propose(command, [this, generation](const absl::Status& status) {
+    propose(command, [this, generation](const absl::Status& status) {
         if (generation != m_generation)
             return;
         m_startsProposed = false;
@@ -369,7 +374,7 @@
         return;
     for (const auto& id : command.forget)
         m_endedSince[id] = now; // Retried later if a run of the job has not ended yet.
-    m_hooks.propose(command, [this](const absl::Status& status) {
+    propose(command, [this](const absl::Status& status) {
         if (!status.ok())
             logError("cell", "ended jobs were not removed", { { "message", std::string(status.message()) } });
         std::erase_if(m_endedSince, [this](const auto& entry) { return !m_state.findJob(entry.first); });
