Spread the questions to the advisor over a large fleet

Cause: all waiting steps asked about the same best workers, took each other's room there and asked again: 2.9 calls for each step during a burst. Each question also compared all 1,100 workers, on the leader's thread. Change: a step compares 128 workers with room, beginning at one that depends on the step. Batches of polls and answers between leader and proxies wait for 10 ms instead of 5 ms, which halves their messages.

--- a/src/cell/order-dispatcher.cc
+++ b/src/cell/order-dispatcher.cc
@@ -20,7 +20,7 @@
     // and the way there and back.
     constexpr milliseconds answerTimeout { 1'500 };
     // Polls wait for each other, so that one message carries several of them.
-    constexpr milliseconds pollBatchDelay { 5 };
+    constexpr milliseconds pollBatchDelay { 10 };
 
     uint64_t mixBits(uint64_t value)
     {
--- a/src/cell/order-proxy.cc
+++ b/src/cell/order-proxy.cc
@@ -12,7 +12,7 @@
 
 namespace {
     // Answers wait for each other, so that one message carries several of them. Short against a task of a second.
-    constexpr milliseconds answerBatchDelay { 5 };
+    constexpr milliseconds answerBatchDelay { 10 };
 } // namespace
 
 OrderProxy::OrderProxy(OrderProxyHooks hooks, const Clock& clock, Metrics& metrics)
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -15,6 +15,9 @@
     constexpr size_t maxAdviceWorkers = 30;
     // Least workers in one call, so that a step with one task rarely needs a second call.
     constexpr size_t minAdviceWorkers = 8;
+    // Workers among which those to ask about are chosen, beginning at one that depends on the step. Steps that asked
+    // about the same best workers of a large fleet would take each other's room and have to ask again.
+    constexpr size_t maxUnknownCandidates = 128;
     // Costs are in units of one recent failure or of one empty worker. A task on a rack away from its data takes
     // several times as long, which is worse than running on a worker with some failures.
     constexpr double remoteDataCost = 10;
@@ -181,14 +184,20 @@
                 return found;
             }
             for (const auto serial : m_input.tickets.fitWorkers(pending.key, m_input.now)) {
-                const auto it = std::ranges::lower_bound(m_candidates, serial, {},
-                    [](const Candidate& candidate) { return candidate.record->worker.serial; });
-                if (it != m_candidates.end() && it->record->worker.serial == serial)
-                    add(*it);
+                if (auto* candidate = findCandidate(serial))
+                    add(*candidate);
             }
             return found;
         }
 
+        /// Returns null if the worker is not usable.
+        Candidate* findCandidate(uint32_t serial)
+        {
+            const auto it = std::ranges::lower_bound(
+                m_candidates, serial, {}, [](const Candidate& candidate) { return candidate.record->worker.serial; });
+            return it != m_candidates.end() && it->record->worker.serial == serial ? &*it : nullptr;
+        }
+
         /// Returns how many tasks of the step the worker can take, up to `count`.
         static uint64_t taskCapacity(const PendingStep& pending, const Candidate& candidate, uint64_t count)
         {
@@ -392,24 +401,27 @@
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
             bool mayAskAvoided = false;
-            // Candidates and the workers asked about are both in ascending order of the serials.
-            const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
-            auto nextAsked = asked.begin();
-            for (const auto& candidate : m_candidates) {
+            const auto consider = [&](const Candidate& candidate, std::vector<std::pair<double, uint32_t>>& list) {
+                if (!isCompatible(pending, candidate) || !hasCapacity(pending, candidate))
+                    return;
                 const auto serial = candidate.record->worker.serial;
-                while (nextAsked != asked.end() && nextAsked->first < serial)
-                    ++nextAsked;
-                const auto fitness
-                    = nextAsked != asked.end() && nextAsked->first == serial ? nextAsked->second : Fitness::Unknown;
-                if (fitness == Fitness::Unfit || fitness == Fitness::Fit || !isCompatible(pending, candidate)
-                    || !hasCapacity(pending, candidate))
-                    continue;
                 if (serial == avoidedByAll)
                     mayAskAvoided = true;
-                else if (fitness == Fitness::Expired)
-                    expired.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
                 else
-                    unknown.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
+                    list.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
+            };
+            const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
+            for (const auto& [serial, fitness] : asked) {
+                const auto* candidate = fitness == Fitness::Expired ? findCandidate(serial) : nullptr;
+                if (candidate)
+                    consider(*candidate, expired);
+            }
+            const auto first = m_candidates.empty() ? 0 : std::hash<std::string> {}(stepName(pending.key));
+            for (size_t i = 0; i < m_candidates.size() && unknown.size() < maxUnknownCandidates; ++i) {
+                const auto& candidate = m_candidates[(first + i) % m_candidates.size()];
+                if (!std::ranges::binary_search(
+                        asked, candidate.record->worker.serial, {}, &std::pair<uint32_t, Fitness>::first))
+                    consider(candidate, unknown);
             }
             const auto wanted
                 = std::clamp(adviceWorkersPerTask * pending.waiting.size(), minAdviceWorkers, maxAdviceWorkers);
--- a/test/cell-planner-test.cc
+++ b/test/cell-planner-test.cc
@@ -399,3 +399,22 @@
     fixture.tickets.record(key, { w1 }, { { w1, "u" } }, fixture.now + std::chrono::seconds(2));
     CHECK(workersOf(fixture.run()) == std::set<uint32_t> { w1 });
 }
+
+// Guards against steps of a large fleet that ask about the same workers, take each other's room and have to ask again.
+TEST_CASE("steps that wait together ask about different workers of a large fleet", "[cell]")
+{
+    PlannerFixture fixture(true);
+    for (int i = 0; i < 1'100; ++i)
+        addWorker(fixture.state, worker("w" + std::to_string(i)));
+    constexpr unsigned steps = 20;
+    for (unsigned i = 1; i <= steps; ++i)
+        submit(fixture.state, job(jobId(i), step(13, 3'500)));
+    const auto made = fixture.run();
+    REQUIRE(made.advice.size() == steps);
+    std::set<uint32_t> asked;
+    for (const auto& request : made.advice) {
+        CHECK(request.workers.size() == 26);
+        asked.insert(request.workers.begin(), request.workers.end());
+    }
+    CHECK(asked.size() >= steps * 26 / 2); // Each task has a worker of its own to go to.
+}
