Give a job up after two workers have crashed under one of its tasks

Cause: a run that was lost with its worker was always charged to the worker. Change: when a later incarnation shows that a worker has crashed, the leader names the suspected runs: those that have not answered their start order, else young ones, else all but those that have lasted. The log counts the crashes of a task. Its job fails at the second one if no other run was suspected, else at the third. A suspected task goes to a worker with few other tasks, and other tasks avoid its worker. A worker that drained, left or fell silent is no crash.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -86,6 +86,7 @@
         uint32_t number = 0;
         RunPhase phase = RunPhase::Inherited;
         TimePoint phaseSince;
+        TimePoint startedAt; ///< Time of the start order, or at which this leader has inherited the run.
         bool stopWanted = false;
         bool stopInFlight = false;
         TimePoint stopSentAt;
@@ -183,7 +184,9 @@
     void proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted);
     void flushEnds();
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
-    void proposeRemoval(WorkerSession& session);
+    void proposeRemoval(WorkerSession& session, bool hasCrashed);
+    void appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const;
+    void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
     std::optional<int64_t> leaseUntil(WorkerSession& session);
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -211,6 +211,10 @@
         return answer(makeReply(Verdict::Ok)); // A later incarnation has registered at the address.
     const auto id = absl::StrCat(worker.id, worker.draining ? " draining" : " ready");
     record::CommandT command;
+    if (known && known->worker.born_ms < worker.born_ms)
+        appendEndsOfReplaced(command, *known);
+    if (atAddress && atAddress != known && atAddress->worker.born_ms < worker.born_ms)
+        appendEndsOfReplaced(command, *atAddress);
     command.workers.push_back(std::move(call->worker));
     proposeFor(command, std::move(answer), "worker", id);
 }
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -92,7 +92,7 @@
         const auto* task = m_state.findTask(key);
         Run run { .number = task->run, .phase = RunPhase::Inherited, .phaseSince = m_clock.now() };
         run.checkpoint = task->saved;
-        run.progressSince = m_clock.now();
+        run.startedAt = run.progressSince = m_clock.now();
         run.stopWanted = m_state.findJob(key.job)->state != record::JobState::Open;
         session.runs.emplace(key, std::move(run));
     }
@@ -197,26 +197,7 @@
     // worker has announced that it leaves.
     if (answer.result == OrderResult::OtherIncarnation
         || (answer.result == OrderResult::ConnectionRefused && session.leaving))
-        proposeRemoval(session);
-}
-
-void Leader::proposeRemoval(WorkerSession& session)
-{
-    if (std::exchange(session.removalProposed, true))
-        return;
-    record::CommandT command;
-    for (const auto& [key, run] : session.runs) {
-        command.ends.push_back(
-            std::make_unique<record::EndT>(makeEnd(key, run.number, session.serial, EndKind::Lapsed, run.checkpoint)));
-    }
-    command.gone.push_back(session.serial);
-    recordDecision(
-        "worker", m_state.findWorker(session.serial)->worker.id, "gone", absl::StrCat("runs=", session.runs.size()));
-    propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
-        const auto found = m_sessions.find(serial);
-        if (!status.ok() && generation == m_generation && found != m_sessions.end())
-            found->second.removalProposed = false;
-    });
+        proposeRemoval(session, answer.result == OrderResult::OtherIncarnation);
 }
 
 void Leader::onFenced(const WorkerSession& session)
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -158,7 +158,7 @@
             continue;
         auto& run = session->second.runs[key];
         run = { .number = start->run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
-        run.progressSince = m_clock.now();
+        run.startedAt = run.progressSince = m_clock.now();
         run.checkpoint = task->saved;
         sendStart(session->second, key, run);
     }
@@ -429,7 +429,7 @@
             ? now - session.lastContactAt > idleWorkerTimeoutIntervals * m_options.heartbeatInterval
             : now >= session.leaseEnd;
         if (!session.removalProposed && session.failedPolls > 0 && silent)
-            proposeRemoval(session);
+            proposeRemoval(session, false);
     }
     if (m_nextDueMs != 0 && m_hooks.wallMs() >= m_nextDueMs)
         requestPlan();
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -23,6 +23,9 @@
     constexpr double remoteDataCost = 10;
     // A task that has failed should not run on a second faulty worker, because its number of attempts is small.
     constexpr double noRecentSuccessCost = 5;
+    // A task under which a worker has crashed may crash the next one, with all that runs there.
+    constexpr double taskAtRiskCost = 0.5; // For each task beside a suspected one.
+    constexpr double suspectNearbyCost = 5;
     // Lower than the cost of one additional worker for a step of several tasks.
     constexpr double fullnessWeight = 0.1;
     constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers may run a step.
@@ -34,6 +37,7 @@
         double penalty = 0;
         bool recentlySuccessful = false;
         bool hasLatencyTarget = false; ///< Runs a task with a bound on its tail latency.
+        bool hasSuspectedTask = false; ///< Runs a task under which another worker has crashed.
         bool hasFillingTask = false; ///< Runs a filling task, which disturbs tasks with such a bound.
         std::vector<TaskKey> planned;
     };
@@ -46,6 +50,7 @@
         StepKey key;
         std::vector<uint32_t> waiting;
         bool anyPlaced = false;
+        bool anySuspected = false; ///< A worker has crashed under one of the waiting tasks.
         uint64_t order = 0;
     };
 
@@ -107,6 +112,7 @@
                 - worker.used;
             candidate.hasLatencyTarget = worker.tasksWithTarget > 0;
             candidate.hasFillingTask = worker.fillingTasks > 0;
+            candidate.hasSuspectedTask = worker.suspectedTasks > 0;
             m_candidates.push_back(std::move(candidate));
         }
 
@@ -139,11 +145,14 @@
         {
             const auto* occurrence = findOccurrence(job, number);
             for (uint32_t i = 0; i < job.steps.size(); ++i) {
-                PendingStep pending { &job, &queue, job.steps[i].get(), { job.id, number, i, 0 }, {}, false, order };
+                PendingStep pending { &job, &queue, job.steps[i].get(), { job.id, number, i, 0 }, {}, false, false,
+                    order };
                 for (uint32_t task = 0; task < pending.step->count; ++task) {
-                    const auto state = occurrence ? occurrence->steps[i]->tasks[task]->state : TaskState::Waiting;
+                    const auto* record = occurrence ? occurrence->steps[i]->tasks[task].get() : nullptr;
+                    const auto state = record ? record->state : TaskState::Waiting;
                     if (state == TaskState::Waiting)
                         pending.waiting.push_back(task);
+                    pending.anySuspected |= state == TaskState::Waiting && record && record->crashes > 0;
                     pending.anyPlaced |= state == TaskState::Placed;
                 }
                 if (!pending.waiting.empty() && isReady(job, number, i))
@@ -215,17 +224,30 @@
             return capacity;
         }
 
+        /// How earlier runs of a task affect its next placement.
+        struct TaskHistory {
+            bool failed = false;
+            bool suspected = false; ///< A worker has crashed under the task.
+            uint32_t avoidedWorker = 0; ///< Serial of a worker that must not be chosen; 0 for none.
+        };
+
         /// Returns the cost of placing the next of `count` tasks on the worker; lower is better. Tasks that have failed
         /// prefer workers with a recent success, and all tasks prefer workers near their data and without recent
         /// failures. The tasks of a step share few workers, because a lost worker delays every job that it runs a task
         /// of. Among otherwise equal workers the fullest is preferred, which keeps the others free for large tasks and
         /// gangs.
-        static double costOf(const PendingStep& pending, const Candidate& candidate, bool failedBefore, size_t count)
+        static double costOf(
+            const PendingStep& pending, const Candidate& candidate, const TaskHistory& history, size_t count)
         {
             const auto& worker = candidate.record->worker;
             double cost = candidate.penalty;
-            if (failedBefore && !candidate.recentlySuccessful)
+            if (history.failed && !candidate.recentlySuccessful)
                 cost += noRecentSuccessCost;
+            if (candidate.hasSuspectedTask)
+                cost += suspectNearbyCost;
+            if (history.suspected)
+                cost
+                    += taskAtRiskCost * static_cast<double>(candidate.record->placed.size() + candidate.planned.size());
             if (!pending.step->data_rack.empty() && pending.step->data_rack != worker.rack)
                 cost += remoteDataCost;
             cost += 1 - static_cast<double>(taskCapacity(pending, candidate, count)) / static_cast<double>(count);
@@ -233,17 +255,11 @@
             return cost + fullnessWeight * static_cast<double>(candidate.free.cpu.value) / capacity;
         }
 
-        /// How earlier runs of a task affect its next placement.
-        struct TaskHistory {
-            bool failed = false;
-            uint32_t avoidedWorker = 0; ///< Serial of a worker that must not be chosen; 0 for none.
-        };
-
         TaskHistory historyOf(const PendingStep& pending, uint32_t index) const
         {
             const auto* task
                 = m_input.state.findTask({ pending.key.job, pending.key.occurrence, pending.key.step, index });
-            return task ? TaskHistory { task->failures > 0, task->failed_on } : TaskHistory {};
+            return task ? TaskHistory { task->failures > 0, task->crashes > 0, task->failed_on } : TaskHistory {};
         }
 
         /// Returns the best of the workers for the next of `count` tasks, or null.
@@ -258,7 +274,7 @@
                     || (history.avoidedWorker != 0 && worker.serial == history.avoidedWorker)
                     || !hasCapacity(pending, *candidate))
                     continue;
-                const auto cost = costOf(pending, *candidate, history.failed, count);
+                const auto cost = costOf(pending, *candidate, history, count);
                 if (!best || cost < bestCost) {
                     best = candidate;
                     bestCost = cost;
@@ -314,12 +330,13 @@
             for (size_t i = 0; i < pending.waiting.size(); ++i) {
                 const auto index = pending.waiting[i];
                 const auto history = historyOf(pending, index);
-                const bool hasNoFailure = !history.failed && history.avoidedWorker == 0;
+                const bool hasNoFailure = !history.failed && !history.suspected && history.avoidedWorker == 0;
                 if (unplaced.empty()) {
-                    if (!hasNoFailure || !last || !hasCapacity(pending, *last))
+                    if (!hasNoFailure || !last || last->hasSuspectedTask || !hasCapacity(pending, *last))
                         last = chooseCandidate(pending, history, pending.waiting.size() - i, workers);
                     if (last) {
                         place(pending, index, *last);
+                        last->hasSuspectedTask |= history.suspected;
                         last = hasNoFailure ? last : nullptr;
                         continue;
                     }
@@ -401,6 +418,7 @@
             std::vector<std::pair<double, uint32_t>> expired;
             std::vector<std::pair<double, uint32_t>> unknown;
             bool mayAskAvoided = false;
+            const TaskHistory history { .suspected = pending.anySuspected };
             const auto consider = [&](const Candidate& candidate, std::vector<std::pair<double, uint32_t>>& list) {
                 if (!isCompatible(pending, candidate) || !hasCapacity(pending, candidate))
                     return;
@@ -408,7 +426,7 @@
                 if (serial == avoidedByAll)
                     mayAskAvoided = true;
                 else
-                    list.emplace_back(costOf(pending, candidate, false, pending.waiting.size()), serial);
+                    list.emplace_back(costOf(pending, candidate, history, pending.waiting.size()), serial);
             };
             const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
             for (const auto& [serial, fitness] : asked) {
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -215,13 +215,14 @@
     m_openJobOrder.erase(found);
 }
 
-void State::place(const TaskKey& key, const record::StepT& step, uint32_t serial)
+void State::place(const TaskKey& key, const record::StepT& step, const record::TaskT& task)
 {
-    auto& worker = m_workers.at(serial);
+    auto& worker = m_workers.at(task.worker);
     worker.placed.insert(key);
     worker.used += occupancyOf(step);
     worker.tasksWithTarget += step.target_ms > 0 ? 1 : 0;
     worker.fillingTasks += step.fills ? 1 : 0;
+    worker.suspectedTasks += task.crashes > 0 ? 1 : 0;
 }
 
 void State::applyStart(const record::StartT& start)
@@ -237,7 +238,7 @@
     task->run = start.run;
     task->worker = start.worker;
     job.started = true;
-    place(taskOf(start), *job.steps[start.step], start.worker);
+    place(taskOf(start), *job.steps[start.step], *task);
 }
 
 void State::release(const TaskKey& key, const record::StepT& step, record::TaskT& task)
@@ -247,6 +248,7 @@
         worker->second.used -= occupancyOf(step);
         worker->second.tasksWithTarget -= step.target_ms > 0 ? 1 : 0;
         worker->second.fillingTasks -= step.fills ? 1 : 0;
+        worker->second.suspectedTasks -= task.crashes > 0 ? 1 : 0;
     }
     task.worker = 0;
     task.state = TaskState::Waiting;
@@ -264,6 +266,19 @@
     const auto key = taskOf(end);
     release(key, *job.steps[end.step], *task);
     endTask(job, key, end.how, end.saved, end.worker);
+    if (end.how == EndKind::Crashed)
+        countCrash(job, *task, end.sole_suspect);
+}
+
+/// Gives the job up after crashes of two workers if the task alone is suspected of the last one, and after three in any
+/// case. An innocent task that shares its workers with others is rarely suspected that often.
+void State::countCrash(record::JobT& job, record::TaskT& task, bool isSoleSuspect)
+{
+    constexpr uint32_t maxCrashesAsSoleSuspect = 2;
+    constexpr uint32_t maxCrashes = 3;
+    ++task.crashes;
+    if (job.state == JobState::Open && task.crashes >= (isSoleSuspect ? maxCrashesAsSoleSuspect : maxCrashes))
+        closeJob(job, JobState::Failed);
 }
 
 void State::endTask(record::JobT& job, const TaskKey& key, EndKind how, const std::string& saved, uint32_t worker)
@@ -445,7 +460,7 @@
                 for (uint32_t i = 0; i < occurrence->steps[step]->tasks.size(); ++i) {
                     const auto& task = *occurrence->steps[step]->tasks[i];
                     if (task.state == TaskState::Placed && m_workers.contains(task.worker))
-                        place({ stored.id, occurrence->number, step, i }, *stored.steps[step], task.worker);
+                        place({ stored.id, occurrence->number, step, i }, *stored.steps[step], task);
                 }
             }
         }
