Ignore the capacity in a heartbeat that arrives late

Cause: the leader took the capacity of whichever heartbeat arrived last. One that a cut link delays shows the room that the worker had before it shrank. Change: the record of a worker keeps the number of the heartbeat that made its last change; earlier ones of the same incarnation change nothing.

--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -202,7 +202,8 @@
             session->second.lastContactAt = m_clock.now();
             session->second.leaving = false;
         }
-        if (isUnchanged(known->worker, worker))
+        // A late heartbeat may show a capacity that has changed since.
+        if (isUnchanged(known->worker, worker) || worker.seq < known->worker.seq)
             return answer(makeReply(Verdict::Ok));
         worker.draining |= known->worker.draining;
     }
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -535,3 +535,26 @@
     fixture.submitJob(job(jobId(2), step(1)));
     CHECK(fixture.starts.size() == 1);
 }
+
+// Guards against a start beyond the capacity of a worker that has shrunk, after an earlier heartbeat arrives late.
+TEST_CASE("a late heartbeat does not undo a change of the capacity", "[cell]")
+{
+    LeaderFixture fixture;
+    fixture.activate();
+    const auto reported = [](uint64_t seq, int64_t cpu) {
+        auto made = worker("w1", 1, cpu);
+        made->seq = seq;
+        return made;
+    };
+    const auto capacity = [&] { return fixture.state.findWorkerById("w1")->worker.cpu; };
+    fixture.heartbeat(reported(1, 4'000));
+    fixture.answerPoll("w1");
+    fixture.heartbeat(reported(3, 1'500));
+    CHECK(capacity() == 1'500);
+    fixture.heartbeat(reported(2, 4'000));
+    CHECK(capacity() == 1'500);
+    fixture.submitJob(job(jobId(1), step(4)));
+    CHECK(fixture.starts.size() == 1);
+    fixture.heartbeat(reported(4, 4'000));
+    CHECK(fixture.starts.size() == 4);
+}
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -116,6 +116,7 @@
     CHECK((*worker)->accelerators == 2);
     CHECK((*worker)->rack == "r1-3");
     CHECK((*worker)->born_ms == 77);
+    CHECK((*worker)->seq == 4);
     CHECK_FALSE(decodeWorker("i-1", replaced(body, "draining", "asleep")).ok());
     CHECK_FALSE(decodeWorker("i-1", replaced(body, R"("born":77)", R"("born":"77")")).ok());
     CHECK_FALSE(decodeWorker("i-1", replaced(body, R"("cpu":16000)", R"("cpu":"16000")")).ok());
