Count a crash only for runs that had begun on the worker

Callers saw a job shown as failed although only one worker had crashed under its task. Change: a run counts if the worker has accepted or listed it, or if nothing else was on the worker. An unanswered order only raises suspicion, which sends the task to a worker of its own. The age counts up to the first failed poll.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -87,6 +87,7 @@
         RunPhase phase = RunPhase::Inherited;
         TimePoint phaseSince;
         TimePoint startedAt; ///< Time of the start order, or at which this leader has inherited the run.
+        bool hasBegun = false; ///< The worker has accepted the order or listed the run.
         bool stopWanted = false;
         bool stopInFlight = false;
         TimePoint stopSentAt;
@@ -97,6 +98,13 @@
         uint32_t progress = 0;
         TimePoint progressSince; ///< Time of the last change of the progress.
     };
+    /// Why a run may have crashed its worker.
+    enum class Suspicion {
+        None,
+        Old, ///< The run had begun long before. Suspected only if no run is suspected for another reason.
+        Young, ///< The run had begun a short time before.
+        Unanswered, ///< It is not known whether the run had begun.
+    };
     /// A reading of a worker's clock, with the local times between which it was taken.
     struct ClockReading {
         int64_t clockMs = 0;
@@ -118,6 +126,7 @@
         TimePoint leavingSince;
         bool removalProposed = false; ///< The removal of the worker from the state was proposed.
         uint32_t failedPolls = 0; ///< Number of polls that failed since the last answer.
+        TimePoint unreachableSince; ///< Time of the first of these failed polls.
         TimePoint lastContactAt; ///< Time of the last answer or heartbeat.
         TimePoint backoffUntil; ///< No tasks are placed on the worker before this time.
         double failures = 0; ///< Weighted number of recent failures, which decays over time.
@@ -185,6 +194,7 @@
     void flushEnds();
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
+    Suspicion suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const;
     void appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const;
     void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -60,7 +60,7 @@
     std::set<TaskKey> placed; ///< Tasks with a run that is committed for this incarnation and has not ended.
     Resources used; ///< Resources that the placed tasks use, without the processors of filling tasks.
     uint32_t tasksWithTarget = 0; ///< Number of placed tasks with a bound on their tail latency.
-    uint32_t suspectedTasks = 0; ///< Number of placed tasks under which a worker has crashed.
+    uint32_t suspectedTasks = 0; ///< Number of placed tasks that are suspected of the crash of another worker.
     uint32_t fillingTasks = 0; ///< Number of placed tasks that fill unused capacity.
 };
 
@@ -108,7 +108,7 @@
     void applyForget(const std::string& id);
     void release(const TaskKey& key, const record::StepT& step, record::TaskT& task);
     void endTask(record::JobT& job, const TaskKey& key, record::EndKind how, const std::string& saved, uint32_t worker);
-    void countCrash(record::JobT& job, record::TaskT& task, bool isSoleSuspect);
+    void countCrash(record::JobT& job, record::TaskT& task, const record::EndT& end);
     void closeJob(record::JobT& job, record::JobState state);
     bool allDone(const record::JobT& job) const;
     void indexJob(record::JobT& job);
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -10,47 +10,51 @@
 using std::chrono::milliseconds;
 
 namespace {
-    // A run that has been at work for longer is not suspected while there are younger ones.
-    constexpr milliseconds youngRunAge { 2'000 };
+    constexpr milliseconds youngRunAge { 1'000 };
     // A task that lasts meets crashes that it has not caused. It is suspected only of those soon after its start.
     constexpr milliseconds maxSuspectedAgeOfLongRunning { 10'000 };
 } // namespace
 
-/// Appends the ends of all runs of a worker that is gone. If it has crashed, the suspected runs are those whose start
-/// order it has not answered, else the young ones, else all but those that last.
+/// An order without an answer may have been sent after the crash, unless nothing else was on the worker.
+Leader::Suspicion Leader::suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const
+{
+    const auto& job = *m_state.findJob(task.job);
+    if (job.state != record::JobState::Open || run.endProposed)
+        return Suspicion::None;
+    if (!run.hasBegun && session.runs.size() > 1)
+        return Suspicion::Unanswered;
+    // A crash shows when the worker has restarted, which takes seconds.
+    const auto crashedAt = session.failedPolls > 0 ? session.unreachableSince : m_clock.now();
+    const auto age = crashedAt - run.startedAt;
+    if (age <= youngRunAge || !run.hasBegun)
+        return Suspicion::Young;
+    return job.steps[task.step]->long_running && age > maxSuspectedAgeOfLongRunning ? Suspicion::None : Suspicion::Old;
+}
+
+/// Appends the ends of all runs of a worker that is gone. If it has crashed, the suspected ones end as Crashed.
 void Leader::appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const
 {
-    enum Suspicion { None, Weak, Young, Unanswered };
-    const auto now = m_clock.now();
-    const auto suspicionOf = [&](const TaskKey& key, const Run& run) {
-        const auto& job = *m_state.findJob(key.job);
-        if (job.state != record::JobState::Open || run.endProposed)
-            return None;
-        if (run.phase == RunPhase::Ordered || run.phase == RunPhase::InDoubt)
-            return Unanswered;
-        const auto age = now - run.startedAt;
-        if (run.phase == RunPhase::Inherited || age <= youngRunAge)
-            return Young;
-        return job.steps[key.step]->long_running && age > maxSuspectedAgeOfLongRunning ? None : Weak;
-    };
-    auto strongest = None;
-    if (hasCrashed) {
-        for (const auto& [key, run] : session.runs)
-            strongest = std::max(strongest, suspicionOf(key, run));
-    }
-    const auto isSuspected
-        = [&](const auto& entry) { return strongest != None && suspicionOf(entry.first, entry.second) == strongest; };
-    const auto suspects = std::ranges::count_if(session.runs, isSuspected);
+    std::map<Suspicion, uint32_t> counts;
+    for (const auto& [key, run] : session.runs)
+        ++counts[suspicionOf(session, key, run)];
+    auto suspects = counts[Suspicion::Young] + counts[Suspicion::Unanswered];
+    const bool suspectsOld = suspects == 0;
+    if (suspectsOld)
+        suspects = counts[Suspicion::Old];
     for (const auto& [key, run] : session.runs) {
-        const bool isSuspect = isSuspected(std::pair<const TaskKey&, const Run&>(key, run));
+        const auto suspicion = suspicionOf(session, key, run);
+        const bool isSuspect
+            = hasCrashed && suspicion != Suspicion::None && (suspectsOld || suspicion != Suspicion::Old);
         auto end
             = makeEnd(key, run.number, session.serial, isSuspect ? EndKind::Crashed : EndKind::Lapsed, run.checkpoint);
+        end.certain = isSuspect && suspicion != Suspicion::Unanswered;
         end.sole_suspect = isSuspect && suspects == 1;
         command.ends.push_back(std::make_unique<record::EndT>(std::move(end)));
     }
     if (hasCrashed)
         recordDecision("worker", addressOf(session).id, "crashed",
-            absl::StrCat("suspects=", suspects, " runs=", session.runs.size()));
+            absl::StrCat(
+                "suspects=", suspects, " unanswered=", counts[Suspicion::Unanswered], " runs=", session.runs.size()));
 }
 
 /// Appends the ends of all runs of an incarnation that a later one has replaced. Unless it had announced its end, it
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -190,6 +190,7 @@
     ++session.failedPolls;
     session.pollDueAt = m_clock.now() + pollRetryDelay;
     if (session.failedPolls == 1) {
+        session.unreachableSince = m_clock.now();
         recordDecision("worker", worker.id, "look failed", std::string(toString(answer.result)));
         requestPlan();
     }
@@ -223,6 +224,7 @@
         }
         listed.insert(reported.task);
         auto& run = found->second;
+        run.hasBegun = true;
         if (run.phase != RunPhase::Stopping && run.phase != RunPhase::StopAcknowledged)
             run.phase = RunPhase::Running;
         if (!reported.checkpoint.empty())
@@ -428,6 +430,7 @@
     switch (answer.result) {
     case OrderResult::Accepted:
         session.lastContactAt = m_clock.now();
+        run.hasBegun = true;
         if (run.phase == RunPhase::Ordered) {
             run.phase = RunPhase::Running;
             run.phaseSince = m_clock.now();
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -37,7 +37,7 @@
         double penalty = 0;
         bool recentlySuccessful = false;
         bool hasLatencyTarget = false; ///< Runs a task with a bound on its tail latency.
-        bool hasSuspectedTask = false; ///< Runs a task under which another worker has crashed.
+        bool hasSuspectedTask = false; ///< Runs a task suspected of the crash of another worker.
         bool hasFillingTask = false; ///< Runs a filling task, which disturbs tasks with such a bound.
         std::vector<TaskKey> planned;
     };
@@ -50,7 +50,7 @@
         StepKey key;
         std::vector<uint32_t> waiting;
         bool anyPlaced = false;
-        bool anySuspected = false; ///< A worker has crashed under one of the waiting tasks.
+        bool anySuspected = false; ///< One of the waiting tasks is suspected of a crash.
         uint64_t order = 0;
     };
 
@@ -152,7 +152,7 @@
                     const auto state = record ? record->state : TaskState::Waiting;
                     if (state == TaskState::Waiting)
                         pending.waiting.push_back(task);
-                    pending.anySuspected |= state == TaskState::Waiting && record && record->crashes > 0;
+                    pending.anySuspected |= state == TaskState::Waiting && record && record->suspicions > 0;
                     pending.anyPlaced |= state == TaskState::Placed;
                 }
                 if (!pending.waiting.empty() && isReady(job, number, i))
@@ -227,7 +227,7 @@
         /// How earlier runs of a task affect its next placement.
         struct TaskHistory {
             bool failed = false;
-            bool suspected = false; ///< A worker has crashed under the task.
+            bool suspected = false; ///< The task is suspected of the crash of a worker.
             uint32_t avoidedWorker = 0; ///< Serial of a worker that must not be chosen; 0 for none.
         };
 
@@ -259,7 +259,7 @@
         {
             const auto* task
                 = m_input.state.findTask({ pending.key.job, pending.key.occurrence, pending.key.step, index });
-            return task ? TaskHistory { task->failures > 0, task->crashes > 0, task->failed_on } : TaskHistory {};
+            return task ? TaskHistory { task->failures > 0, task->suspicions > 0, task->failed_on } : TaskHistory {};
         }
 
         /// Returns the best of the workers for the next of `count` tasks, or null.
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -222,7 +222,7 @@
     worker.used += occupancyOf(step);
     worker.tasksWithTarget += step.target_ms > 0 ? 1 : 0;
     worker.fillingTasks += step.fills ? 1 : 0;
-    worker.suspectedTasks += task.crashes > 0 ? 1 : 0;
+    worker.suspectedTasks += task.suspicions > 0 ? 1 : 0;
 }
 
 void State::applyStart(const record::StartT& start)
@@ -248,7 +248,7 @@
         worker->second.used -= occupancyOf(step);
         worker->second.tasksWithTarget -= step.target_ms > 0 ? 1 : 0;
         worker->second.fillingTasks -= step.fills ? 1 : 0;
-        worker->second.suspectedTasks -= task.crashes > 0 ? 1 : 0;
+        worker->second.suspectedTasks -= task.suspicions > 0 ? 1 : 0;
     }
     task.worker = 0;
     task.state = TaskState::Waiting;
@@ -267,17 +267,21 @@
     release(key, *job.steps[end.step], *task);
     endTask(job, key, end.how, end.saved, end.worker);
     if (end.how == EndKind::Crashed)
-        countCrash(job, *task, end.sole_suspect);
+        countCrash(job, *task, end);
 }
 
 /// Gives the job up after crashes of two workers if the task alone is suspected of the last one, and after three in any
-/// case. An innocent task that shares its workers with others is rarely suspected that often.
-void State::countCrash(record::JobT& job, record::TaskT& task, bool isSoleSuspect)
+/// case. An innocent task that shares its workers with others is rarely suspected that often. A run that may not have
+/// begun does not count.
+void State::countCrash(record::JobT& job, record::TaskT& task, const record::EndT& end)
 {
     constexpr uint32_t maxCrashesAsSoleSuspect = 2;
     constexpr uint32_t maxCrashes = 3;
+    ++task.suspicions;
+    if (!end.certain)
+        return;
     ++task.crashes;
-    if (job.state == JobState::Open && task.crashes >= (isSoleSuspect ? maxCrashesAsSoleSuspect : maxCrashes))
+    if (job.state == JobState::Open && task.crashes >= (end.sole_suspect ? maxCrashesAsSoleSuspect : maxCrashes))
         closeJob(job, JobState::Failed);
 }
 
