Count a crash also when the worker is back after its leases have ended

Callers of a deployment with short leases saw one task crash worker after worker. Change: if the address of a lost worker refused connections to the end, the leader keeps its suspected runs for a minute and reports them once a later incarnation registers there. A worker that comes back as the same incarnation was cut off.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -127,6 +127,7 @@
         bool removalProposed = false; ///< The removal of the worker from the state was proposed.
         uint32_t failedPolls = 0; ///< Number of polls that failed since the last answer.
         TimePoint unreachableSince; ///< Time of the first of these failed polls.
+        bool refusesConnections = false; ///< The last of these polls failed because no process listens.
         TimePoint lastContactAt; ///< Time of the last answer or heartbeat.
         TimePoint backoffUntil; ///< No tasks are placed on the worker before this time.
         double failures = 0; ///< Weighted number of recent failures, which decays over time.
@@ -154,6 +155,13 @@
         uint64_t lastEndCommitted = 0; ///< Value for the session once the ends are committed.
         std::vector<TaskKey> tasks;
     };
+    /// A worker that was given up because its leases had ended while its address refused connections. A later
+    /// incarnation at the address shows that it has crashed.
+    struct LostWorker {
+        int64_t bornMs = 0;
+        TimePoint lostAt;
+        record::CommandT suspects; ///< Ends that are proposed once the crash is known.
+    };
     /// A process that calls the advisor on behalf of the leader, one call at a time.
     struct AdvisorProxy {
         bool busy = false;
@@ -196,6 +204,9 @@
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
     Suspicion suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const;
     void appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const;
+    void logCrash(const std::string& worker, const record::CommandT& command) const;
+    void rememberSuspects(const WorkerSession& session);
+    void appendLateCrashes(record::CommandT& command, const record::WorkerT& worker);
     void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
@@ -258,6 +269,7 @@
     std::map<std::string, AdvisorProxy> m_advisorProxies;
     uint64_t m_nextAdvice = 1;
     std::map<uint32_t, WorkerSession> m_sessions;
+    std::map<std::string, LostWorker> m_lostWorkers; ///< By address.
     /// Answers that wait for the commit of a job, by job id.
     std::map<std::string, std::vector<Answer>> m_pendingSubmits;
     /// Ended jobs, with the time at which this leader learned of their end.
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -216,6 +216,7 @@
         appendEndsOfReplaced(command, *known);
     if (atAddress && atAddress != known && atAddress->worker.born_ms < worker.born_ms)
         appendEndsOfReplaced(command, *atAddress);
+    appendLateCrashes(command, worker);
     command.workers.push_back(std::move(call->worker));
     proposeFor(command, std::move(answer), "worker", id);
 }
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -13,6 +13,8 @@
     constexpr milliseconds youngRunAge { 1'000 };
     // A task that lasts meets crashes that it has not caused. It is suspected only of those soon after its start.
     constexpr milliseconds maxSuspectedAgeOfLongRunning { 10'000 };
+    // Far longer than a worker takes to restart.
+    constexpr milliseconds lostWorkerRetention { 60'000 };
 } // namespace
 
 /// An order without an answer may have been sent after the crash, unless nothing else was on the worker.
@@ -51,10 +53,13 @@
         end.sole_suspect = isSuspect && suspects == 1;
         command.ends.push_back(std::make_unique<record::EndT>(std::move(end)));
     }
-    if (hasCrashed)
-        recordDecision("worker", addressOf(session).id, "crashed",
-            absl::StrCat(
-                "suspects=", suspects, " unanswered=", counts[Suspicion::Unanswered], " runs=", session.runs.size()));
+}
+
+void Leader::logCrash(const std::string& worker, const record::CommandT& command) const
+{
+    const auto suspects
+        = std::ranges::count_if(command.ends, [](const auto& end) { return end->how == EndKind::Crashed; });
+    recordDecision("worker", worker, "crashed", absl::StrCat("suspects=", suspects, " runs=", command.ends.size()));
 }
 
 /// Appends the ends of all runs of an incarnation that a later one has replaced. Unless it had announced its end, it
@@ -62,8 +67,36 @@
 void Leader::appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const
 {
     const auto session = m_sessions.find(earlier.worker.serial);
-    if (session != m_sessions.end())
-        appendEndsOfLostRuns(command, session->second, !session->second.leaving && !earlier.worker.draining);
+    if (session == m_sessions.end())
+        return;
+    const bool hasCrashed = !session->second.leaving && !earlier.worker.draining;
+    appendEndsOfLostRuns(command, session->second, hasCrashed);
+    if (hasCrashed)
+        logCrash(earlier.worker.id, command);
+}
+
+/// A worker whose leases are shorter than its restart is given up before a later incarnation shows the crash.
+void Leader::rememberSuspects(const WorkerSession& session)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_lostWorkers, [now](const auto& entry) { return now - entry.second.lostAt > lostWorkerRetention; });
+    const auto& worker = m_state.findWorker(session.serial)->worker;
+    LostWorker lost { worker.born_ms, now, {} };
+    appendEndsOfLostRuns(lost.suspects, session, true);
+    std::erase_if(lost.suspects.ends, [](const auto& end) { return end->how != EndKind::Crashed; });
+    for (const auto& end : lost.suspects.ends)
+        end->late = true;
+    m_lostWorkers[worker.address] = std::move(lost);
+}
+
+void Leader::appendLateCrashes(record::CommandT& command, const record::WorkerT& worker)
+{
+    auto found = m_lostWorkers.extract(worker.address);
+    if (found.empty() || found.mapped().bornMs >= worker.born_ms)
+        return;
+    for (auto& end : found.mapped().suspects.ends)
+        command.ends.push_back(std::move(end));
+    logCrash(worker.address, command);
 }
 
 /// `hasCrashed` says that a later incarnation has been seen.
@@ -73,7 +106,12 @@
         return;
     const auto& worker = m_state.findWorker(session.serial)->worker;
     record::CommandT command;
-    appendEndsOfLostRuns(command, session, hasCrashed && !session.leaving && !worker.draining);
+    const bool mayHaveCrashed = !session.leaving && !worker.draining;
+    appendEndsOfLostRuns(command, session, hasCrashed && mayHaveCrashed);
+    if (hasCrashed && mayHaveCrashed)
+        logCrash(worker.id, command);
+    else if (mayHaveCrashed && session.refusesConnections)
+        rememberSuspects(session);
     command.gone.push_back(session.serial);
     recordDecision("worker", worker.id, "gone", absl::StrCat("runs=", session.runs.size()));
     propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -189,6 +189,7 @@
     const auto& worker = m_state.findWorker(session.serial)->worker;
     ++session.failedPolls;
     session.pollDueAt = m_clock.now() + pollRetryDelay;
+    session.refusesConnections = answer.result == OrderResult::ConnectionRefused;
     if (session.failedPolls == 1) {
         session.unreachableSince = m_clock.now();
         recordDecision("worker", worker.id, "look failed", std::string(toString(answer.result)));
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -105,6 +105,7 @@
     m_fenced = false;
     ++m_generation;
     m_sessions.clear();
+    m_lostWorkers.clear();
     m_tickets = {};
     m_adviceInFlight.clear();
     m_adviceRetryAt.clear();
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -261,6 +261,8 @@
         return;
     auto& job = *found->second;
     auto* task = taskIn(findMutableOccurrence(job, end.occurrence), end.step, end.index);
+    if (task && end.how == EndKind::Crashed && end.late)
+        return countCrash(job, *task, end);
     if (!task || task->state != TaskState::Placed || task->run != end.run || task->worker != end.worker)
         return;
     const auto key = taskOf(end);
@@ -277,7 +279,8 @@
 {
     constexpr uint32_t maxCrashesAsSoleSuspect = 2;
     constexpr uint32_t maxCrashes = 3;
-    ++task.suspicions;
+    if (task.suspicions++ == 0 && task.state == TaskState::Placed)
+        ++m_workers.at(task.worker).suspectedTasks; // Late evidence; the task runs elsewhere by now.
     if (!end.certain)
         return;
     ++task.crashes;
--- a/test/cell-crash-test.cc
+++ b/test/cell-crash-test.cc
@@ -222,3 +222,53 @@
     CHECK(fixture.state.findTask(taskOfJob(1))->suspicions == 0);
     CHECK(fixture.state.findTask(taskOfJob(2))->crashes == 1);
 }
+
+// Guards against a task that is never given up where leases are shorter than the restart of a worker.
+TEST_CASE("a crash counts when the worker is back after its leases have ended", "[cell]")
+{
+    CrashFixture fixture;
+    fixture.addReadyWorker("w1");
+    fixture.addReadyWorker("w2");
+    fixture.submitJob(job(jobId(1), step(1)));
+    PollAnswer refused;
+    refused.result = OrderResult::ConnectionRefused;
+    for (uint32_t crash = 1; crash <= 2; ++crash) {
+        REQUIRE(fixture.starts.size() == 1);
+        fixture.answerStart(OrderResult::Accepted);
+        const auto id = fixture.workerOf(taskOfJob(1));
+        for (int i = 0; i < 70 && fixture.state.findWorkerById(id); ++i) {
+            fixture.answerPollWith(id, refused);
+            for (const auto& other : { "w1", "w2" }) {
+                if (id != other)
+                    fixture.answerPoll(other);
+            }
+            fixture.advanceTime(milliseconds(100));
+            fixture.heartbeat(test::worker(id == "w1" ? "w2" : "w1"));
+        }
+        REQUIRE_FALSE(fixture.state.findWorkerById(id));
+        CHECK(fixture.state.findTask(taskOfJob(1))->crashes == crash - 1);
+        auto back = test::worker(id, 2);
+        fixture.heartbeat(std::move(back));
+        CHECK(fixture.state.findTask(taskOfJob(1))->crashes == crash);
+        fixture.answerPoll(id);
+    }
+    CHECK(fixture.jobState(1) == JobState::Failed);
+}
+
+// Guards against a worker that was cut off and lives on, whose loss would count as a crash.
+TEST_CASE("a worker that comes back as the same incarnation has not crashed", "[cell]")
+{
+    CrashFixture fixture;
+    fixture.addReadyWorker("w1");
+    fixture.submitJob(job(jobId(1), step(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    PollAnswer refused;
+    refused.result = OrderResult::ConnectionRefused;
+    for (int i = 0; i < 70 && fixture.state.findWorkerById("w1"); ++i) {
+        fixture.answerPollWith("w1", refused);
+        fixture.advanceTime(milliseconds(100));
+    }
+    REQUIRE_FALSE(fixture.state.findWorkerById("w1"));
+    fixture.heartbeat(test::worker("w1"));
+    CHECK(fixture.state.findTask(taskOfJob(1))->suspicions == 0);
+}
