--- a/include/turmericpier/cell/order-dispatcher.h
+++ b/include/turmericpier/cell/order-dispatcher.h
@@ -14,19 +14,12 @@
 /// time than the decisions.
 namespace turmericpier::cell {
 
-struct DispatcherHooks {
-    OrderHooks direct; ///< Sends orders from this process.
-    std::function<void(const std::string& proxy, const record::CallT& call)> send;
-    /// Runs the function on the leader's thread after `delay`, but not before this call returns.
-    std::function<void(Duration delay, std::function<void()>)> runAfter;
-};
-
 /// Sends each order through a replica that has offered itself as an order proxy, preferably one in the zone of the
 /// worker, and collects the orders for one proxy into messages. Without a proxy, or in a cell with few workers, the
 /// order is sent from this process. An order whose proxy is lost counts as unanswered: it may have been carried out.
 class OrderDispatcher {
 public:
-    OrderDispatcher(DispatcherHooks hooks, const Clock& clock, Metrics& metrics);
+    OrderDispatcher(ForwardingHooks hooks, const Clock& clock, Metrics& metrics);
 
     /// Returns functions that send orders through this dispatcher, which must outlive them.
     OrderHooks orderHooks();
@@ -38,7 +31,7 @@
 
     /// Records that `proxy` can send orders, with the time on its clock at which it said so.
     void recordProxy(const std::string& proxy, const std::string& zone, int64_t clockMs);
-    /// Stops to use a proxy. Its orders in flight are answered with NoAnswer.
+    /// Stops using a proxy. Its orders in flight are answered with NoAnswer.
     void removeProxy(const std::string& proxy);
     std::vector<std::string> proxies() const;
 
@@ -70,7 +63,7 @@
     static void answer(const Pending& pending, const record::OrderAnswerT& answer);
     int64_t nowMs() const;
 
-    const DispatcherHooks m_hooks;
+    const ForwardingHooks m_hooks;
     const Clock& m_clock;
     Counter& m_dispatched;
     Counter& m_lost;
--- a/include/turmericpier/cell/order-proxy.h
+++ b/include/turmericpier/cell/order-proxy.h
@@ -11,16 +11,10 @@
 /// The part of a replica that sends orders to workers for the leader.
 namespace turmericpier::cell {
 
-struct OrderProxyHooks {
-    OrderHooks direct; ///< Sends orders from this process.
-    std::function<void(const std::string& leader, const record::CallT& call)> send;
-    std::function<void(Duration delay, std::function<void()>)> runAfter;
-};
-
 /// Sends the orders in the leader's messages to the workers and returns their answers. It keeps no state of the runs.
 class OrderProxy {
 public:
-    OrderProxy(OrderProxyHooks hooks, const Clock& clock, Metrics& metrics);
+    OrderProxy(ForwardingHooks hooks, const Clock& clock, Metrics& metrics);
 
     /// Returns the time on the clock that limits the validity of orders. The clock counts suspensions, so that orders
     /// from before a suspension have expired after it.
@@ -40,7 +34,7 @@
     void addAnswer(const std::string& leader, uint64_t term, std::unique_ptr<record::OrderAnswerT> answer);
     void flush(const std::string& leader);
 
-    const OrderProxyHooks m_hooks;
+    const ForwardingHooks m_hooks;
     const Clock& m_clock;
     Counter& m_sent;
     Counter& m_expired;
--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "turmericpier/base/clock.h"
 #include "turmericpier/cell/state.h"
 
 #include <functional>
@@ -95,6 +96,14 @@
     std::function<void(const WorkerAddress&, const PollOrder&, std::function<void(PollAnswer)> done)> poll;
 };
 
+/// What a process needs to send orders through another one, or for another one.
+struct ForwardingHooks {
+    OrderHooks direct; ///< Sends orders from this process.
+    std::function<void(const std::string& replica, const record::CallT& call)> send;
+    /// Runs the function on the caller's thread after `delay`, but not before this call returns.
+    std::function<void(Duration delay, std::function<void()>)> runAfter;
+};
+
 struct AdviceAnswer {
     bool ok = false;
     std::map<std::string, std::string> tickets; ///< Tickets by the ids of the workers that may run the step.
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -82,8 +82,7 @@
     bool isVoter(const std::string& replica) const;
 
     // Orders to workers through other replicas.
-    DispatcherHooks dispatcherHooks(const OrderHooks& direct);
-    OrderProxyHooks proxyHooks(const OrderHooks& direct);
+    ForwardingHooks forwardingHooks(const OrderHooks& direct);
     void runAfter(Duration delay, std::function<void()> function);
     bool isHeardFrom(const std::string& replica) const;
     void removeSilentProxies();
--- a/src/cell/order-dispatcher.cc
+++ b/src/cell/order-dispatcher.cc
@@ -31,7 +31,7 @@
     }
 } // namespace
 
-OrderDispatcher::OrderDispatcher(DispatcherHooks hooks, const Clock& clock, Metrics& metrics)
+OrderDispatcher::OrderDispatcher(ForwardingHooks hooks, const Clock& clock, Metrics& metrics)
     : m_hooks(std::move(hooks))
     , m_clock(clock)
     , m_dispatched(metrics.counter("cell_orders_through_proxies_total"))
--- a/src/cell/order-proxy.cc
+++ b/src/cell/order-proxy.cc
@@ -15,7 +15,7 @@
     constexpr milliseconds answerBatchDelay { 10 };
 } // namespace
 
-OrderProxy::OrderProxy(OrderProxyHooks hooks, const Clock& clock, Metrics& metrics)
+OrderProxy::OrderProxy(ForwardingHooks hooks, const Clock& clock, Metrics& metrics)
     : m_hooks(std::move(hooks))
     , m_clock(clock)
     , m_sent(metrics.counter("cell_orders_sent_as_proxy_total"))
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -45,8 +45,8 @@
     , m_relay(relay)
     , m_clock(clock)
     , m_metrics(metrics)
-    , m_orderProxy(proxyHooks(workerHooks), clock, metrics)
-    , m_dispatcher(dispatcherHooks(workerHooks), clock, metrics)
+    , m_orderProxy(forwardingHooks(workerHooks), clock, metrics)
+    , m_dispatcher(forwardingHooks(workerHooks), clock, metrics)
     , m_leader(m_options.leader, leaderHooks(std::move(workerHooks)), m_state, clock, metrics)
     , m_heartbeatsAnswered(metrics.counter("cell_heartbeats_answered_total"))
     , m_timer(io)
@@ -76,15 +76,9 @@
     });
 }
 
-DispatcherHooks Replica::dispatcherHooks(const OrderHooks& direct)
+ForwardingHooks Replica::forwardingHooks(const OrderHooks& direct)
 {
-    return { direct, [this](const std::string& proxy, const record::CallT& call) { m_links.notify(proxy, call); },
-        [this](Duration delay, std::function<void()> function) { runAfter(delay, std::move(function)); } };
-}
-
-OrderProxyHooks Replica::proxyHooks(const OrderHooks& direct)
-{
-    return { direct, [this](const std::string& leader, const record::CallT& call) { m_links.notify(leader, call); },
+    return { direct, [this](const std::string& replica, const record::CallT& call) { m_links.notify(replica, call); },
         [this](Duration delay, std::function<void()> function) { runAfter(delay, std::move(function)); } };
 }
 
--- a/test/cell-order-dispatcher-test.cc
+++ b/test/cell-order-dispatcher-test.cc
@@ -70,7 +70,7 @@
     void addProxy(const std::string& name, const std::string& zone)
     {
         proxies[name] = std::make_unique<OrderProxy>(
-            OrderProxyHooks { directHooks(name), sender(), timer() }, proxyClock, metrics);
+            ForwardingHooks { directHooks(name), sender(), timer() }, proxyClock, metrics);
         dispatcher.recordProxy(name, zone, proxies[name]->clockMs());
     }
     void runTimers()
