Remove repetition from the forwarding of orders

The fields of a run were assigned in a twin of recordOf; a flag told what the map of outgoing answers tells; the voters were copied for each proxy in each tick; the identity of each proxy was hashed for each order; the condition for an announced end stood twice. Change: setRun serves recordOf and the records of orders; the flag is gone; one copy of the voters a tick; proxies keep their hash; hasAnnouncedEnd. No change of behaviour, no test changed.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -203,6 +203,7 @@
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
     Suspicion suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const;
+    bool hasAnnouncedEnd(const WorkerSession& session) const;
     void appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const;
     void logCrash(const std::string& worker, const record::CommandT& command) const;
     void rememberSuspects(const WorkerSession& session);
--- a/include/turmericpier/cell/order-dispatcher.h
+++ b/include/turmericpier/cell/order-dispatcher.h
@@ -44,6 +44,7 @@
 private:
     struct Proxy {
         std::string zone;
+        uint64_t hash = 0; ///< Of the identity.
         int64_t clockOffsetMs = 0; ///< Difference between the clock of the proxy and the one of this process.
         std::vector<std::unique_ptr<record::OrderT>> queue;
     };
@@ -55,7 +56,7 @@
         std::function<void(PollAnswer)> polled;
     };
 
-    Proxy* chooseProxy(const WorkerAddress& worker, std::string& name);
+    std::map<std::string, Proxy>::value_type* chooseProxy(const WorkerAddress& worker);
     bool dispatch(const WorkerAddress& worker, std::unique_ptr<record::OrderT> order, Pending pending);
     void scheduleFlush(Duration delay);
     void flush();
--- a/include/turmericpier/cell/order-proxy.h
+++ b/include/turmericpier/cell/order-proxy.h
@@ -24,12 +24,6 @@
     void handle(const std::string& leader, const record::CallT& call, uint64_t currentTerm);
 
 private:
-    /// Answers for one leader that wait to be sent together.
-    struct Outgoing {
-        record::CallT call;
-        bool flushScheduled = false;
-    };
-
     void sendOrder(const std::string& leader, uint64_t term, const record::OrderT& order);
     void addAnswer(const std::string& leader, uint64_t term, std::unique_ptr<record::OrderAnswerT> answer);
     void flush(const std::string& leader);
@@ -38,7 +32,8 @@
     const Clock& m_clock;
     Counter& m_sent;
     Counter& m_expired;
-    std::map<std::string, Outgoing> m_outgoing; ///< By identity of the leader.
+    /// Messages with answers that wait to be sent together, by identity of the leader.
+    std::map<std::string, record::CallT> m_outgoing;
 };
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -84,7 +84,7 @@
     // Orders to workers through other replicas.
     ForwardingHooks forwardingHooks(const OrderHooks& direct);
     void runAfter(Duration delay, std::function<void()> function);
-    bool isHeardFrom(const std::string& replica) const;
+    std::set<std::string> reachableVoters() const;
     void removeSilentProxies();
 
     boost::asio::io_context& m_io;
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -37,15 +37,21 @@
     return { run.job, run.occurrence, run.step, run.index };
 }
 
+/// Sets the fields of a record that identify a run.
+template <typename RunRecord> void setRun(RunRecord& record, const TaskKey& task, uint32_t run)
+{
+    record.job = task.job;
+    record.occurrence = task.occurrence;
+    record.step = task.step;
+    record.index = task.index;
+    record.run = run;
+}
+
 /// Returns a start or an end of a run. The fields that only an end has are left at their defaults.
 template <typename RunRecord> RunRecord recordOf(const TaskKey& task, uint32_t run, uint32_t worker)
 {
     RunRecord made;
-    made.job = task.job;
-    made.occurrence = task.occurrence;
-    made.step = task.step;
-    made.index = task.index;
-    made.run = run;
+    setRun(made, task, run);
     made.worker = worker;
     return made;
 }
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -62,6 +62,12 @@
     recordDecision("worker", worker, "crashed", absl::StrCat("suspects=", suspects, " runs=", command.ends.size()));
 }
 
+/// Returns true for a worker whose end is planned and therefore no crash.
+bool Leader::hasAnnouncedEnd(const WorkerSession& session) const
+{
+    return session.leaving || m_state.findWorker(session.serial)->worker.draining;
+}
+
 /// Appends the ends of all runs of an incarnation that a later one has replaced. Unless it had announced its end, it
 /// has crashed.
 void Leader::appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const
@@ -69,7 +75,7 @@
     const auto session = m_sessions.find(earlier.worker.serial);
     if (session == m_sessions.end())
         return;
-    const bool hasCrashed = !session->second.leaving && !earlier.worker.draining;
+    const bool hasCrashed = !hasAnnouncedEnd(session->second);
     appendEndsOfLostRuns(command, session->second, hasCrashed);
     if (hasCrashed)
         logCrash(earlier.worker.id, command);
@@ -106,7 +112,7 @@
         return;
     const auto& worker = m_state.findWorker(session.serial)->worker;
     record::CommandT command;
-    const bool mayHaveCrashed = !session.leaving && !worker.draining;
+    const bool mayHaveCrashed = !hasAnnouncedEnd(session);
     appendEndsOfLostRuns(command, session, hasCrashed && mayHaveCrashed);
     if (hasCrashed && mayHaveCrashed)
         logCrash(worker.id, command);
--- a/src/cell/order-dispatcher.cc
+++ b/src/cell/order-dispatcher.cc
@@ -4,7 +4,6 @@
 #include "turmericpier/base/log.h"
 
 #include <absl/strings/str_cat.h>
-#include <tuple>
 #include <utility>
 
 namespace turmericpier::cell {
@@ -88,6 +87,7 @@
         return;
     const auto [entry, isNew] = m_proxies.try_emplace(proxy);
     entry->second.zone = zone;
+    entry->second.hash = mixBits(std::hash<std::string> {}(proxy));
     // The message with the reading took some time, so the offset is too small rather than too large, and orders expire
     // too early rather than too late.
     entry->second.clockOffsetMs = clockMs - nowMs();
@@ -115,21 +115,17 @@
 }
 
 /// Chooses by rendezvous hashing, so that a lost proxy changes the proxy of its own workers only.
-OrderDispatcher::Proxy* OrderDispatcher::chooseProxy(const WorkerAddress& worker, std::string& name)
+std::map<std::string, OrderDispatcher::Proxy>::value_type* OrderDispatcher::chooseProxy(const WorkerAddress& worker)
 {
-    Proxy* best = nullptr;
-    bool bestIsNear = false;
-    uint64_t bestWeight = 0;
+    std::map<std::string, Proxy>::value_type* best = nullptr;
+    std::pair<bool, uint64_t> bestRank;
     const auto workerHash = std::hash<std::string> {}(worker.id);
-    for (auto& [proxyName, proxy] : m_proxies) {
-        const bool isNear = proxy.zone == worker.zone;
-        const auto weight = mixBits(workerHash ^ mixBits(std::hash<std::string> {}(proxyName)));
-        if (best && std::tie(bestIsNear, bestWeight) >= std::tie(isNear, weight))
+    for (auto& entry : m_proxies) {
+        const std::pair rank(entry.second.zone == worker.zone, mixBits(workerHash ^ entry.second.hash));
+        if (best && bestRank >= rank)
             continue;
-        best = &proxy;
-        bestIsNear = isNear;
-        bestWeight = weight;
-        name = proxyName;
+        best = &entry;
+        bestRank = rank;
     }
     return best;
 }
@@ -137,14 +133,15 @@
 /// Returns false if there is no proxy.
 bool OrderDispatcher::dispatch(const WorkerAddress& worker, std::unique_ptr<record::OrderT> order, Pending pending)
 {
-    auto* proxy = chooseProxy(worker, pending.proxy);
-    if (!proxy)
+    auto* chosen = chooseProxy(worker);
+    if (!chosen)
         return false;
+    pending.proxy = chosen->first;
     m_dispatched.increment();
     order->number = m_nextNumber++;
     const bool isPoll = order->kind == record::OrderKind::Poll;
     m_pending.emplace(order->number, std::move(pending));
-    proxy->queue.push_back(std::move(order));
+    chosen->second.queue.push_back(std::move(order));
     scheduleFlush(isPoll ? pollBatchDelay : milliseconds(0));
     return true;
 }
--- a/src/cell/order-proxy.cc
+++ b/src/cell/order-proxy.cc
@@ -63,20 +63,20 @@
 
 void OrderProxy::addAnswer(const std::string& leader, uint64_t term, std::unique_ptr<record::OrderAnswerT> answer)
 {
-    auto& outgoing = m_outgoing[leader];
-    if (outgoing.call.term != term)
-        outgoing.call.answers.clear(); // Nobody waits for the answers of an earlier term.
-    outgoing.call.term = term;
-    outgoing.call.answers.push_back(std::move(answer));
-    if (std::exchange(outgoing.flushScheduled, true))
-        return;
-    m_hooks.runAfter(answerBatchDelay, [this, leader] { flush(leader); });
+    const auto [entry, isNew] = m_outgoing.try_emplace(leader);
+    auto& call = entry->second;
+    if (call.term != term)
+        call.answers.clear(); // Nobody waits for the answers of an earlier term.
+    call.term = term;
+    call.answers.push_back(std::move(answer));
+    if (isNew)
+        m_hooks.runAfter(answerBatchDelay, [this, leader] { flush(leader); });
 }
 
 void OrderProxy::flush(const std::string& leader)
 {
     auto outgoing = m_outgoing.extract(leader);
-    auto& call = outgoing.mapped().call;
+    auto& call = outgoing.mapped();
     call.kind = record::CallKind::OrderAnswers;
     m_hooks.send(leader, call);
 }
--- a/src/cell/order-records.cc
+++ b/src/cell/order-records.cc
@@ -5,15 +5,6 @@
 using record::OrderKind;
 
 namespace {
-    template <typename Record> void setTask(Record& out, const TaskKey& task, uint32_t run)
-    {
-        out.job = task.job;
-        out.occurrence = task.occurrence;
-        out.step = task.step;
-        out.index = task.index;
-        out.run = run;
-    }
-
     std::unique_ptr<record::OrderT> makeOrder(OrderKind kind, const WorkerAddress& worker)
     {
         auto made = std::make_unique<record::OrderT>();
@@ -49,7 +40,7 @@
 std::unique_ptr<record::OrderT> toRecord(const WorkerAddress& worker, const StartOrder& order)
 {
     auto made = makeOrder(OrderKind::Start, worker);
-    setTask(*made, order.task, order.run);
+    setRun(*made, order.task, order.run);
     made->spec = order.spec;
     made->saved = order.checkpoint;
     made->ticket = order.ticket;
@@ -60,7 +51,7 @@
 std::unique_ptr<record::OrderT> toRecord(const WorkerAddress& worker, const StopOrder& order)
 {
     auto made = makeOrder(OrderKind::Stop, worker);
-    setTask(*made, order.task, order.run);
+    setRun(*made, order.task, order.run);
     return made;
 }
 
@@ -86,14 +77,14 @@
         made->started_at_ms = *answer.startedAtMs;
     for (const auto& run : answer.running) {
         auto& row = *made->running.emplace_back(std::make_unique<record::ReportedRunT>());
-        setTask(row, run.task, run.run);
+        setRun(row, run.task, run.run);
         row.saved = run.checkpoint;
         row.progress = run.progress;
         row.load = run.load;
     }
     for (const auto& end : answer.ended) {
         auto& row = *made->ended.emplace_back(std::make_unique<record::ReportedEndT>());
-        setTask(row, end.task, end.run);
+        setRun(row, end.task, end.run);
         row.number = end.number;
         row.how = end.how;
         row.saved = end.checkpoint;
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -313,7 +313,7 @@
         reply.members = m_identity.initialVoters;
     } else if (m_leader.isActive()) {
         m_leader.recordAdvisorProxy(from);
-        if (call->clock_ms.has_value() && isHeardFrom(from))
+        if (call->clock_ms.has_value() && reachableVoters().contains(from))
             m_dispatcher.recordProxy(from, call->zone, call->clock_ms.value());
         // Only replicas send their identity; entries merely offer to call the advisor.
         if (!call->replica.empty() && !isVoter(call->replica))
@@ -402,17 +402,22 @@
     return std::ranges::any_of(m_group->voters(), [&](const auto& voter) { return voter.id.str() == replica; });
 }
 
-/// Returns true if the voter has answered this leader recently.
-bool Replica::isHeardFrom(const std::string& replica) const
+/// Returns the voters that have answered this leader recently.
+std::set<std::string> Replica::reachableVoters() const
 {
-    return std::ranges::any_of(m_group->voters(),
-        [&](const auto& voter) { return voter.id.str() == replica && voter.silentFor <= maxProxySilence; });
+    std::set<std::string> reachable;
+    for (const auto& voter : m_group->voters()) {
+        if (voter.silentFor <= maxProxySilence)
+            reachable.insert(voter.id.str());
+    }
+    return reachable;
 }
 
 void Replica::removeSilentProxies()
 {
+    const auto reachable = reachableVoters();
     for (const auto& proxy : m_dispatcher.proxies()) {
-        if (!isHeardFrom(proxy))
+        if (!reachable.contains(proxy))
             m_dispatcher.removeProxy(proxy);
     }
 }
