Add a scenario of a worker that hangs

Change: a scenario of the review's stand-ins in which start orders wait behind a worker that does not answer.

--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -440,6 +440,45 @@
     return looping >= 2 ? 1 : 0;
 }
 
+/// The only worker with room hangs for 3.9 s. A job of many tasks comes and is cancelled half a second later.
+int hungWorker(Play& play)
+{
+    if (!play.begin(10, 3))
+        return 2;
+    if (play.client.submit(jobId(100), job(9, 15'000, 8'000, "ms=15000", 15'000)) != 200)
+        return 2;
+    sleepMs(1'000);
+    std::optional<size_t> idle;
+    for (size_t i = 0; i < play.workers.size(); ++i) {
+        if (play.workers[i]->running() == 0)
+            idle = i;
+    }
+    if (!idle)
+        return 2;
+    const auto hungAt = nowMs();
+    play.workers[*idle]->setHung(play.trouble);
+    play.record.line("worker " + play.options[*idle].id + (play.trouble ? " hangs" : " does not hang"));
+    const auto id = jobId(1);
+    if (play.client.submit(id, job(200, 70, 50, "ms=3000", 3'000)) != 200)
+        return 2;
+    sleepMs(500);
+    const auto cancelled = play.client.call(0, "DELETE", id, "");
+    const auto cancelledAt = nowMs();
+    if (cancelled != 200 && cancelled != 410)
+        return 2;
+    while (nowMs() < hungAt + 3'900)
+        sleepMs(2);
+    play.workers[*idle]->setHung(false);
+    play.record.line("worker " + play.options[*idle].id + " answers");
+    sleepMs(6'000);
+    constexpr int64_t cancelMs = 3'000;
+    int late = 0;
+    for (const auto& fact : play.facts.all())
+        late += fact.task.starts_with(id) && fact.startedAt > cancelledAt + cancelMs ? 1 : 0;
+    play.record.line(std::to_string(late) + " tasks were started later than 3000 ms after the cancel was acknowledged");
+    return late > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -450,7 +489,8 @@
     }
     const std::map<std::string, int (*)(Play&)> scenarios { { "many-ends", manyEnds },
         { "restarted-worker", restartedWorker }, { "crashed-workers", crashedWorkers },
-        { "refusing-worker", refusingWorker }, { "late-submit", lateSubmit }, { "killed-twice", killedTwice } };
+        { "refusing-worker", refusingWorker }, { "late-submit", lateSubmit }, { "killed-twice", killedTwice },
+        { "hung-worker", hungWorker } };
     const auto found = scenarios.find(argv[1]);
     if (found == scenarios.end())
         return 2;
--- a/review/standin/worker.cc
+++ b/review/standin/worker.cc
@@ -143,6 +143,11 @@
 
 HttpResponse Worker::handle(const HttpRequest& request)
 {
+    if (m_hung) {
+        while (m_hung && !m_ended)
+            sleepMs(2);
+        return {};
+    }
     const auto expected = request.headers.find("x-turmericpier-expect-instance");
     if (expected != request.headers.end() && expected->second != m_options.id)
         return answer(421, {});
--- a/review/standin/worker.h
+++ b/review/standin/worker.h
@@ -86,6 +86,8 @@
     size_t running() const;
     /// An unhealthy worker answers each start with 503 and does nothing.
     void setHealthy(bool healthy) { m_healthy = healthy; }
+    /// A hung worker answers no call, and never carries out the calls that it receives meanwhile.
+    void setHung(bool hung) { m_hung = hung; }
 
 private:
     struct Run {
@@ -127,6 +129,7 @@
     std::condition_variable m_changed;
     std::atomic<bool> m_ended { false };
     std::atomic<bool> m_healthy { true };
+    std::atomic<bool> m_hung { false };
     int64_t m_fence = 0;
     int64_t m_leaseUntil = 0;
     int64_t m_nextEnd = 1;
