--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
-# Plays the scenario "restarted-worker". TROUBLE=0 leaves the disruption out.
+# Plays the scenario "restarted-worker" and writes what was sent, answered and run to record.txt in this folder. TROUBLE=0 leaves the
+# disruption out.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/turmericpier ] && [ -x target/review/scenario ] || exit 2
-exec target/review/scenario restarted-worker "$folder"
+exec target/review/scenario restarted-worker "$folder/record.txt"
