Settle the runs of a worker that has restarted under its id

Cause: orders name the id and the address of a worker, which the next incarnation has as well. It accepted a start, and its first heartbeat ended the earlier incarnation with all its runs, so that the task started again elsewhere.

Change: a run that no poll of the earlier incarnation has listed is settled at the later one before the earlier one is removed: it is stopped, its end is taken over, or a start without an answer is prevented. Until then the heartbeat of the later one is held back. A clock that has gone back postpones the end of the lease, because that incarnation takes it for the longest one. A new leader that has inherited the run does the same.

The fix works because the removal of an incarnation no longer counts as the end of runs that it has never listed.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -88,6 +88,7 @@
         TimePoint phaseSince;
         TimePoint startedAt; ///< Time of the start order, or at which this leader has inherited the run.
         bool hasBegun = false; ///< The worker has accepted the order or listed the run.
+        bool isListed = false; ///< A poll of this incarnation has listed the run, which it alone can hold.
         bool stopWanted = false;
         bool stopInFlight = false;
         TimePoint stopSentAt;
@@ -125,6 +126,9 @@
         bool leaving = false; ///< The worker has announced that it leaves.
         TimePoint leavingSince;
         bool removalProposed = false; ///< The removal of the worker from the state was proposed.
+        /// A later incarnation under the same id is known. It may hold runs of this session, because orders name only
+        /// the id; the session is kept until these are settled.
+        bool replaced = false;
         uint32_t failedPolls = 0; ///< Number of polls that failed since the last answer.
         TimePoint unreachableSince; ///< Time of the first of these failed polls.
         bool refusesConnections = false; ///< The last of these polls failed because no process listens.
@@ -162,6 +166,11 @@
         TimePoint lostAt;
         record::CommandT suspects; ///< Ends that are proposed once the crash is known.
     };
+    /// The first heartbeat of an incarnation, which is processed once the one before it is removed.
+    struct HeldHeartbeat {
+        std::unique_ptr<record::CallT> call;
+        Answer answer;
+    };
     /// A process that calls the advisor on behalf of the leader, one call at a time.
     struct AdvisorProxy {
         bool busy = false;
@@ -202,6 +211,13 @@
     void flushEnds();
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
+    void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
+    void markReplaced(WorkerSession& session);
+    bool mayHoldRunsOf(const WorkerRecord& earlier, const record::WorkerT& later) const;
+    void holdHeartbeat(WorkerSession& session, std::unique_ptr<record::CallT> call, Answer answer);
+    void releaseHeldHeartbeat(uint32_t serial);
+    void onSuccessorAnswer(WorkerSession& session, const PollAnswer& answer, TimePoint sentAt);
+    bool settleRun(WorkerSession& session, const TaskKey& task, Run& run, const PollAnswer& answer, TimePoint sentAt);
     Suspicion suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const;
     bool hasAnnouncedEnd(const WorkerSession& session) const;
     void appendEndsOfReplaced(record::CommandT& command, const WorkerRecord& earlier) const;
@@ -271,6 +287,7 @@
     uint64_t m_nextAdvice = 1;
     std::map<uint32_t, WorkerSession> m_sessions;
     std::map<std::string, LostWorker> m_lostWorkers; ///< By address.
+    std::map<uint32_t, HeldHeartbeat> m_heldHeartbeats; ///< By the serial of the incarnation that was replaced.
     /// Answers that wait for the commit of a job, by job id.
     std::map<std::string, std::vector<Answer>> m_pendingSubmits;
     /// Ended jobs, with the time at which this leader learned of their end.
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -207,6 +207,8 @@
             return answer(makeReply(Verdict::Ok));
         worker.draining |= known->worker.draining;
     }
+    if (known && mayHoldRunsOf(*known, worker))
+        return holdHeartbeat(m_sessions.at(known->worker.serial), std::move(call), std::move(answer));
     const auto* atAddress = m_state.findWorkerAt(worker.address);
     if (!known && atAddress && atAddress->worker.born_ms > worker.born_ms)
         return answer(makeReply(Verdict::Ok)); // A later incarnation has registered at the address.
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -1,3 +1,4 @@
+#include "cell/reply.h"
 #include "turmericpier/cell/leader.h"
 
 #include <absl/strings/str_cat.h>
@@ -127,4 +128,106 @@
     });
 }
 
+void Leader::markReplaced(WorkerSession& session)
+{
+    // The clock of the later incarnation starts anew, so that it takes the lease of an order for its longest one.
+    assumeLongestLease(session, Duration::zero());
+    if (std::exchange(session.replaced, true))
+        return;
+    recordDecision("worker", addressOf(session).id, "replaced", absl::StrCat("runs=", session.runs.size()));
+}
+
+/// Returns true if a start order for `earlier` may have been accepted by `later`, an incarnation with the same id and
+/// address.
+bool Leader::mayHoldRunsOf(const WorkerRecord& earlier, const record::WorkerT& later) const
+{
+    const auto session = m_sessions.find(earlier.worker.serial);
+    if (session == m_sessions.end() || earlier.worker.born_ms >= later.born_ms
+        || earlier.worker.address != later.address)
+        return false;
+    return std::ranges::any_of(session->second.runs, [](const auto& entry) { return !entry.second.isListed; });
+}
+
+/// Holds a heartbeat back until the runs that its sender may hold are settled. Registering it ends the earlier
+/// incarnation, whose tasks would start again.
+void Leader::holdHeartbeat(WorkerSession& session, std::unique_ptr<record::CallT> call, Answer answer)
+{
+    markReplaced(session);
+    auto& held = m_heldHeartbeats[session.serial];
+    if (held.answer)
+        held.answer(makeReply(record::Verdict::Unknown, "a later heartbeat has come"));
+    held = { std::move(call), std::move(answer) };
+    if (!session.pollInFlight)
+        poll(session);
+}
+
+void Leader::releaseHeldHeartbeat(uint32_t serial)
+{
+    auto held = m_heldHeartbeats.extract(serial);
+    if (held.empty())
+        return;
+    m_hooks.runAfter(Duration::zero(), [this, heartbeat = std::make_shared<HeldHeartbeat>(std::move(held.mapped()))] {
+        handle(std::move(heartbeat->call), std::move(heartbeat->answer));
+    });
+}
+
+/// Processes the answer of a later incarnation under the same id. The earlier one is removed once none of its runs can
+/// exist at the later one.
+void Leader::onSuccessorAnswer(WorkerSession& session, const PollAnswer& answer, TimePoint sentAt)
+{
+    markReplaced(session);
+    bool settled = true;
+    for (auto& [key, run] : session.runs) {
+        if (!settleRun(session, key, run, answer, sentAt))
+            settled = false;
+    }
+    PollAnswer failed;
+    failed.result = settled ? OrderResult::OtherIncarnation : OrderResult::NoAnswer;
+    onPollFailed(session, failed);
+}
+
+/// Returns true if the run neither exists at the later incarnation that has answered a poll nor can start there.
+/// Otherwise takes over its end or stops it.
+bool Leader::settleRun(
+    WorkerSession& session, const TaskKey& task, Run& run, const PollAnswer& answer, TimePoint sentAt)
+{
+    if (run.isListed)
+        return true;
+    if (run.endProposed)
+        return false;
+    const auto isThisRun = [&](const auto& reported) { return reported.task == task && reported.run == run.number; };
+    const auto ended = std::ranges::find_if(answer.ended, isThisRun);
+    if (ended != answer.ended.end()) {
+        run.endProposed = true;
+        record::CommandT command;
+        command.ends.push_back(
+            std::make_unique<record::EndT>(makeEnd(task, run.number, session.serial, ended->how, ended->checkpoint)));
+        proposeEnds(session.serial, std::move(command), 0);
+        return false;
+    }
+    if (std::ranges::any_of(answer.running, isThisRun)) {
+        run.hasBegun = true;
+        if (run.phase == RunPhase::Ordered || run.phase == RunPhase::Inherited)
+            run.phase = RunPhase::Running;
+        stopRun(session, task, run);
+        return false;
+    }
+    switch (run.phase) {
+    case RunPhase::Ordered:
+    case RunPhase::Stopping:
+        return false; // The answer to the order decides.
+    case RunPhase::InDoubt:
+        stopRun(session, task, run);
+        return false;
+    case RunPhase::StopAcknowledged:
+        if (sentAt >= run.phaseSince)
+            proposeNeverStarted(session, task, run);
+        return false;
+    case RunPhase::Inherited:
+    case RunPhase::Running:
+        break;
+    }
+    return sentAt >= run.phaseSince;
+}
+
 } // namespace turmericpier::cell
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -63,6 +63,7 @@
             continue;
         }
         m_tickets.forgetWorker(it->first);
+        releaseHeldHeartbeat(it->first);
         it = m_sessions.erase(it);
     }
     for (const auto& [serial, worker] : m_state.workers()) {
@@ -77,10 +78,8 @@
         session.lastContactAt = m_clock.now();
         session.pollDueAt = m_clock.now();
         // A former leader may have given the longest lease at the last moment of its leadership.
-        if (!worker.placed.empty()) {
-            const auto longest = std::chrono::duration<double>(m_options.maxLease) / (1 - maxClockDrift);
-            session.leaseEnd = m_clock.now() + std::chrono::duration_cast<Duration>(longest) + leadershipOverlap;
-        }
+        if (!worker.placed.empty())
+            assumeLongestLease(session, leadershipOverlap);
         adoptRuns(session, worker);
         poll(session);
     }
@@ -98,10 +97,18 @@
     }
 }
 
+/// Assumes that a lease of the longest duration may be granted until `grantedUntil` from now.
+void Leader::assumeLongestLease(WorkerSession& session, Duration grantedUntil)
+{
+    const auto longest = std::chrono::duration<double>(m_options.maxLease) / (1 - maxClockDrift);
+    session.leaseEnd
+        = std::max(session.leaseEnd, m_clock.now() + std::chrono::duration_cast<Duration>(longest) + grantedUntil);
+}
+
 std::optional<int64_t> Leader::leaseUntil(WorkerSession& session)
 {
     const auto now = m_clock.now();
-    if (!session.clock || session.leaving || session.removalProposed)
+    if (!session.clock || session.leaving || session.replaced || session.removalProposed)
         return std::nullopt;
     // The reading was taken between sending and receiving, so counting from the receipt never gives too long a lease.
     const auto sinceReading = std::chrono::duration_cast<milliseconds>(now - session.clock->receivedAt).count();
@@ -115,6 +122,9 @@
 
 void Leader::recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt)
 {
+    // A clock that has gone back is that of a later incarnation, which takes the lease of an order for its longest one.
+    if (session.clock && sentAt >= session.clock->receivedAt && clockMs < session.clock->clockMs)
+        assumeLongestLease(session, Duration::zero());
     if (!session.clock || sentAt >= session.clock->sentAt)
         session.clock = ClockReading { clockMs, sentAt, m_clock.now() };
 }
@@ -129,7 +139,7 @@
     PollOrder order { .fencingToken = m_term, .ackCursor = session.lastEndCommitted };
     // The lease is not renewed after a failed poll, because an unanswered renewal postpones the moment at which the
     // worker's tasks may be placed again.
-    const bool reachable = session.synced && session.failedPolls == 0;
+    const bool reachable = session.synced && session.failedPolls == 0 && !session.replaced;
     if (reachable && !session.runs.empty())
         order.leaseUntilMs = leaseUntil(session);
     const bool endsPending = session.lastEndSeen > session.lastEndCommitted;
@@ -154,7 +164,7 @@
     session.pollInFlight = false;
     const auto& worker = m_state.findWorker(serial)->worker;
     if (answer.result == OrderResult::Accepted && answer.startedAtMs && *answer.startedAtMs != worker.born_ms)
-        answer.result = OrderResult::OtherIncarnation;
+        return onSuccessorAnswer(session, answer, sentAt);
     if (answer.result == OrderResult::Fenced)
         return onFenced(session);
     if (answer.result != OrderResult::Accepted)
@@ -226,6 +236,7 @@
         listed.insert(reported.task);
         auto& run = found->second;
         run.hasBegun = true;
+        run.isListed = true;
         if (run.phase != RunPhase::Stopping && run.phase != RunPhase::StopAcknowledged)
             run.phase = RunPhase::Running;
         if (!reported.checkpoint.empty())
@@ -287,6 +298,7 @@
         if (found == session.runs.end() || found->second.number != reported.run)
             continue;
         found->second.endProposed = true;
+        found->second.isListed = true;
         const auto& checkpoint = reported.checkpoint.empty() ? found->second.checkpoint : reported.checkpoint;
         command.ends.push_back(std::make_unique<record::EndT>(
             makeEnd(reported.task, reported.run, session.serial, reported.how, checkpoint)));
@@ -337,7 +349,7 @@
     auto& session = found->second;
     if (status.ok()) {
         session.lastEndCommitted = std::max(session.lastEndCommitted, ends.lastEndCommitted);
-        if (!session.pollInFlight && session.lastEndCommitted > session.lastEndAcknowledged)
+        if (!session.pollInFlight && (session.replaced || session.lastEndCommitted > session.lastEndAcknowledged))
             poll(session);
         return;
     }
@@ -446,7 +458,7 @@
     case OrderResult::NoAnswer:
         session.backoffUntil = std::max(session.backoffUntil, m_clock.now() + noAnswerBackoff);
         if (run.phase == RunPhase::Ordered && !run.stopWanted && !run.endProposed && !session.leaving
-            && run.startAttempts < maxStartAttempts && trySendStart(session, task, run))
+            && !session.replaced && run.startAttempts < maxStartAttempts && trySendStart(session, task, run))
             return;
         return markStartInDoubt(session, run);
     case OrderResult::OtherIncarnation:
@@ -576,8 +588,8 @@
 /// `failures` is the current failure count of the worker.
 bool Leader::isUsable(const WorkerSession& session, double failures, TimePoint now) const
 {
-    return session.synced && session.failedPolls == 0 && !session.leaving && !session.removalProposed
-        && now >= session.backoffUntil && failures < maxRecentFailures
+    return session.synced && session.failedPolls == 0 && !session.leaving && !session.replaced
+        && !session.removalProposed && now >= session.backoffUntil && failures < maxRecentFailures
         && now - session.lastContactAt <= 3 * m_options.heartbeatInterval;
 }
 
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/cell/leader.h"
 
+#include "cell/reply.h"
 #include "turmericpier/base/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -115,6 +116,8 @@
     m_endsCommand = {};
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
+    for (const auto& [serial, held] : std::exchange(m_heldHeartbeats, {}))
+        held.answer(makeReply(Verdict::NotLeader, "this replica does not lead"));
     m_endedSince.clear();
     m_nextDueMs = 0;
     m_load = {};
