Acknowledge no ends to the next incarnation of a worker

Callers would see: a task runs again although it has ended, if it has ended on the next incarnation of its worker before that was polled twice.

Cause: a poll carries the number up to which ends were committed. The next incarnation numbers its ends anew and forgets those up to that number, also ends that it has never listed.

Change: polls carry no acknowledgement once a later incarnation is known.

Evidence: the new case in cell-successor-test failed on the code before (the poll acknowledged 7) and holds now. The first poll that finds the later incarnation still carries the number of the earlier one; that is left open.

--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -137,6 +137,8 @@
     }
     const auto now = m_clock.now();
     PollOrder order { .fencingToken = m_term, .ackCursor = session.lastEndCommitted };
+    if (session.replaced)
+        order.ackCursor = 0; // A later incarnation numbers its ends anew.
     // The lease is not renewed after a failed poll, because an unanswered renewal postpones the moment at which the
     // worker's tasks may be placed again.
     const bool reachable = session.synced && session.failedPolls == 0 && !session.replaced;
--- a/test/cell-successor-test.cc
+++ b/test/cell-successor-test.cc
@@ -92,6 +92,30 @@
     CHECK_FALSE(fixture.state.findWorkerById("w1"));
 }
 
+// Guards against a successor that forgets an end which was never listed, because the numbers of ends start anew.
+TEST_CASE("the ends of an earlier incarnation are not acknowledged to a successor", "[cell]")
+{
+    LeaderFixture fixture;
+    fixture.activate();
+    fixture.addReadyWorker("w1");
+    const TaskKey first { jobId(2), 0, 0, 0 };
+    fixture.submitJob(job(jobId(2), step(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    fixture.answerPoll("w1", {}, { { 7, first, 1, EndKind::Done, "" } });
+    REQUIRE(fixture.answerPoll("w1")->ackCursor == 7);
+    fixture.submitJob(job(jobId(1), step(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    PollAnswer answer;
+    answer.result = OrderResult::Accepted;
+    answer.startedAtMs = successorBorn;
+    answer.running = { activeRun({ jobId(1), 0, 0, 0 }, 1) };
+    fixture.answerPollWith("w1", answer);
+    fixture.answerStop(OrderResult::Accepted);
+    const auto order = fixture.answerPollWith("w1", answer);
+    REQUIRE(order);
+    CHECK(order->ackCursor == 0);
+}
+
 // Guards against a new leader that takes the runs of its predecessor for lost when a successor answers the first poll.
 TEST_CASE("a new leader stops an inherited run that a successor lists", "[cell]")
 {
