Read a log whose first segment replaces an entry of a removed one

Cause: a start begins a segment after the last entry. If that entry is replaced, the replacement is the first entry of the segment, and it was refused once the segment before had been removed.

--- a/src/consensus/wal.cc
+++ b/src/consensus/wal.cc
@@ -225,6 +225,7 @@
             entries.clear();
             m_stored.baseIndex = start;
             m_stored.baseTerm = term;
+            m_baseReplaced = false;
         }
     }
     const auto& hard = record.hard_state();
@@ -233,8 +234,15 @@
     for (const auto& proto : record.entries()) {
         LogEntry entry { Term { proto.term() }, Index { proto.index() }, static_cast<EntryKind>(proto.kind()),
             proto.data() };
-        if (entry.index > last().next() || entry.index <= m_stored.baseIndex)
+        if (entry.index > last().next() || entry.index == Index {})
             return corruptionError(path, offset, absl::StrCat("entry ", entry.index.value, " follows ", last().value));
+        if (entry.index <= m_stored.baseIndex) {
+            // The entry replaces one of a segment that was removed. A snapshot that covers it must exist, which is
+            // checked after the last segment.
+            entries.clear();
+            m_stored.baseIndex = Index { entry.index.value - 1 };
+            m_baseReplaced = true;
+        }
         entries.resize(entry.index.value - m_stored.baseIndex.value - 1);
         entries.push_back(std::move(entry));
     }
@@ -258,6 +266,11 @@
 
 absl::Status Wal::reconcileWithSnapshot()
 {
+    if (!m_stored.snapshot && m_baseReplaced) {
+        return corruptionError(segmentPath(m_segments.front().number), 0,
+            absl::StrCat(
+                "entry ", m_stored.baseIndex.value + 1, " replaces one before the log, and there is no snapshot"));
+    }
     if (!m_stored.snapshot)
         return absl::OkStatus();
     const auto& snapshot = *m_stored.snapshot;
@@ -269,8 +282,11 @@
     const auto position = snapshot.index.value - m_stored.baseIndex.value;
     const bool matches = position == 0 ? m_stored.baseTerm == snapshot.term
                                        : position <= entries.size() && entries[position - 1].term == snapshot.term;
-    if (!matches) { // a crash occurred after the snapshot was installed and before the log was reset
+    if (!matches) // a crash occurred after the snapshot was installed and before the log was reset
         entries.clear();
+    else if (m_baseReplaced) // the term of the entry at the base is not known
+        entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(position));
+    if (!matches || m_baseReplaced) {
         m_stored.baseIndex = snapshot.index;
         m_stored.baseTerm = snapshot.term;
     }
--- a/src/consensus/wal.h
+++ b/src/consensus/wal.h
@@ -83,6 +83,8 @@
     Latency& m_syncLatency;
     absl::Status m_failure; ///< First error of append(), activateSnapshot() or compact().
     StoredState m_stored;
+    /// An entry at or below the start of the first segment was replaced, so that the term at the base is not known.
+    bool m_baseReplaced = false;
     std::filesystem::path m_snapshotFile;
     std::vector<Segment> m_segments;
     uint64_t m_sequence = 0; ///< Sequence number of the last record.
--- a/test/consensus-wal-test.cc
+++ b/test/consensus-wal-test.cc
@@ -206,6 +206,29 @@
     CHECK(stored.entries.back().index == Index { 50 });
 }
 
+// Guards against a replica that ends at each start because its first segment replaces an entry of a removed one.
+TEST_CASE("an entry that replaces one of a removed segment is read", "[consensus]")
+{
+    Disk disk;
+    std::ignore = disk.open();
+    disk.append(1, 10);
+    std::ignore = disk.open(); // Starts a segment after entry 10.
+    disk.append(9, 12, 2);
+    disk.snapshot(11, 2, false);
+    REQUIRE(disk.wal->compact(Index { 10 }, Disk::hardState(2)).ok());
+    REQUIRE(disk.files("log-").front().filename() != "log-00000000000000000001");
+    const auto stored = disk.open();
+    CHECK(stored.baseIndex == Index { 11 });
+    CHECK(stored.baseTerm == Term { 2 });
+    REQUIRE(stored.entries.size() == 1);
+    CHECK(stored.entries.front().index == Index { 12 });
+    disk.append(13, 14, 2);
+    CHECK(disk.open().entries.size() == 3);
+    // Without the snapshot, entries are missing.
+    fs::remove(disk.files("snapshot-").front());
+    CHECK(disk.tryOpen().code() == absl::StatusCode::kDataLoss);
+}
+
 // Guards against old entries that are combined with a snapshot from the leader, also after a crash between writing the
 // snapshot and resetting the log.
 TEST_CASE("a snapshot from the leader replaces the log", "[consensus]")
