Add a fault soak that runs the cell as processes on loopback

Change: test/soak starts control processes and entries from their settings, with stand-in workers, clients that keep their connections and operators, and disturbs them from outside by seed: stops, reloads, kills, pauses, little processor time, links that are cut, delayed, reset or silent, lost disks and a replaced control process. It checks CONFIG, LOST, TWICE, REFUSED, UNASKED and MIXED by what callers and workers see. The proxies between processes need a listen address other than the advertised one, which the settings key internal-listen gives.

--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -24,6 +24,8 @@
 
 struct LinksOptions {
     std::string self; ///< Identity of this process.
+    /// Address to listen on if it is not the one in the identity, for example behind a proxy; empty otherwise.
+    std::string listen;
     /// Time after which a connection that does not acknowledge data is replaced. It is shorter than an election,
     /// because a connection may stop delivering for good while new ones work.
     std::chrono::milliseconds userTimeout { 1'000 };
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -46,7 +46,7 @@
     {
         peer::TransportOptions transport;
         transport.self = InstanceId(options.self);
-        transport.listen = parseOrEmpty(addressOf(options.self));
+        transport.listen = parseOrEmpty(options.listen.empty() ? addressOf(options.self) : options.listen);
         transport.userTimeout = options.userTimeout;
         transport.maxIncoming = options.maxIncoming;
         return transport;
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -56,6 +56,10 @@
     CHECK(settings->maxLease == std::chrono::seconds(10));
     CHECK(settings->statusRetention == std::chrono::seconds(120));
     CHECK(internalAddress(*settings, "10.2.0.32:8166") == "10.2.0.32:7720");
+    CHECK(settings->peerListenAddress.empty());
+    const auto proxied = parseNodeSettings("internal-listen = \"10.1.0.17:7800\"\n" + control, "node.toml");
+    REQUIRE(proxied.ok());
+    CHECK(proxied->peerListenAddress == "10.1.0.17:7800");
 }
 
 // Guards against starting with invalid settings, and against an error that does not name the key.
--- /dev/null
+++ b/test/soak/faults.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "soak/cluster.h"
+#include "soak/links.h"
+#include "soak/worker.h"
+#include "soak/world.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// Disturbances that the soak plays from outside the processes, in series and overlapping.
+namespace turmericpier::soak {
+
+/// Returns the names of the groups of disturbances, of which a run plays one or all.
+std::vector<std::string> faultGroups();
+
+class Faults {
+public:
+    /// `group` is one of faultGroups() or "all".
+    Faults(World& world, Cluster& cluster, Links& links, std::vector<std::unique_ptr<Worker>>& workers,
+        const std::string& group);
+
+    void start();
+    /// Plays no more disturbances; those that last end by themselves.
+    void stop() { m_stopped = true; }
+    const std::map<std::string, int>& played() const { return m_played; }
+
+private:
+    void next();
+    Process& anyControl();
+    Process& anyEntry();
+    Process& anyProcess();
+    void terminate(Process& process);
+    void kill(Process& process, milliseconds restartDelay);
+    void pause(Process& process, milliseconds time);
+    void throttle(Process& process, Time until);
+    void cutLinks(Process& process, bool incoming, bool outgoing, Time until);
+    void wipeDisk();
+    void replaceControl();
+
+    void addPlannedFaults();
+    void addProcessFaults();
+    void addLinkFaults();
+    void addDiskFaults();
+
+    World& m_world;
+    Cluster& m_cluster;
+    Links& m_links;
+    std::vector<std::unique_ptr<Worker>>& m_workers;
+    std::vector<std::pair<std::string, std::function<void()>>> m_faults;
+    std::map<std::string, int> m_played;
+    Time m_nextDiskLoss { 0 };
+    bool m_replaced = false;
+    bool m_stopped = false;
+};
+
+} // namespace turmericpier::soak
--- /dev/null
+++ b/test/soak/jobs.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "soak/world.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// What clients have submitted and what workers have run, and the promises that join the two.
+namespace turmericpier::soak {
+
+/// A run of a task as its worker has seen it. Times that have not come yet are absent.
+struct Run {
+    int64_t number = 0;
+    std::string worker; ///< Id and incarnation.
+    Time startedAt { 0 };
+    std::optional<Time> endedAt;
+    std::string how; ///< As the worker lists it; "crash" if the worker has crashed.
+    bool noted = false; ///< The end was acknowledged to the worker.
+};
+
+/// A job as its client has seen it.
+struct Job {
+    int tasks = 0;
+    bool maybeAccepted = false; ///< An attempt got no clear answer.
+    std::optional<Time> acceptedAt;
+    bool cancelled = false; ///< A cancellation was sent.
+    std::string state; ///< State in the last answer.
+};
+
+class Jobs {
+public:
+    explicit Jobs(World& world)
+        : m_world(world)
+    {
+    }
+
+    std::string add(int tasks);
+    Job& at(const std::string& id) { return m_jobs.at(id); }
+    std::vector<std::string> accepted() const;
+    /// Returns the accepted jobs of which no end is known.
+    std::vector<std::string> open() const;
+
+    /// Records the start of a run and returns its place in the history of the task.
+    size_t onStart(const std::string& task, Run run);
+    void onEnd(const std::string& task, size_t run, const std::string& how);
+    void onNoted(const std::string& task, size_t run);
+    /// Records the answer of a read of the job that was sent at `sentAt`.
+    void onState(const std::string& id, Time sentAt, unsigned status, const std::string& state);
+    /// Checks, after the end of traffic, that all accepted jobs have ended, and that no refused one has run.
+    void checkFinished();
+
+private:
+    void reportRuns(const std::string& rule, const std::string& task, const std::string& what);
+    int doneTasks(const std::string& id) const;
+
+    World& m_world;
+    std::map<std::string, Job> m_jobs;
+    std::map<std::string, std::vector<Run>> m_runs; ///< By task, in the order of their starts.
+};
+
+} // namespace turmericpier::soak
