Replace connections between processes that deliver nothing

Cause: only TCP was asked whether a connection is alive. A hop that acknowledges data without forwarding it hides that nothing arrives, so that the connections were kept for good.

Change: connections that have carried something are probed twice a second, and replaced if a probe is not answered within a second. Processes of an earlier version, which ignore probes, are left alone.

The fix works because the answer to a probe needs the whole path in both directions.

--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -12,7 +12,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 
 /// Calls and consensus messages between the processes of a cell. The identity of a process contains its address.
@@ -30,6 +29,9 @@
     /// because a connection may stop delivering for good while new ones work.
     std::chrono::milliseconds userTimeout { 1'000 };
     size_t maxIncoming = 256; ///< Connections accepted from other processes; further ones are closed and counted.
+    /// Interval at which the connections that have carried something are probed. A connection whose probe is not
+    /// answered within two intervals is replaced.
+    std::chrono::milliseconds probeInterval { 500 };
 };
 
 /// Calls must be made on the event loop, and callbacks run on it, unless stated otherwise.
@@ -60,7 +62,17 @@
     const std::string& self() const { return m_options.self; }
 
 private:
+    /// What is known of the connection to an address.
+    struct Peer {
+        bool hasTraffic = false; ///< Something other than a probe was sent since the last probe.
+        bool answersProbes = false; ///< A probe was answered before. Processes of an earlier version answer none.
+        uint32_t unansweredTicks = 0; ///< Probe intervals since an unanswered probe was sent; 0 if there is none.
+    };
+
     void sendEnvelope(const std::string& to, peer::Envelope envelope);
+    void sendProbe(const std::string& to, bool answer);
+    void onProbe(const std::string& from, bool answer);
+    void probePeers();
     void receive(peer::Envelope envelope);
     void onCall(peer::Envelope& envelope);
     void onReply(peer::Envelope& envelope);
@@ -75,11 +87,14 @@
     Counter& m_calls;
     Counter& m_timeouts;
     Counter& m_misdirected;
+    Counter& m_probesAnswered;
+    Counter& m_silentConnections;
     peer::Transport m_transport;
     CallHandler m_onCall;
     MessageHandler m_onMessage;
-    std::mutex m_mutex; ///< Guards m_knownAddresses.
-    std::set<std::string> m_knownAddresses; ///< Addresses that the transport has as peers.
+    std::mutex m_mutex; ///< Guards m_peers.
+    std::map<std::string, Peer> m_peers; ///< Addresses that the transport has as peers.
+    boost::asio::steady_timer m_probeTimer;
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_nextCall = 1;
 };
--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -58,6 +58,8 @@
     bool send(const InstanceId& to, Envelope envelope);
     /// Adds a peer or changes its address.
     void setPeer(InstanceId peer, Address address);
+    /// Replaces the connection to the peer; does nothing if there is none.
+    void reconnect(const InstanceId& peer);
     uint16_t port() const; ///< Port that start() bound, also if the options have port 0.
     std::string dump() const; ///< Returns connections and queue lengths as a JSON object.
 
--- a/src/app/process.cc
+++ b/src/app/process.cc
@@ -134,6 +134,7 @@
             break;
         case Body::CellCall: // Only the processes of a cell, which other commands start, receive these.
         case Body::CellReply:
+        case Body::CellProbe:
             m_metrics.counter("envelopes_unexpected_total").increment();
             break;
         case Body::NONE:
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -14,6 +14,7 @@
 namespace {
     const GroupId cellGroup("cell");
     constexpr uint64_t noCorrelation = 0; // Marks a call that is not replied to.
+    constexpr uint32_t maxUnansweredTicks = 2;
 
     peer::Address parseOrEmpty(const std::string& address)
     {
@@ -61,7 +62,10 @@
     , m_calls(metrics.counter("cell_peer_calls_total"))
     , m_timeouts(metrics.counter("cell_peer_call_timeouts_total"))
     , m_misdirected(metrics.counter("cell_messages_for_former_replicas_total"))
+    , m_probesAnswered(metrics.counter("cell_probes_answered_total"))
+    , m_silentConnections(metrics.counter("cell_silent_connections_total"))
     , m_transport(transportOptions(m_options), metrics)
+    , m_probeTimer(io)
 {
 }
 
@@ -70,10 +74,17 @@
 absl::Status Links::start()
 {
     m_transport.setHandler([this](peer::Envelope envelope) { receive(std::move(envelope)); });
-    return m_transport.start();
+    if (auto status = m_transport.start(); !status.ok())
+        return status;
+    probePeers();
+    return absl::OkStatus();
 }
 
-void Links::stop() { m_transport.stop(); }
+void Links::stop()
+{
+    m_probeTimer.cancel();
+    m_transport.stop();
+}
 
 void Links::sendEnvelope(const std::string& to, peer::Envelope envelope)
 {
@@ -86,12 +97,73 @@
     }
     {
         std::lock_guard lock(m_mutex);
-        if (m_knownAddresses.insert(address).second)
+        const auto [peer, isNew] = m_peers.try_emplace(address);
+        if (isNew)
             m_transport.setPeer(InstanceId(address), parseOrEmpty(address));
+        peer->second.hasTraffic |= envelope.body.AsCellProbe() == nullptr;
     }
     m_transport.send(InstanceId(address), std::move(envelope));
 }
 
+void Links::sendProbe(const std::string& to, bool answer)
+{
+    peer::wire::CellProbeT body;
+    body.answer = answer;
+    peer::Envelope envelope;
+    envelope.body.Set(std::move(body));
+    sendEnvelope(to, std::move(envelope));
+}
+
+/// Runs on the transport's thread, so that a busy event loop does not look like a silent connection.
+void Links::onProbe(const std::string& from, bool answer)
+{
+    if (!answer)
+        return sendProbe(from, true);
+    m_probesAnswered.increment();
+    std::lock_guard lock(m_mutex);
+    const auto peer = m_peers.find(addressOf(from));
+    if (peer == m_peers.end())
+        return;
+    peer->second.answersProbes = true;
+    peer->second.unansweredTicks = 0;
+}
+
+/// Replaces connections that deliver nothing although they are open. A middlebox, for example, may keep acknowledging
+/// data that it no longer forwards, which no timeout of TCP shows.
+void Links::probePeers()
+{
+    std::vector<std::string> silent;
+    std::vector<std::string> due;
+    {
+        std::lock_guard lock(m_mutex);
+        for (auto& [address, peer] : m_peers) {
+            if (peer.unansweredTicks >= maxUnansweredTicks) {
+                if (peer.answersProbes)
+                    silent.push_back(address);
+                peer.unansweredTicks = 0;
+            }
+            if (peer.unansweredTicks > 0) {
+                ++peer.unansweredTicks;
+            } else if (std::exchange(peer.hasTraffic, false)) {
+                peer.unansweredTicks = 1;
+                due.push_back(address);
+            }
+        }
+    }
+    for (const auto& address : silent) {
+        m_silentConnections.increment();
+        logState("cell", "connection is silent", { { "peer", address } });
+        m_transport.reconnect(InstanceId(address));
+    }
+    for (const auto& address : due)
+        sendProbe(address, false);
+    m_probeTimer.expires_after(m_options.probeInterval);
+    m_probeTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            probePeers();
+    });
+}
+
 void Links::send(const InstanceId& to, const consensus::Message& message)
 {
     peer::Envelope envelope;
@@ -132,6 +204,8 @@
         m_misdirected.increment();
         return;
     }
+    if (const auto* probe = envelope.body.AsCellProbe())
+        return onProbe(envelope.from, probe->answer);
     if (const auto* consensus = envelope.body.AsConsensus()) {
         auto message = peer::fromWire(*consensus);
         if (message.ok() && m_onMessage)
--- a/src/peer/outgoing.cc
+++ b/src/peer/outgoing.cc
@@ -88,6 +88,16 @@
     connect();
 }
 
+void Outgoing::reconnect()
+{
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_isConnected)
+            return;
+    }
+    onDisconnected("replaced");
+}
+
 void Outgoing::connect()
 {
     auto socket = std::make_shared<Socket>(m_io);
--- a/src/peer/outgoing.h
+++ b/src/peer/outgoing.h
@@ -36,6 +36,7 @@
     // The following functions must be called on the I/O thread.
     void connect();
     void setAddress(Address address);
+    void reconnect(); ///< Replaces the connection; does nothing while there is none.
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -142,6 +142,12 @@
     asio::post(m_impl->io, [link] { link->connect(); });
 }
 
+void Transport::reconnect(const InstanceId& peer)
+{
+    if (const auto link = m_impl->find(peer))
+        asio::post(m_impl->io, [link] { link->reconnect(); });
+}
+
 uint16_t Transport::port() const { return m_impl->incoming.port(); }
 
 std::string Transport::dump() const
