Number the calls of a process from a random start

Callers could see: a configuration that is acknowledged without being stored, or an older one that is read.

Cause: calls between processes were numbered from 1 after each start. A control process keeps its identity, so that a late reply to its predecessor completed a call with the same number.

Change: the first number is random.

Evidence: the new case in cell-links-test failed before (the call was completed by the late reply) and holds now.

--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -96,7 +96,7 @@
     std::map<std::string, Peer> m_peers; ///< Addresses that the transport has as peers.
     boost::asio::steady_timer m_probeTimer;
     std::map<uint64_t, Pending> m_pending;
-    uint64_t m_nextCall = 1;
+    uint64_t m_nextCall;
 };
 
 } // namespace turmericpier::cell
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -6,6 +6,7 @@
 #include "turmericpier/peer/convert.h"
 
 #include <boost/asio/post.hpp>
+#include <random>
 
 namespace turmericpier::cell {
 
@@ -27,6 +28,13 @@
         return { bytes.begin(), bytes.end() };
     }
 
+    /// Returns a random number, so that a late reply to a former process with the same identity has no call here.
+    uint64_t chooseFirstCall()
+    {
+        std::random_device device;
+        return (uint64_t { device() } << 32U | device()) | 1U;
+    }
+
     peer::Envelope envelopeOf(const record::CallT& call, uint64_t correlation)
     {
         peer::wire::CellCallT body;
@@ -66,6 +74,7 @@
     , m_silentConnections(metrics.counter("cell_silent_connections_total"))
     , m_transport(transportOptions(m_options), metrics)
     , m_probeTimer(io)
+    , m_nextCall(chooseFirstCall())
 {
 }
 
--- a/test/cell-links-test.cc
+++ b/test/cell-links-test.cc
@@ -151,3 +151,51 @@
     first.stop();
     second.stop();
 }
+
+// Guards against a restarted process that takes a late reply to its predecessor for the one to its own call.
+TEST_CASE("a reply to an earlier process completes no call of the next one", "[cell]")
+{
+    boost::asio::io_context io;
+    Metrics metrics;
+    const auto serverAddress = freeAddress();
+    const auto self = freeAddress() + "/control";
+    std::vector<Links::Answer> answers;
+    Links server(io, { .self = serverAddress + "/server" }, metrics);
+    server.setCallHandler([&](const std::string&, std::unique_ptr<record::CallT>, const Links::Answer& answer) {
+        answers.push_back(answer);
+    });
+    REQUIRE(server.start().ok());
+    // Calls that are sent while there is no connection may be lost.
+    const auto callUntilReceived = [&](Links& from, const Links::ReplyCallback& done) {
+        for (const auto received = answers.size(); answers.size() == received;) {
+            bool timedOut = false;
+            from.call(serverAddress, {}, std::chrono::hours(1), done);
+            boost::asio::steady_timer timer(io, milliseconds(50));
+            timer.async_wait([&](error_code) { timedOut = true; });
+            while (!timedOut)
+                io.run_one();
+        }
+    };
+    {
+        Links former(io, { .self = self }, metrics);
+        REQUIRE(former.start().ok());
+        callUntilReceived(former, [](const std::optional<record::ReplyT>&) {});
+        former.stop();
+    }
+    const auto late = answers;
+    answers.clear();
+    Links next(io, { .self = self }, metrics);
+    REQUIRE(next.start().ok());
+    std::vector<std::string> replies;
+    callUntilReceived(next, [&](const std::optional<record::ReplyT>& reply) { replies.push_back(reply->message); });
+    while (replies.empty()) {
+        for (const auto& answer : late)
+            answer(replyOf("late"));
+        for (const auto& answer : answers)
+            answer(replyOf("to this process"));
+        io.run_for(milliseconds(10));
+    }
+    CHECK(replies.front() == "to this process");
+    next.stop();
+    server.stop();
+}
