Accept nothing more at the end of a drain and answer what is left

Cause: a stopping entry went on to accept connections. Clients that used it until it was gone kept it busy up to its latest exit, at which the requests that waited for a leader were cut off.

The new cases in http-server-test and cell-relay-test hold; they test functions that did not exist before.

The fix works because the work of a stopping process is bounded, and each call has an answer before the process ends.

--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,6 +39,9 @@
     /// because all calls are idempotent.
     void handle(std::unique_ptr<record::CallT> call, std::chrono::milliseconds deadline, Answer answer);
 
+    /// Answers all calls until `time`, for example because the process ends then.
+    void answerBy(TimePoint time) { m_answerBy = time; }
+
     const std::string& leader() const { return m_leader; }
     /// Returns true if a leader has answered recently.
     bool isConnected() const;
@@ -63,6 +67,7 @@
     void locate();
     void locateAfter(Duration delay);
     void onLocated(const std::optional<record::ReplyT>& reply);
+    TimePoint limited(TimePoint time) const { return m_answerBy ? std::min(time, *m_answerBy) : time; }
     void attempt(const std::shared_ptr<PendingCall>& pending);
     void onAnswer(
         const std::shared_ptr<PendingCall>& pending, const std::string& leader, std::optional<record::ReplyT> answer);
@@ -85,6 +90,7 @@
     TimePoint m_lastSearchAt; ///< Start time of the last search.
     std::function<record::CallT()> m_makeLocateCall;
     LocalHandler m_localHandler;
+    std::optional<TimePoint> m_answerBy;
     bool m_stopped = false;
     /// Expires with the relay, so that the retry timers of calls do not use it afterwards.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/turmericpier/http/server.h
+++ b/include/turmericpier/http/server.h
@@ -63,6 +63,9 @@
     absl::Status start();
     /// Closes each connection after its next response. Requests that are in progress are answered.
     void drain();
+    /// Accepts no more connections and closes those on which nothing of a request has arrived. Requests that have
+    /// arrived are answered. The caller repeats this until openConnections() is 0.
+    void finish();
     /// Returns the number of requests passed to the handler and not answered yet.
     size_t requestsInFlight() const;
     size_t openConnections() const;
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -116,7 +116,8 @@
 void Relay::attempt(const std::shared_ptr<PendingCall>& pending)
 {
     const auto now = m_clock.now();
-    if (now >= pending->giveUpAt || (m_leader.empty() && now >= pending->refuseAt))
+    const auto giveUpAt = limited(pending->giveUpAt);
+    if (now >= giveUpAt || (m_leader.empty() && now >= pending->refuseAt))
         return giveUp(pending);
     if (m_leader.empty())
         return retry(pending);
@@ -130,7 +131,7 @@
             retry(pending);
         return;
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(pending->giveUpAt - now);
+    const auto left = std::chrono::duration_cast<milliseconds>(giveUpAt - now);
     m_links.call(m_leader, *pending->call, std::min(m_options.attemptTimeout, left + milliseconds(1)), done);
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -43,6 +43,8 @@
     }
 
     void accept();
+    void acceptWaiting();
+    void add(tcp::socket socket);
 
     asio::io_context& io;
     const ServerOptions options;
@@ -87,6 +89,15 @@
             });
     }
 
+    /// Closes the connection if nothing of a request has arrived. A read that has completed with its handler still
+    /// pending is not affected by the cancellation.
+    void closeIfUnused()
+    {
+        error_code error;
+        if (isIdle() && m_buffer.size() == 0 && m_stream.socket().available(error) == 0)
+            m_stream.cancel();
+    }
+
     void discard() override
     {
         unlink();
@@ -185,19 +196,37 @@
             });
             return;
         }
-        if (self->sessions.size() >= self->options.maxConnections && !evictLongestIdle(self->idle, self->evictions)) {
-            self->overLimit.increment();
-        } else {
-            error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            auto session = std::make_shared<Session>(self, std::move(socket));
-            self->sessions.insert(session);
-            session->read();
-        }
+        self->add(std::move(socket));
         self->accept();
     });
 }
 
+void Server::Impl::add(tcp::socket socket)
+{
+    if (sessions.size() >= options.maxConnections && !evictLongestIdle(idle, evictions)) {
+        overLimit.increment();
+        return;
+    }
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
+    sessions.insert(session);
+    session->read();
+}
+
+/// Accepts the connections in the queue of the kernel, which would otherwise be reset with their requests.
+void Server::Impl::acceptWaiting()
+{
+    error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(io);
+        acceptor.accept(socket, error);
+        if (!error)
+            add(std::move(socket));
+    }
+}
+
 Server::Server(
     asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics, std::string deadlineHeader)
     : m_impl(std::make_shared<Impl>(io, std::move(options), std::move(handler), metrics, std::move(deadlineHeader)))
@@ -239,6 +268,19 @@
 
 void Server::drain() { m_impl->draining = true; }
 
+void Server::finish()
+{
+    drain();
+    if (m_impl->acceptor.is_open()) {
+        m_impl->acceptWaiting();
+        error_code ignored;
+        m_impl->acceptor.close(ignored);
+        m_impl->acceptRetry.cancel();
+    }
+    for (const auto& session : m_impl->sessions)
+        session->closeIfUnused();
+}
+
 size_t Server::requestsInFlight() const { return m_impl->inFlight; }
 
 size_t Server::openConnections() const { return m_impl->sessions.size(); }
--- a/test/cell-relay-test.cc
+++ b/test/cell-relay-test.cc
@@ -77,6 +77,22 @@
 
 } // namespace
 
+// Guards against calls that wait for a leader when their process ends, and are cut off without an answer.
+TEST_CASE("all calls are answered by the time at which the process ends", "[cell]")
+{
+    RelayFixture fixture;
+    fixture.onCall = [](const Links::Answer&) {}; // The leader answers nothing.
+    fixture.relay.answerBy(fixture.clock.now() + milliseconds(120));
+    const auto first = fixture.call();
+    CHECK((first.verdict == Verdict::Unknown || first.verdict == Verdict::NotRun));
+    const auto calls = fixture.calls;
+    // A later one is refused at once.
+    const auto refused = fixture.call();
+    CHECK(refused.verdict == Verdict::NotRun);
+    CHECK(refused.retry_after_ms > 0);
+    CHECK(fixture.calls == calls);
+}
+
 // Guards against a call that is not repeated after the leader has changed.
 TEST_CASE("a call is sent again until a leader has taken it", "[cell]")
 {
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -3,9 +3,12 @@
 #include "free-address.h"
 #include "turmericpier/http/client.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 using namespace turmericpier;
 using namespace turmericpier::http;
@@ -126,6 +129,45 @@
     pending.clear(); // Holds a connection, which must not outlive the event loop.
 }
 
+// Guards against requests that are cut off because callers connect and send until the server ends.
+TEST_CASE("a finishing server answers what has arrived and accepts nothing more", "[http]")
+{
+    std::vector<Respond> pending;
+    Fixture fixture([&](const Request&, const Respond& respond) { pending.push_back(respond); });
+    const auto work
+        = boost::asio::make_work_guard(fixture.io); // The server waits for nothing while requests are pending.
+    const auto connect = [&](const std::string& sent) {
+        auto socket = std::make_unique<tcp::socket>(fixture.io);
+        socket->connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.port });
+        socket->send(boost::asio::buffer(sent));
+        for (int left = 1; left > 0;) // Until the kernel of the server has received all.
+            REQUIRE(::ioctl(socket->native_handle(), SIOCOUTQ, &left) == 0);
+        return socket;
+    };
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto idle = connect("");
+    const auto busy = connect(request);
+    const auto partial = connect(request.substr(0, 10));
+    fixture.runUntil([&] { return pending.size() == 1 && fixture.server->openConnections() == 3; });
+    const auto waiting = connect(request); // In the queue of the kernel; the event loop has not run since.
+    fixture.server->finish();
+    fixture.runUntil([&] { return fixture.server->openConnections() == 3 && pending.size() == 2; });
+    boost::system::error_code error;
+    char byte = 0;
+    CHECK(idle->read_some(boost::asio::buffer(&byte, 1), error) == 0);
+    fixture.server->finish();
+    partial->send(boost::asio::buffer(request.substr(10)));
+    fixture.runUntil([&] { return pending.size() == 3; });
+    for (const auto& respond : pending)
+        respond(Response {});
+    fixture.runUntil([&] { return fixture.server->openConnections() == 0; });
+    for (auto* socket : { busy.get(), partial.get(), waiting.get() })
+        CHECK(socket->read_some(boost::asio::buffer(&byte, 1), error) == 1);
+    tcp::socket late(fixture.io);
+    late.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.port }, error);
+    CHECK(error == boost::asio::error::connection_refused);
+}
+
 // Guards against a body that exhausts the memory of a small machine.
 TEST_CASE("a body over the limit is rejected", "[http]")
 {
