Remove a move and a copy that the linter rejects

Cause: the linter reported a move of a trivially copyable body in links.cc and a parameter of the soak that is copied for each call.

Change: both are removed; behaviour is the same.

--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -119,7 +119,7 @@
     peer::wire::CellProbeT body;
     body.answer = answer;
     peer::Envelope envelope;
-    envelope.body.Set(std::move(body));
+    envelope.body.Set(body);
     sendEnvelope(to, std::move(envelope));
 }
 
--- a/test/soak/client.cc
+++ b/test/soak/client.cc
@@ -126,7 +126,7 @@
     m_buffer.clear();
 }
 
-void Client::send(std::shared_ptr<Exchange> exchange)
+void Client::send(const std::shared_ptr<Exchange>& exchange)
 {
     ++exchange->attempts;
     m_request = absl::StrCat(exchange->method, " ", exchange->path, " HTTP/1.1\r\nHost: ", Operator::host,
--- a/test/soak/client.h
+++ b/test/soak/client.h
@@ -38,7 +38,7 @@
 
     void next();
     void submitJob();
-    void send(std::shared_ptr<Exchange> exchange);
+    void send(const std::shared_ptr<Exchange>& exchange);
     void connect(const std::shared_ptr<Exchange>& exchange);
     void write(const std::shared_ptr<Exchange>& exchange, size_t offset);
     void read(const std::shared_ptr<Exchange>& exchange);
