Release the connections of a server test before its event loop

Cause: the new case of http-server-test kept callbacks that hold connections until after their event loop, which the address sanitizer reported as a use after free in the test.

Change: the callbacks are released once they have been called, as in the case beside it.

--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -160,6 +160,7 @@
     fixture.runUntil([&] { return pending.size() == 3; });
     for (const auto& respond : pending)
         respond(Response {});
+    pending.clear(); // Holds connections, which must not outlive the event loop.
     fixture.runUntil([&] { return fixture.server->openConnections() == 0; });
     for (auto* socket : { busy.get(), partial.get(), waiting.get() })
         CHECK(socket->read_some(boost::asio::buffer(&byte, 1), error) == 1);
