Share the choice of a control process in the soak and remove dead code

Cause: the second reading found the same function in two classes of the soak, a counter that nothing reads, a function that only forwards, and an unused include.

Change: Cluster chooses a control process for both; the rest is removed. No check, bound or random draw changes.

--- a/test/soak/client.cc
+++ b/test/soak/client.cc
@@ -1,7 +1,6 @@
 #include "soak/client.h"
 
 #include <absl/strings/str_cat.h>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <sys/socket.h>
--- a/test/soak/cluster.cc
+++ b/test/soak/cluster.cc
@@ -120,6 +120,12 @@
     return found;
 }
 
+Process& Cluster::anyControl()
+{
+    auto found = controls();
+    return *m_world.pick(found);
+}
+
 std::vector<Process*> Cluster::entries()
 {
     std::vector<Process*> found;
@@ -202,10 +208,8 @@
             continue;
         process.pid = 0;
         m_world.trace(absl::StrCat(process.name, " has ended, status ", status));
-        if (!process.endExpected) {
-            ++m_ownEnds;
+        if (!process.endExpected)
             m_world.report("END", absl::StrCat(process.name, " has ended by itself, status ", status));
-        }
         if (process.removed)
             continue;
         m_world.after(process.restartDelay, [this, &process] {
--- a/test/soak/cluster.h
+++ b/test/soak/cluster.h
@@ -53,6 +53,7 @@
     void rewriteSettings(Process& process, bool rotateSeeds);
 
     std::vector<Process*> controls();
+    Process& anyControl(); ///< Returns one of controls() at random.
     std::vector<Process*> entries();
     std::string clientAddress(const Process& entry) const;
     std::string controlAddress(const Process& control) const;
@@ -61,7 +62,6 @@
     std::string peerListenAddress(const Process& process) const;
     std::string workerAddress(int number) const;
     std::string advisorAddress() const;
-    int ownEnds() const { return m_ownEnds; }
 
 private:
     Process& add(bool isControl);
@@ -77,7 +77,6 @@
     int m_nextControl = 1;
     int m_nextEntry = 1;
     bool m_stopped = false;
-    int m_ownEnds = 0;
 };
 
 } // namespace turmericpier::soak
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -47,19 +47,13 @@
     m_world.after(m_world.randomTime(100, 2'500), [this] { next(); });
 }
 
-Process& Faults::anyControl()
-{
-    auto controls = m_cluster.controls();
-    return *m_world.pick(controls);
-}
-
 Process& Faults::anyEntry()
 {
     auto entries = m_cluster.entries();
     return *m_world.pick(entries);
 }
 
-Process& Faults::anyProcess() { return m_world.chance(0.5) ? anyControl() : anyEntry(); }
+Process& Faults::anyProcess() { return m_world.chance(0.5) ? m_cluster.anyControl() : anyEntry(); }
 
 void Faults::terminate(Process& process) { m_cluster.end(process, SIGTERM, m_world.randomTime(0, 1'500)); }
 
@@ -108,7 +102,7 @@
     if (m_world.now() < m_nextDiskLoss)
         return;
     m_nextDiskLoss = m_world.now() + diskLossInterval;
-    auto& control = anyControl();
+    auto& control = m_cluster.anyControl();
     if (control.pid == 0)
         return;
     control.beforeRestart = [this, &control] { m_cluster.wipe(control); };
@@ -122,7 +116,7 @@
         return;
     // The removed replica stays a voter for some time, so that no other disk may be lost any more.
     m_nextDiskLoss = Time::max();
-    auto& control = anyControl();
+    auto& control = m_cluster.anyControl();
     m_world.disturb("replace " + control.name, m_world.now() + startTime);
     m_cluster.remove(control, m_world.chance(0.5) ? SIGTERM : SIGKILL);
     m_world.after(m_world.randomTime(0, 2'000), [this] {
@@ -135,7 +129,7 @@
 void Faults::addPlannedFaults()
 {
     m_faults.emplace_back("stop an entry", [this] { terminate(anyEntry()); });
-    m_faults.emplace_back("stop a control process", [this] { terminate(anyControl()); });
+    m_faults.emplace_back("stop a control process", [this] { terminate(m_cluster.anyControl()); });
     m_faults.emplace_back("stop processes one after the other", [this] {
         for (auto* process : m_cluster.entries())
             m_world.after(m_world.randomTime(0, 4'000), [this, process] { terminate(*process); });
@@ -158,13 +152,14 @@
 void Faults::addProcessFaults()
 {
     m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
-    m_faults.emplace_back("kill a control process", [this] { kill(anyControl(), m_world.randomTime(0, 1'000)); });
+    m_faults.emplace_back(
+        "kill a control process", [this] { kill(m_cluster.anyControl(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back("kill all control processes", [this] {
         for (auto* control : m_cluster.controls())
             kill(*control, m_world.randomTime(0, 900));
     });
     m_faults.emplace_back("kill a control process again and again", [this] {
-        auto& control = anyControl();
+        auto& control = m_cluster.anyControl();
         for (int i = 0; i < 6; ++i)
             m_world.after(milliseconds(400 * i), [this, &control] { kill(control, milliseconds(0)); });
     });
@@ -191,7 +186,7 @@
         [this] { cutLinks(anyProcess(), true, true, m_world.now() + m_world.randomTime(500, 5'000)); });
     m_faults.emplace_back("cut a control process one way", [this] {
         const bool incoming = m_world.chance(0.5);
-        cutLinks(anyControl(), incoming, !incoming, m_world.now() + m_world.randomTime(500, 5'000));
+        cutLinks(m_cluster.anyControl(), incoming, !incoming, m_world.now() + m_world.randomTime(500, 5'000));
     });
     m_faults.emplace_back("delay a process", [this] {
         const auto self = m_cluster.peerAddress(anyProcess());
@@ -218,8 +213,9 @@
 {
     m_faults.emplace_back("lose a disk", [this] { wipeDisk(); });
     m_faults.emplace_back("replace a control process", [this] { replaceControl(); });
-    m_faults.emplace_back("kill a control process", [this] { kill(anyControl(), m_world.randomTime(0, 1'000)); });
-    m_faults.emplace_back("stop a control process", [this] { terminate(anyControl()); });
+    m_faults.emplace_back(
+        "kill a control process", [this] { kill(m_cluster.anyControl(), m_world.randomTime(0, 1'000)); });
+    m_faults.emplace_back("stop a control process", [this] { terminate(m_cluster.anyControl()); });
 }
 
 } // namespace turmericpier::soak
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -28,7 +28,6 @@
 
 private:
     void next();
-    Process& anyControl();
     Process& anyEntry();
     Process& anyProcess();
     void terminate(Process& process);
--- a/test/soak/operator.cc
+++ b/test/soak/operator.cc
@@ -51,23 +51,12 @@
     m_routes.insert(baseRoute());
 }
 
-Process& Operator::anyControl()
-{
-    auto controls = m_cluster.controls();
-    return *m_world.pick(controls);
-}
-
-std::string Operator::makeDocument(int64_t version, const std::set<std::string>& routes) const
-{
-    return json::serialize(documentOf(version, routes));
-}
-
 int64_t Operator::addVersion()
 {
     const auto number = (m_versions.empty() ? 0 : m_versions.rbegin()->first) + m_world.random(1, 9);
     auto& version = m_versions[number];
     version.routes = m_routes;
-    version.document = makeDocument(number, m_routes);
+    version.document = json::serialize(documentOf(number, m_routes));
     return number;
 }
 
@@ -144,7 +133,7 @@
     auto& version = m_versions.at(number);
     version.sentAt = version.sentAt.value_or(m_world.now());
     ++m_inFlight;
-    auto& control = anyControl();
+    auto& control = m_cluster.anyControl();
     m_client.call(m_cluster.controlAddress(control), { "PUT", path, version.document, {} }, callTimeout,
         [this, number, resend, name = control.name](const http::ClientResponse& response) {
             --m_inFlight;
@@ -169,7 +158,7 @@
 void Operator::putInvalid(const std::string& document, int attempts)
 {
     constexpr int maxAttempts = 5;
-    auto& control = anyControl();
+    auto& control = m_cluster.anyControl();
     m_client.call(m_cluster.controlAddress(control), { "PUT", path, document, {} }, callTimeout,
         [this, document, attempts, name = control.name](const http::ClientResponse& response) {
             if (response.status == 200)
@@ -193,7 +182,7 @@
 {
     if (m_stopped)
         return;
-    read(anyControl());
+    read(m_cluster.anyControl());
     m_world.after(readInterval, [this] { readLoop(); });
 }
 
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -43,7 +43,6 @@
     enum class Resend { UntilAcknowledged, Once };
 
     int64_t addVersion();
-    std::string makeDocument(int64_t version, const std::set<std::string>& routes) const;
     std::string makeInvalidDocument();
     void change();
     void put(int64_t version, Resend resend);
@@ -52,7 +51,6 @@
     void read(Process& control);
     /// Returns the newest version acknowledged by `time`, or 0.
     int64_t acknowledgedBy(Time time) const;
-    Process& anyControl();
 
     World& m_world;
     Cluster& m_cluster;
