Let the voters of a cell be the replicas that are alive

Cause: a silent voter was removed after 20 s, counted anew by each leader. Removed machines stayed voters, and with them four of eight voters were no majority.

Heartbeats name silent voters, so that a successor counts on. The last identity at an address replaces former requests to join, and a replica that does not answer is given up. The soak plays replacements in series and a lost disk; its bound of one replacement a run was the product's and goes.

--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -5,6 +5,7 @@
 #include "turmericpier/cell/identity.h"
 #include "turmericpier/cell/leader.h"
 #include "turmericpier/cell/links.h"
+#include "turmericpier/cell/membership.h"
 #include "turmericpier/cell/order-dispatcher.h"
 #include "turmericpier/cell/order-proxy.h"
 #include "turmericpier/cell/relay.h"
@@ -31,11 +32,7 @@
     std::string heartbeatAddress; ///< Address of this replica to which workers send later heartbeats.
     std::chrono::milliseconds electionTimeoutMin { 500 };
     std::chrono::milliseconds electionTimeoutMax { 1'000 };
-    /// A voter that was not heard of for this long is removed. It is longer than a network partition or the suspension
-    /// of a process lasts.
-    std::chrono::milliseconds removeSilentAfter { 20'000 };
-    size_t minVoters = 3; ///< Silent voters are removed only while there are more voters than this.
-    size_t maxVoters = 9;
+    MembershipOptions membership;
     /// Number of log entries between two snapshots. At 100 to 200 entries per second of a few hundred bytes each, the
     /// log in memory stays below 10 MB.
     uint64_t snapshotEvery = 4'000;
@@ -78,7 +75,7 @@
     void recordSeed(const std::string& replica, bool unformed, const std::vector<std::string>& initialVoters);
     void formGroup(std::vector<std::string> voters);
     void maintainVoters();
-    void changeVoters(const std::string& what, const std::string& replica, bool add);
+    void changeVoters(const VoterChange& change);
     bool isVoter(const std::string& replica) const;
 
     // Orders to workers through other replicas.
@@ -107,7 +104,7 @@
     /// Identities of replicas that have no group yet, by seed address.
     std::map<std::string, std::string> m_seedReplicas;
     TimePoint m_nextFormation;
-    std::map<std::string, TimePoint> m_candidates; ///< Replicas that ask to join, with the time of their last request.
+    Membership m_membership;
     HeartbeatCollector m_heartbeats;
     bool m_reportInFlight = false;
     bool m_changingVoters = false;
--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -96,7 +96,9 @@
     bool holdsLease() const;
     struct Voter {
         InstanceId id;
-        Duration silentFor { 0 }; ///< Time since the leader last heard from the voter; 0 on other replicas.
+        /// Time since this or, if it reported so, a former leader last heard from the voter; 0 unless this replica
+        /// leads.
+        Duration silentFor { 0 };
     };
     /// The current voters as known to this replica.
     std::vector<Voter> voters() const;
--- a/include/turmericpier/consensus/message.h
+++ b/include/turmericpier/consensus/message.h
@@ -64,6 +64,8 @@
     uint64_t context = 0;
     std::vector<LogEntry> entries;
     std::optional<Snapshot> snapshot;
+    /// Heartbeat: voters that the leader has not heard from for an election timeout.
+    std::vector<InstanceId> silent;
 };
 
 } // namespace turmericpier::consensus
--- /dev/null
+++ b/src/cell/membership.cc
@@ -0,0 +1,55 @@
+#include "turmericpier/cell/membership.h"
+
+#include "turmericpier/cell/links.h"
+
+#include <algorithm>
+
+namespace turmericpier::cell {
+
+using Voters = std::vector<consensus::Group::Voter>;
+
+void Membership::recordRequest(const std::string& replica, TimePoint now)
+{
+    auto& candidate = m_candidates[addressOf(replica)];
+    if (candidate.replica != replica)
+        candidate = { .replica = replica };
+    candidate.lastRequest = now;
+}
+
+std::optional<VoterChange> Membership::nextChange(const Voters& voters, TimePoint now)
+{
+    std::erase_if(m_candidates, [&](const auto& item) {
+        const auto& candidate = item.second;
+        return now - candidate.lastRequest > m_options.requestTimeout
+            || std::ranges::any_of(voters, [&](const auto& voter) { return voter.id.str() == candidate.replica; });
+    });
+    // A lost voter is removed first, because it may take away the majority while a new one catches up.
+    if (auto change = removal(voters))
+        return change;
+    return addition(voters, now);
+}
+
+std::optional<VoterChange> Membership::removal(const Voters& voters) const
+{
+    for (const auto& voter : voters) {
+        if (m_candidates.contains(addressOf(voter.id.str())))
+            return VoterChange { voter.id.str(), false, "replaced at its address" };
+    }
+    const auto longest = std::ranges::max_element(voters, {}, &consensus::Group::Voter::silentFor);
+    if (voters.size() <= m_options.minVoters || longest->silentFor <= m_options.removeSilentAfter)
+        return std::nullopt;
+    return VoterChange { longest->id.str(), false, "silent" };
+}
+
+std::optional<VoterChange> Membership::addition(const Voters& voters, TimePoint now)
+{
+    if (m_candidates.empty() || voters.size() >= m_options.maxVoters)
+        return std::nullopt;
+    // A replica that could not be added must not keep others from being added.
+    auto& next
+        = std::ranges::min_element(m_candidates, {}, [](const auto& item) { return item.second.lastAttempt; })->second;
+    next.lastAttempt = now;
+    return VoterChange { next.replica, true, "joins" };
+}
+
+} // namespace turmericpier::cell
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -29,8 +29,6 @@
     constexpr milliseconds adviceTimeout { 4'000 };
     constexpr milliseconds voterCheckInterval { 300 };
     constexpr milliseconds heartbeatReportTimeout { 600 };
-    // A candidate repeats its request every second.
-    constexpr milliseconds candidateTimeout { 3'000 };
     constexpr uint64_t snapshotBytes = 8U << 20U;
     // Voters answer heartbeats every 100 ms. Orders that a silent one may hold are sent again through another replica.
     constexpr milliseconds maxProxySilence { 500 };
@@ -50,6 +48,7 @@
     , m_leader(m_options.leader, leaderHooks(std::move(workerHooks)), m_state, clock, metrics)
     , m_heartbeatsAnswered(metrics.counter("cell_heartbeats_answered_total"))
     , m_timer(io)
+    , m_membership(m_options.membership)
 {
     m_links.setMessageHandler([this](InstanceId from, consensus::Message message) {
         if (auto* group = m_receiver.load())
@@ -317,7 +316,7 @@
             m_dispatcher.recordProxy(from, call->zone, call->clock_ms.value());
         // Only replicas send their identity; entries merely offer to call the advisor.
         if (!call->replica.empty() && !isVoter(call->replica))
-            m_candidates[call->replica] = m_clock.now();
+            m_membership.recordRequest(call->replica, m_clock.now());
     }
     answer(std::move(reply));
 }
@@ -422,49 +421,33 @@
     }
 }
 
-/// Makes one change at a time: removes a voter whose disk was lost, adds a replica that asks to join, or removes a
-/// voter that has been silent for too long.
+/// Makes one change of the voters at a time.
 void Replica::maintainVoters()
 {
     const auto now = m_clock.now();
     if (m_changingVoters || now < m_nextVoterCheck)
         return;
     m_nextVoterCheck = now + voterCheckInterval;
-    std::erase_if(m_candidates, [&](const auto& entry) { return now - entry.second > candidateTimeout; });
-    const auto voters = m_group->voters();
-    for (const auto& [candidate, seen] : m_candidates) {
-        if (isVoter(candidate))
-            continue;
-        for (const auto& voter : voters) {
-            if (addressOf(voter.id.str()) == addressOf(candidate))
-                return changeVoters("replaced at its address", voter.id.str(), false);
-        }
-        if (voters.size() < m_options.maxVoters)
-            return changeVoters("joins", candidate, true);
-    }
-    if (voters.size() <= m_options.minVoters)
-        return;
-    for (const auto& voter : voters) {
-        if (voter.silentFor > m_options.removeSilentAfter)
-            return changeVoters("silent", voter.id.str(), false);
-    }
+    if (const auto change = m_membership.nextChange(m_group->voters(), now))
+        changeVoters(*change);
 }
 
-void Replica::changeVoters(const std::string& what, const std::string& replica, bool add)
+void Replica::changeVoters(const VoterChange& change)
 {
     m_changingVoters = true;
-    logDecision("cell", "membership", replica, add ? "adding" : "removing", { { "inputs", what } });
-    const auto done = [this, replica](const absl::StatusOr<consensus::Applied>& result) {
+    logDecision(
+        "cell", "membership", change.replica, change.add ? "adding" : "removing", { { "inputs", change.reason } });
+    const auto done = [this, replica = change.replica](const absl::StatusOr<consensus::Applied>& result) {
         asio::post(m_io, [this, replica, status = result.status()] {
             m_changingVoters = false;
             if (!status.ok())
                 logDecision("cell", "membership", replica, "refused", { { "inputs", std::string(status.message()) } });
         });
     };
-    if (add)
-        m_group->addVoter(InstanceId(replica), done);
+    if (change.add)
+        m_group->addVoter(InstanceId(change.replica), done);
     else
-        m_group->removeVoter(InstanceId(replica), done);
+        m_group->removeVoter(InstanceId(change.replica), done);
 }
 
 void Replica::handOver(std::function<void()> done)
--- a/src/consensus/core-follower.cc
+++ b/src/consensus/core-follower.cc
@@ -10,6 +10,7 @@
     if (m_role != Role::Follower || m_leader != from)
         becomeFollower(m_hardState.term, from);
     m_lastLeaderContact = m_now;
+    m_lastLeader = from;
     resetElectionTimer();
 }
 
@@ -78,6 +79,7 @@
     if (m_role == Role::Leader)
         return;
     followLeader(from);
+    recordSilentVoters(message.silent);
     // The leader may still derive the commit index from entries that this replica lost with its disk.
     if (!m_hardState.recovering)
         commitTo(message.commit);
@@ -91,6 +93,17 @@
     sendAfterSync(from, { .type = MessageType::HeartbeatReply, .term = m_hardState.term, .context = message.context });
 }
 
+/// Keeps what the leader knows, so that a successor need not wait for lost voters anew.
+void Core::recordSilentVoters(const std::vector<InstanceId>& silent)
+{
+    std::map<InstanceId, TimePoint> silentSince;
+    for (const auto& voter : silent) {
+        const auto known = m_silentSince.find(voter);
+        silentSince[voter] = known == m_silentSince.end() ? m_now - m_options.electionTimeoutMin : known->second;
+    }
+    m_silentSince = std::move(silentSince);
+}
+
 void Core::onSnapshot(const InstanceId& from, Message& message)
 {
     if (m_role == Role::Leader || !message.snapshot)
--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -11,6 +11,9 @@
     constexpr int preferredTransferRetryTimeouts = 10;
     // Number of minimum election timeouts without progress after which adding a voter fails.
     constexpr int newVoterProgressTimeouts = 10;
+    // Number of minimum election timeouts without any reply after which adding a voter fails, so that a replica that
+    // was lost meanwhile does not delay other membership changes.
+    constexpr int newVoterContactTimeouts = 3;
 } // namespace
 
 uint64_t Core::quorumValue(const std::function<uint64_t(const InstanceId&)>& valueOf) const
@@ -37,7 +40,7 @@
         return becomeFollower(m_hardState.term, {});
     if (!m_transferTarget.empty() && m_now >= m_transferDeadline)
         m_transferTarget = {};
-    if (m_pendingVoter && m_now >= m_pendingVoter->deadline) {
+    if (m_pendingVoter && hasPendingVoterFailed()) {
         m_changeResults.push_back({ m_pendingVoter->id,
             refuse(absl::StatusCode::kDeadlineExceeded, "NOT_CAUGHT_UP",
                 absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")),
@@ -51,14 +54,48 @@
     transferToPreferredLeader();
 }
 
+bool Core::hasPendingVoterFailed() const
+{
+    const auto silence = m_now - m_progress.at(m_pendingVoter->voter).lastContact;
+    return m_now >= m_pendingVoter->deadline || silence >= newVoterContactTimeouts * m_options.electionTimeoutMin;
+}
+
+void Core::recordContact(Progress& progress) const { progress.lastContact = progress.lastHeard = m_now; }
+
+TimePoint Core::lastSignOfLife(const Progress& progress) const
+{
+    return m_now - progress.lastContact < m_options.electionTimeoutMin ? progress.lastContact : progress.lastHeard;
+}
+
+/// Returns when the voter was last heard of before this replica became leader; now if nothing is known.
+TimePoint Core::lastHeardBefore(const InstanceId& voter) const
+{
+    if (voter == m_lastLeader)
+        return m_lastLeaderContact;
+    const auto silent = m_silentSince.find(voter);
+    return silent == m_silentSince.end() ? m_now : silent->second;
+}
+
+std::vector<InstanceId> Core::silentVoters() const
+{
+    std::vector<InstanceId> silent;
+    for (const auto& [peer, progress] : m_progress) {
+        if (m_now - progress.lastHeard >= m_options.electionTimeoutMin && isVoter(peer))
+            silent.push_back(peer);
+    }
+    return silent;
+}
+
 void Core::startHeartbeatRound()
 {
+    const auto silent = silentVoters();
     m_heartbeatRoundRequested = false;
     m_heartbeatDue = m_now + m_options.heartbeat;
     m_unconfirmedRounds.emplace_back(++m_heartbeatRound, m_now);
     for (auto& [peer, progress] : m_progress) {
         Message heartbeat { .type = MessageType::Heartbeat, .context = m_heartbeatRound };
         heartbeat.commit = std::min(progress.match, m_hardState.commit);
+        heartbeat.silent = silent;
         send(peer, std::move(heartbeat));
     }
     confirmReads(); // a single voter needs no replies
@@ -196,7 +233,7 @@
     if (m_role != Role::Leader || found == m_progress.end())
         return;
     auto& progress = found->second;
-    progress.lastContact = m_now;
+    recordContact(progress);
     if (!progress.pendingSnapshot || progress.pendingSnapshot->index != message.logIndex)
         return;
     if (m_pendingVoter && m_pendingVoter->voter == from && message.context > progress.snapshotOffset)
@@ -219,6 +256,7 @@
     progress = Progress { .next = Index { 1 },
         .lastProgress = m_now,
         .lastContact = m_now,
+        .lastHeard = m_now,
         .ackedRound = progress.ackedRound,
         .incarnation = message.context,
         .recovering = true };
@@ -232,7 +270,7 @@
     if (m_role != Role::Leader || found == m_progress.end())
         return;
     auto& progress = found->second;
-    progress.lastContact = m_now;
+    recordContact(progress);
     detectDiskLoss(progress, message);
     if (message.reject)
         return onAppendRejected(progress, message);
@@ -284,7 +322,7 @@
     if (m_role != Role::Leader || found == m_progress.end())
         return;
     auto& progress = found->second;
-    progress.lastContact = m_now;
+    recordContact(progress);
     progress.ackedRound = std::max(progress.ackedRound, std::min(message.context, m_heartbeatRound));
     confirmReads();
     resumeReplication(from, progress);
@@ -378,7 +416,8 @@
         m_changeResults.push_back({ id, status, {} });
         return;
     }
-    m_progress[voter] = { .next = m_log.last().next(), .lastProgress = m_now, .lastContact = m_now };
+    m_progress[voter]
+        = { .next = m_log.last().next(), .lastProgress = m_now, .lastContact = m_now, .lastHeard = m_now };
     m_pendingVoter
         = PendingVoter { id, voter, m_log.last(), m_now + newVoterProgressTimeouts * m_options.electionTimeoutMin };
 }
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -221,7 +221,10 @@
     m_progress.clear();
     for (const auto& voter : voters()) {
         if (voter != m_options.self)
-            m_progress[voter] = { .next = m_log.last().next(), .lastProgress = m_now, .lastContact = m_now };
+            m_progress[voter] = { .next = m_log.last().next(),
+                .lastProgress = m_now,
+                .lastContact = m_now,
+                .lastHeard = lastHeardBefore(voter) };
     }
     m_unconfirmedRounds.clear();
     m_leaseEnd = {};
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -110,6 +110,8 @@
     /// Time of the last acknowledgement that advanced `match`, or of the first append sent after it.
     TimePoint lastProgress;
     TimePoint lastContact; ///< Time of the last reply, initially of the start of replication to the peer.
+    /// Time of the last reply to this or, as far as known, a former leader.
+    TimePoint lastHeard;
     uint64_t ackedRound = 0; ///< Last acknowledged heartbeat round.
     uint64_t incarnation = 0; ///< Incarnation in which the peer last started with an empty disk; 0 if unknown.
     bool recovering = false; ///< The peer started with an empty disk and has not caught up yet.
@@ -156,6 +158,9 @@
     const MemoryLog& log() const { return m_log; }
     const std::vector<InstanceId>& voters() const { return m_log.voters().voters; }
     const std::map<InstanceId, Progress>& progress() const { return m_progress; }
+    /// Returns the time of the last sign of life of a peer of this leader. What former leaders reported counts only
+    /// once the peer had an election timeout to answer this one.
+    TimePoint lastSignOfLife(const Progress& progress) const;
     bool hasValidLease(TimePoint now) const;
     /// End of the leader lease, before which no other replica can lead; zero unless this replica holds one.
     TimePoint leaseEnd() const { return m_role == Role::Leader && m_leaseAllowed ? m_leaseEnd : TimePoint {}; }
@@ -208,6 +213,7 @@
     void appendFromLeader(std::vector<LogEntry>& entries);
     void rejectAppend(const InstanceId& from, const Message& message);
     void onHeartbeat(const InstanceId& from, const Message& message);
+    void recordSilentVoters(const std::vector<InstanceId>& silent);
     void onSnapshot(const InstanceId& from, Message& message);
     void installSnapshot(const InstanceId& from);
     void sendSnapshotReply(const InstanceId& from, Index index, uint64_t offset);
@@ -215,6 +221,9 @@
     // Leader side of replication (core-leader.cc).
     void tickLeader();
     bool hasQuorumContact() const;
+    void recordContact(Progress& progress) const;
+    TimePoint lastHeardBefore(const InstanceId& voter) const;
+    std::vector<InstanceId> silentVoters() const;
     void startHeartbeatRound();
     void appendEntry(EntryKind kind, std::string data);
     void replicateAll();
@@ -231,6 +240,7 @@
     void confirmReads();
     void onVotersCommitted();
     void advancePendingVoter();
+    bool hasPendingVoterFailed() const;
     void proposeVoters(uint64_t id, const std::vector<InstanceId>& voters);
     absl::Status checkMembershipChange() const;
     bool hasHealthyMajority(const std::vector<InstanceId>& voters) const;
@@ -253,6 +263,9 @@
     HardState m_lastHardState; ///< Returned by the last takeReady().
     InstanceId m_leader;
     TimePoint m_lastLeaderContact;
+    InstanceId m_lastLeader; ///< The leader of the last contact.
+    /// Voters that the last leader reported as silent, with the time of their last sign of life.
+    std::map<InstanceId, TimePoint> m_silentSince;
     TimePoint m_electionDeadline;
     std::map<InstanceId, bool> m_votes;
     MemoryLog m_log;
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -52,7 +52,7 @@
         Index snapshot;
         std::vector<InstanceId> voters;
         std::map<InstanceId, Index> matches;
-        std::map<InstanceId, TimePoint> lastContacts;
+        std::map<InstanceId, TimePoint> signsOfLife; ///< Time of the last one of each peer of this leader.
         size_t pending = 0;
         bool recovering = false;
         std::string failure;
@@ -308,10 +308,10 @@
         status.snapshot = core.snapshot() ? core.snapshot()->index : Index {};
         status.voters = core.voters();
         status.matches.clear();
-        status.lastContacts.clear();
+        status.signsOfLife.clear();
         for (const auto& [peer, progress] : core.progress()) {
             status.matches[peer] = progress.match;
-            status.lastContacts[peer] = progress.lastContact;
+            status.signsOfLife[peer] = core.lastSignOfLife(progress);
         }
         status.pending = pendingProposals.size();
         status.recovering = core.recovering();
@@ -489,9 +489,8 @@
     const auto& status = m_impl->status;
     std::vector<Voter> voters;
     for (const auto& id : status.voters) {
-        const auto lastContact = status.lastContacts.find(id);
-        voters.push_back(
-            { id, lastContact == status.lastContacts.end() ? Duration::zero() : now - lastContact->second });
+        const auto signOfLife = status.signsOfLife.find(id);
+        voters.push_back({ id, signOfLife == status.signsOfLife.end() ? Duration::zero() : now - signOfLife->second });
     }
     return voters;
 }
--- a/src/peer/convert.cc
+++ b/src/peer/convert.cc
@@ -49,6 +49,8 @@
         to->kind = static_cast<wire::EntryKind>(entry.kind);
         to->data = toBytes(entry.data);
     }
+    for (const auto& voter : message.silent)
+        out.silent.push_back(voter.str());
     if (!message.snapshot)
         return out;
     out.snapshot = std::make_unique<wire::SnapshotDataT>();
@@ -75,7 +77,10 @@
         .context = wire.context,
         .entries = {},
         .snapshot = {},
+        .silent = {},
     };
+    for (const auto& voter : wire.silent)
+        message.silent.emplace_back(voter);
     message.entries.reserve(wire.entries.size());
     for (const auto& entry : wire.entries) {
         if (!entry)
--- a/test/consensus-network.h
+++ b/test/consensus-network.h
@@ -39,8 +39,10 @@
 /// The replicas, the messages in transit and the simulated time.
 class Network {
 public:
-    Network(uint64_t seed, std::vector<InstanceId> voters)
+    Network(uint64_t seed, std::vector<InstanceId> voters, Duration timeoutMin = 1s, Duration timeoutMax = 2s)
         : random(seed)
+        , electionTimeoutMin(timeoutMin)
+        , electionTimeoutMax(timeoutMax)
         , m_voters(std::move(voters))
     {
         for (const auto& id : m_voters)
@@ -58,6 +60,8 @@
         options.appendBytes = appendBytes;
         options.snapshotChunkBytes = 64;
         options.inflightBytes = 4 * appendBytes;
+        options.electionTimeoutMin = electionTimeoutMin;
+        options.electionTimeoutMax = electionTimeoutMax;
         replica.paused = false;
         replica.applied.clear();
         replica.appliedIndex = {};
@@ -208,6 +212,8 @@
     }
 
     std::mt19937_64 random;
+    const Duration electionTimeoutMin;
+    const Duration electionTimeoutMax;
     TimePoint now { 1s };
     Faults faults;
     std::vector<InstanceId> preferred;
--- a/test/peer-convert-test.cc
+++ b/test/peer-convert-test.cc
@@ -21,6 +21,7 @@
         .context = 6,
         .entries = { { Term { 7 }, Index { 8 }, consensus::EntryKind::Membership, std::string("a\0b", 3) } },
         .snapshot = consensus::Snapshot { Index { 9 }, Term { 10 }, { InstanceId("i1"), InstanceId("i2") }, "state" },
+        .silent = { InstanceId("i3"), InstanceId("i4") },
     };
     const auto wire = toWire(GroupId("east"), message);
     CHECK(wire.group == "east");
@@ -44,6 +45,7 @@
     CHECK(back->snapshot->term == Term { 10 });
     CHECK(back->snapshot->voters == message.snapshot->voters);
     CHECK(back->snapshot->data == "state");
+    CHECK(back->silent == message.silent);
 }
 
 // Guards against misinterpreting a message of a newer version.
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -8,13 +8,17 @@
 namespace {
     // A process is back some time after it was started again.
     constexpr milliseconds startTime { 1'000 };
-    // One disk may be lost at a time. The next may be lost once its replica has caught up.
-    constexpr milliseconds diskLossInterval { 9'000 };
+    // Bounds of the deployment: a machine counts as lost until it has been back for this time.
+    constexpr milliseconds catchUpTime { 4'000 };
+    // After losses beyond what the deployment bears, service must be back within this time.
+    constexpr milliseconds recoverTime { 12'000 };
+    constexpr size_t bearableLosses = 1;
+    constexpr int replacementsInSeries = 3;
     constexpr milliseconds throttledStop { 90 };
     constexpr milliseconds throttledRun { 20 };
 } // namespace
 
-std::vector<std::string> faultGroups() { return { "planned", "processes", "links", "disks" }; }
+std::vector<std::string> faultGroups() { return { "planned", "processes", "links", "disks", "replacements" }; }
 
 Faults::Faults(World& world, Cluster& cluster, Links& links, std::vector<std::unique_ptr<Worker>>& workers,
     const std::string& group)
@@ -32,9 +36,17 @@
         addLinkFaults();
     if (all || group == "disks")
         addDiskFaults();
+    if (all || group == "replacements")
+        addReplacements();
+    m_startsWithReplacements = group == "replacements";
 }
 
-void Faults::start() { next(); }
+void Faults::start()
+{
+    if (m_startsWithReplacements)
+        replaceInSeries();
+    next();
+}
 
 void Faults::next()
 {
@@ -53,18 +65,39 @@
     return *m_world.pick(entries);
 }
 
-Process& Faults::anyProcess() { return m_world.chance(0.5) ? m_cluster.anyControl() : anyEntry(); }
+Process& Faults::anyControlToDisturb() { return m_inSeries ? anyEntry() : m_cluster.anyControl(); }
+
+Process& Faults::anyProcess() { return m_world.chance(0.5) ? anyControlToDisturb() : anyEntry(); }
+
+void Faults::lose(const Process& process, Time end)
+{
+    if (!process.isControl)
+        return;
+    const auto now = m_world.now();
+    std::erase_if(m_lostUntil, [now](const auto& item) { return item.second < now; });
+    auto& until = m_lostUntil[&process];
+    until = std::max(until, end + catchUpTime);
+    m_nextDiskLoss = std::max(m_nextDiskLoss, m_lostUntil.size() > bearableLosses ? end + recoverTime : until);
+}
 
-void Faults::terminate(Process& process) { m_cluster.end(process, SIGTERM, m_world.randomTime(0, 1'500)); }
+void Faults::terminate(Process& process)
+{
+    const auto restartDelay = m_world.randomTime(0, 1'500);
+    lose(process, m_world.now() + restartDelay + startTime);
+    m_cluster.end(process, SIGTERM, restartDelay);
+}
 
 void Faults::kill(Process& process, milliseconds restartDelay)
 {
-    m_world.disturb("kill " + process.name, m_world.now() + restartDelay + startTime);
+    const auto end = m_world.now() + restartDelay + startTime;
+    lose(process, end);
+    m_world.disturb("kill " + process.name, end);
     m_cluster.end(process, SIGKILL, restartDelay);
 }
 
 void Faults::pause(Process& process, milliseconds time)
 {
+    lose(process, m_world.now() + time);
     m_world.disturb("pause " + process.name, m_world.now() + time);
     m_cluster.signal(process, SIGSTOP);
     m_world.after(time, [this, &process] { m_cluster.signal(process, SIGCONT); });
@@ -83,6 +116,7 @@
 
 void Faults::cutLinks(Process& process, bool incoming, bool outgoing, Time until)
 {
+    lose(process, until);
     m_world.disturb("cut the links of " + process.name, until);
     const auto self = m_cluster.peerAddress(process);
     auto others = m_cluster.controls();
@@ -99,42 +133,76 @@
 
 void Faults::wipeDisk()
 {
-    if (m_world.now() < m_nextDiskLoss)
-        return;
-    m_nextDiskLoss = m_world.now() + diskLossInterval;
-    auto& control = m_cluster.anyControl();
+    if (mayLoseDisk())
+        wipeDisk(m_cluster.anyControl());
+}
+
+void Faults::wipeDisk(Process& control)
+{
     if (control.pid == 0)
         return;
     control.beforeRestart = [this, &control] { m_cluster.wipe(control); };
     kill(control, m_world.randomTime(0, 1'500));
 }
 
-/// Replaces a control process by an empty one at another address, once in a run.
 void Faults::replaceControl()
 {
-    if (m_world.now() < m_nextDiskLoss || std::exchange(m_replaced, true))
-        return;
-    // The removed replica stays a voter for some time, so that no other disk may be lost any more.
-    m_nextDiskLoss = Time::max();
-    auto& control = m_cluster.anyControl();
-    m_world.disturb("replace " + control.name, m_world.now() + startTime);
-    m_cluster.remove(control, m_world.chance(0.5) ? SIGTERM : SIGKILL);
-    m_world.after(m_world.randomTime(0, 2'000), [this] {
+    if (mayLoseDisk())
+        replace(m_cluster.anyControl());
+}
+
+Time Faults::replace(Process& control)
+{
+    const auto delay = m_world.randomTime(0, 1'000);
+    m_world.disturb("replace " + control.name, m_world.now() + delay + startTime);
+    const auto add = [this] {
         m_cluster.addControl();
         const auto& added = *m_cluster.controls().back();
         m_links.add(m_cluster.peerAddress(added), m_cluster.peerListenAddress(added));
-    });
+        lose(added, m_world.now());
+    };
+    if (m_world.chance(0.3)) { // The successor comes first.
+        add();
+        m_world.after(delay, [this, &control] { m_cluster.remove(control, SIGTERM); });
+    } else {
+        m_cluster.remove(control, m_world.chance(0.5) ? SIGTERM : SIGKILL);
+        m_world.after(delay, add);
+    }
+    return m_world.now() + delay;
+}
+
+/// Replaces control processes as soon after one another as the deployment allows, the first ones and so the seeds among
+/// them, and then takes the disk of one. No control process is lost otherwise meanwhile.
+void Faults::replaceInSeries()
+{
+    if (std::exchange(m_inSeries, true))
+        return;
+    const auto wait = std::max(m_nextDiskLoss - m_world.now(), milliseconds(0));
+    m_world.after(wait, [this] { continueSeries(replacementsInSeries); });
+}
+
+void Faults::continueSeries(int count)
+{
+    m_inSeries = count > 0 && !m_stopped;
+    if (!m_inSeries)
+        return wipeDisk(m_cluster.anyControl());
+    ++m_played["replaced in series"];
+    const auto started = replace(*m_cluster.controls().front());
+    m_world.after(started + catchUpTime + m_world.randomTime(50, 500) - m_world.now(),
+        [this, count] { continueSeries(count - 1); });
 }
 
 void Faults::addPlannedFaults()
 {
     m_faults.emplace_back("stop an entry", [this] { terminate(anyEntry()); });
-    m_faults.emplace_back("stop a control process", [this] { terminate(m_cluster.anyControl()); });
+    m_faults.emplace_back("stop a control process", [this] { terminate(anyControlToDisturb()); });
     m_faults.emplace_back("stop processes one after the other", [this] {
         for (auto* process : m_cluster.entries())
             m_world.after(m_world.randomTime(0, 4'000), [this, process] { terminate(*process); });
     });
     m_faults.emplace_back("stop all control processes and some entries", [this] {
+        if (m_inSeries)
+            return;
         for (auto* control : m_cluster.controls())
             terminate(*control);
         for (int i = 0; i < 3; ++i)
@@ -153,18 +221,22 @@
 {
     m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back(
-        "kill a control process", [this] { kill(m_cluster.anyControl(), m_world.randomTime(0, 1'000)); });
+        "kill a control process", [this] { kill(anyControlToDisturb(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back("kill all control processes", [this] {
+        if (m_inSeries)
+            return;
         for (auto* control : m_cluster.controls())
             kill(*control, m_world.randomTime(0, 900));
     });
     m_faults.emplace_back("kill a control process again and again", [this] {
-        auto& control = m_cluster.anyControl();
+        auto& control = anyControlToDisturb();
         for (int i = 0; i < 6; ++i)
             m_world.after(milliseconds(400 * i), [this, &control] { kill(control, milliseconds(0)); });
     });
     m_faults.emplace_back("pause a process", [this] { pause(anyProcess(), m_world.randomTime(500, 5'000)); });
     m_faults.emplace_back("pause all control processes", [this] {
+        if (m_inSeries)
+            return;
         const auto time = m_world.randomTime(500, 3'000);
         for (auto* control : m_cluster.controls())
             pause(*control, time);
@@ -172,6 +244,7 @@
     m_faults.emplace_back("leave a process little processor time", [this] {
         auto& process = anyProcess();
         const auto until = m_world.now() + m_world.randomTime(1'000, 5'000);
+        lose(process, until);
         m_world.disturb("throttle " + process.name, until);
         throttle(process, until);
         if (m_world.chance(0.4))
@@ -186,11 +259,13 @@
         [this] { cutLinks(anyProcess(), true, true, m_world.now() + m_world.randomTime(500, 5'000)); });
     m_faults.emplace_back("cut a control process one way", [this] {
         const bool incoming = m_world.chance(0.5);
-        cutLinks(m_cluster.anyControl(), incoming, !incoming, m_world.now() + m_world.randomTime(500, 5'000));
+        cutLinks(anyControlToDisturb(), incoming, !incoming, m_world.now() + m_world.randomTime(500, 5'000));
     });
     m_faults.emplace_back("delay a process", [this] {
-        const auto self = m_cluster.peerAddress(anyProcess());
+        auto& process = anyProcess();
+        const auto self = m_cluster.peerAddress(process);
         const auto time = m_world.randomTime(1, 40);
+        lose(process, m_world.now() + milliseconds(3'000));
         m_world.disturb("delay " + self, m_world.now() + milliseconds(3'000));
         for (auto* other : m_cluster.controls()) {
             m_links.delay({ self, m_cluster.peerAddress(*other) }, time);
@@ -214,8 +289,24 @@
     m_faults.emplace_back("lose a disk", [this] { wipeDisk(); });
     m_faults.emplace_back("replace a control process", [this] { replaceControl(); });
     m_faults.emplace_back(
-        "kill a control process", [this] { kill(m_cluster.anyControl(), m_world.randomTime(0, 1'000)); });
-    m_faults.emplace_back("stop a control process", [this] { terminate(m_cluster.anyControl()); });
+        "kill a control process", [this] { kill(anyControlToDisturb(), m_world.randomTime(0, 1'000)); });
+    m_faults.emplace_back("stop a control process", [this] { terminate(anyControlToDisturb()); });
+}
+
+void Faults::addReplacements()
+{
+    m_faults.emplace_back("replace control processes in series and lose a disk", [this] { replaceInSeries(); });
+    m_faults.emplace_back("reset all connections", [this] {
+        m_world.disturb("reset", m_world.now());
+        m_links.resetAll();
+    });
+    m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
+    m_faults.emplace_back("stop a process", [this] { terminate(anyProcess()); });
+    m_faults.emplace_back("reload the settings", [this] {
+        auto& process = anyProcess();
+        m_cluster.rewriteSettings(process, m_world.chance(0.5));
+        m_cluster.signal(process, SIGHUP);
+    });
 }
 
 } // namespace turmericpier::soak
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -36,12 +36,23 @@
     void throttle(Process& process, Time until);
     void cutLinks(Process& process, bool incoming, bool outgoing, Time until);
     void wipeDisk();
+    void wipeDisk(Process& control);
     void replaceControl();
+    /// Replaces a control process by an empty one at another address. Returns when the successor is started.
+    Time replace(Process& control);
+    void replaceInSeries();
+    void continueSeries(int count);
+    /// Records that a control process is down, cut off or slow until `end`.
+    void lose(const Process& process, Time end);
+    bool mayLoseDisk() const { return !m_inSeries && m_world.now() >= m_nextDiskLoss; }
+    /// Returns a control process, or an entry while the series of replacements leaves no other loss to bear.
+    Process& anyControlToDisturb();
 
     void addPlannedFaults();
     void addProcessFaults();
     void addLinkFaults();
     void addDiskFaults();
+    void addReplacements();
 
     World& m_world;
     Cluster& m_cluster;
@@ -50,7 +61,9 @@
     std::vector<std::pair<std::string, std::function<void()>>> m_faults;
     std::map<std::string, int> m_played;
     Time m_nextDiskLoss { 0 };
-    bool m_replaced = false;
+    bool m_startsWithReplacements = false;
+    bool m_inSeries = false; ///< Control processes are being replaced one after the other.
+    std::map<const Process*, Time> m_lostUntil; ///< Control processes that count as lost.
     bool m_stopped = false;
 };
 
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -19,7 +19,7 @@
 DEFINE_string(program, "build/turmericpier", "the program under test");
 DEFINE_string(seeds, "1", "seeds to play, one run each: 1,2,3 or 1-50");
 DEFINE_string(
-    faults, "", "group of disturbances: planned, processes, links, disks or all; chosen by the seed if empty");
+    faults, "", "group of disturbances: planned, processes, links, disks, replacements or all; by the seed if empty");
 DEFINE_int32(seconds, 30, "time with disturbances in each run");
 DEFINE_int32(controls, 5, "control processes");
 DEFINE_int32(entries, 7, "entries");
