Let a replica whose disk refused a write take part again

Cause: a refused write or sync stopped the replica until the restart of its process, which went on running.

Change: a stopped replica checks its disk four times a second and then opens its log again, like a restarted process; the state machine keeps what it has applied. Opening a log writes the last segment anew, since a second sync after a refused one may succeed without writing. A replica is opened in the stopped state if its disk is full.

--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -29,6 +29,9 @@
     /// memory of the log, which keeps all entries since the last but one snapshot, of up to 3 MiB each.
     uint64_t snapshotBytes = 128ULL * 1024 * 1024;
     uint64_t seed = 1; ///< Seed of the random election timeouts.
+    /// System calls with the semantics of ::write and ::fdatasync; replaceable for tests of disk failures.
+    std::function<ssize_t(int file, const char* data, size_t size)> write;
+    std::function<int(int file)> sync;
 };
 
 /// Reports a change of the role, the term or the known leader of a replica.
@@ -46,7 +49,7 @@
     std::function<std::string(Index index, std::string_view data)> apply;
     /// Serializes the state machine.
     std::function<std::string()> snapshot;
-    /// Replaces the state machine by a snapshot. An error makes open() fail, or stops a running replica.
+    /// Replaces the state machine by a snapshot. An error makes open() fail, or stops a running replica for good.
     std::function<absl::Status(std::string_view data)> restore;
     std::function<void(const RoleChange& change)> roleChanged;
 };
@@ -60,14 +63,16 @@
 /// A running replica of a Raft group.
 ///
 /// All methods may be called from any thread. Callbacks run on the thread of the group, or on the caller's thread if
-/// the queue of the group is full or the group has stopped. After a failed write or sync the replica stops and fails
-/// every request with REPLICA_STOPPED until the process is restarted.
+/// the queue of the group is full or the group has stopped.
+///
+/// After a failed write or sync the replica stops: it neither votes nor acknowledges anything, and fails every request
+/// with REPLICA_STOPPED. Once the disk takes writes again, it reads its log and takes part again, like a restarted one.
 class Group {
 public:
     using ProposalCallback = std::function<void(absl::StatusOr<Applied> result)>;
 
     /// Recovers the log from `options.folder`. If a record other than the last is corrupt, fails with an error that
-    /// names the file and offset.
+    /// names the file and offset. If the disk is full or fails, the replica is opened as a stopped one, see above.
     static absl::StatusOr<std::unique_ptr<Group>> open(
         GroupOptions options, GroupHooks hooks, const Clock& clock, Metrics& metrics);
     ~Group();
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -59,7 +59,7 @@
     m_log.reset(stored.baseIndex, stored.baseTerm, std::move(voters));
     for (auto& entry : stored.entries)
         m_log.append(std::move(entry));
-    m_lastDelivered = m_snapshot ? m_snapshot->index : Index {};
+    m_lastDelivered = std::max(stored.applied, m_snapshot ? m_snapshot->index : Index {});
     m_hardState.commit = std::min(std::max(m_hardState.commit, m_lastDelivered), m_log.last());
     m_persisted = m_log.last();
     m_unstable = m_log.last().next();
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -57,6 +57,7 @@
     Term baseTerm;
     std::vector<LogEntry> entries;
     std::vector<InstanceId> voters; ///< Used only if neither the log nor the snapshot contains the voters.
+    Index applied; ///< The state machine has applied the entries up to here already.
 };
 
 /// A message and its recipient.
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -18,6 +18,8 @@
     constexpr int ticksPerHeartbeat = 4;
     // Delay before another snapshot is tried after one could not be written.
     constexpr std::chrono::milliseconds snapshotRetryDelay { 1'000 };
+    // Delay before a stopped replica checks its disk again.
+    constexpr std::chrono::milliseconds recoveryInterval { 250 };
 
     CoreOptions coreOptions(const GroupOptions& options)
     {
@@ -58,13 +60,12 @@
         std::string failure;
     };
 
-    Impl(GroupOptions groupOptions, GroupHooks groupHooks, const Clock& groupClock, Metrics& metrics,
-        std::unique_ptr<Wal> groupWal, StoredState stored)
+    Impl(GroupOptions groupOptions, GroupHooks groupHooks, const Clock& groupClock, Metrics& groupMetrics)
         : options(std::move(groupOptions))
         , hooks(std::move(groupHooks))
         , clock(groupClock)
-        , wal(std::move(groupWal))
-        , core(coreOptions(options), std::move(stored), clock.now())
+        , metrics(groupMetrics)
+        , core(std::make_unique<Core>(coreOptions(options), StoredState {}, clock.now()))
         , loop("consensus", clock)
         , snapshotLoop("snapshot", clock)
         , proposals(metrics.counter("consensus_proposals_total"))
@@ -73,6 +74,8 @@
         , snapshots(metrics.counter("consensus_snapshots_total"))
         , snapshotFailures(metrics.counter("consensus_snapshot_failures_total"))
         , roleChanges(metrics.counter("consensus_role_changes_total"))
+        , failures(metrics.counter("consensus_storage_failures_total"))
+        , recoveries(metrics.counter("consensus_recoveries_total"))
         , refusedPosts(metrics.counter("consensus_ring_full_total"))
         , commitLatency(metrics.latency("consensus_commit_seconds"))
     {
@@ -83,19 +86,21 @@
     void onTimer()
     {
         if (failure.ok())
-            core.tick(clock.now());
+            core->tick(clock.now());
+        else if (recoverAt && clock.now() >= *recoverAt)
+            tryToRecover();
         loop.postAfter(options.heartbeat / ticksPerHeartbeat, [this] { onTimer(); });
     }
 
     void process()
     {
-        while (failure.ok() && core.hasReady())
-            handleReady(core.takeReady());
+        while (failure.ok() && core->hasReady())
+            handleReady(core->takeReady());
         if (failure.ok())
             finishSnapshot();
-        if (failure.ok() && !core.fault().empty())
+        if (failure.ok() && !core->fault().empty())
             fail(makeError(
-                { absl::StatusCode::kInternal, Outcome::Unknown, "LOG_DIVERGED", "append", "" }, core.fault()));
+                { absl::StatusCode::kInternal, Outcome::Unknown, "LOG_DIVERGED", "append", "" }, core->fault()));
         reportRoleChange();
         updateStatus();
     }
@@ -138,7 +143,7 @@
         if (auto status = wal->append(hardState, ready.entries); !status.ok())
             return status;
         if (!ready.entries.empty())
-            core.onPersisted(ready.entries.back().index, ready.entries.back().term);
+            core->onPersisted(ready.entries.back().index, ready.entries.back().term);
         return absl::OkStatus();
     }
 
@@ -201,7 +206,7 @@
     /// of MiB would block the log for as long as the disk takes.
     void startSnapshotIfDue()
     {
-        const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
+        const auto previous = core->snapshot() ? core->snapshot()->index : Index {};
         const bool due = snapshotRetryAt
             ? clock.now() >= *snapshotRetryAt
             : applied.value - previous.value >= options.snapshotEvery || appliedBytes >= options.snapshotBytes;
@@ -211,8 +216,8 @@
         snapshotRetryAt.reset();
         auto snapshot = std::make_shared<Snapshot>();
         snapshot->index = applied;
-        snapshot->term = *core.log().termAt(applied);
-        snapshot->voters = core.log().votersAt(applied).voters;
+        snapshot->term = *core->log().termAt(applied);
+        snapshot->voters = core->log().votersAt(applied).voters;
         snapshot->data = hooks.snapshot();
         snapshotBeingWritten = snapshot;
         snapshotLoop.post([this, snapshot] {
@@ -227,13 +232,11 @@
     {
         if (!snapshotBeingWritten)
             return;
-        std::unique_lock lock(mutex);
-        const auto result = std::exchange(snapshotWriteResult, std::nullopt);
-        lock.unlock();
+        const auto result = takeSnapshotResult();
         if (!result)
             return;
         const auto snapshot = std::exchange(snapshotBeingWritten, nullptr);
-        const auto previous = core.snapshot() ? core.snapshot()->index : Index {};
+        const auto previous = core->snapshot() ? core->snapshot()->index : Index {};
         if (result->ok() && snapshot->index <= previous) // a later one was received from the leader meanwhile
             return wal->discardSnapshot(snapshot->index);
         if (!result->ok()) {
@@ -249,7 +252,7 @@
             status = wal->compact(previous, hardState);
         if (!status.ok())
             return fail(status);
-        core.onSnapshotTaken(snapshot);
+        core->onSnapshotTaken(snapshot);
         snapshots.increment();
     }
 
@@ -271,50 +274,115 @@
 
     void reportRoleChange()
     {
-        const bool leads = failure.ok() && core.role() == Role::Leader;
-        if (leads == lastRole.isLeader && core.term() == lastRole.term && core.leader() == lastRole.leader)
+        const bool leads = failure.ok() && core->role() == Role::Leader;
+        if (leads == lastRole.isLeader && core->term() == lastRole.term && core->leader() == lastRole.leader)
             return;
-        if (lastRole.isLeader && (!leads || core.term() != lastRole.term))
+        if (lastRole.isLeader && (!leads || core->term() != lastRole.term))
             failPendingRequests("LEADERSHIP_LOST", "leadership was lost before the entry was known to be committed");
         if (leads != lastRole.isLeader) {
             roleChanges.increment();
             logState("consensus", leads ? "became leader" : "lost leadership",
-                { { "group", options.group.str() }, { "term", std::to_string(core.term().value) },
-                    { "leader", core.leader().str() } });
+                { { "group", options.group.str() }, { "term", std::to_string(core->term().value) },
+                    { "leader", core->leader().str() } });
         }
-        lastRole = { leads, core.term(), failure.ok() ? core.leader() : InstanceId {} };
+        lastRole = { leads, core->term(), failure.ok() ? core->leader() : InstanceId {} };
         if (hooks.roleChanged)
             hooks.roleChanged(lastRole);
     }
 
     void fail(const absl::Status& status)
     {
-        failure = status;
-        logError("consensus", "replica stopped",
-            { { "group", options.group.str() }, { "error", std::string(status.message()) } });
+        failures.increment();
+        setFailure(status);
         failPendingRequests("REPLICA_STOPPED", failureMessage());
     }
 
+    /// Only errors of the disk can end by themselves.
+    void setFailure(const absl::Status& status)
+    {
+        if (failure.message() != status.message()) {
+            logError("consensus", "replica stopped",
+                { { "group", options.group.str() }, { "error", std::string(status.message()) } });
+        }
+        failure = status;
+        recoverAt.reset();
+        if (isDiskError(status))
+            recoverAt = clock.now() + recoveryInterval;
+    }
+
+    WalOptions walOptions() const { return { .folder = options.folder, .write = options.write, .sync = options.sync }; }
+
+    /// Reads the log and starts the consensus core from it, like a process that was restarted. What the state machine
+    /// has applied is not applied again.
+    absl::Status recover()
+    {
+        auto opened = Wal::open(walOptions(), metrics);
+        if (!opened.ok())
+            return opened.status();
+        auto stored = (*opened)->takeStoredState();
+        stored.voters = options.voters;
+        if (stored.snapshot && stored.snapshot->index > applied) {
+            if (auto status = hooks.restore(stored.snapshot->data); !status.ok())
+                return status;
+            applied = stored.snapshot->index;
+        }
+        const auto last = stored.entries.empty() ? stored.baseIndex : stored.entries.back().index;
+        if (last < applied) {
+            return makeError(
+                { absl::StatusCode::kDataLoss, Outcome::Unknown, "LOG_TRUNCATED", "open", options.folder.string() },
+                absl::StrCat("the log ends at entry ", last.value, ", entry ", applied.value, " was applied"));
+        }
+        stored.applied = applied;
+        hardState = stored.hardState;
+        wal = *std::move(opened);
+        core = std::make_unique<Core>(coreOptions(options), std::move(stored), clock.now());
+        failure = absl::OkStatus();
+        recoverAt.reset();
+        return absl::OkStatus();
+    }
+
+    void tryToRecover()
+    {
+        // The thread that writes a snapshot uses the log.
+        if (snapshotBeingWritten && !takeSnapshotResult())
+            return;
+        snapshotBeingWritten.reset();
+        auto status = Wal::checkWritable(walOptions(), metrics);
+        if (status.ok())
+            status = recover();
+        if (!status.ok())
+            return setFailure(status);
+        recoveries.increment();
+        logState("consensus", "replica recovered",
+            { { "group", options.group.str() }, { "applied", std::to_string(applied.value) } });
+    }
+
+    std::optional<absl::Status> takeSnapshotResult()
+    {
+        std::lock_guard lock(mutex);
+        return std::exchange(snapshotWriteResult, std::nullopt);
+    }
+
     void updateStatus()
     {
-        leaseEnd.store(failure.ok() ? core.leaseEnd().sinceStart.count() : 0, std::memory_order_release);
+        leaseEnd.store(failure.ok() ? core->leaseEnd().sinceStart.count() : 0, std::memory_order_release);
         std::lock_guard lock(mutex);
-        status.role = toString(core.role());
-        status.term = core.term();
-        status.leader = core.leader();
-        status.commit = core.commit();
+        status.role = toString(core->role());
+        status.term = core->term();
+        status.leader = core->leader();
+        status.commit = core->commit();
         status.applied = applied;
-        status.last = core.log().last();
-        status.snapshot = core.snapshot() ? core.snapshot()->index : Index {};
-        status.voters = core.voters();
+        status.last = core->log().last();
+        status.snapshot = core->snapshot() ? core->snapshot()->index : Index {};
+        status.voters = core->voters();
         status.matches.clear();
         status.signsOfLife.clear();
-        for (const auto& [peer, progress] : core.progress()) {
+        for (const auto& [peer, progress] : core->progress()) {
             status.matches[peer] = progress.match;
-            status.signsOfLife[peer] = core.lastSignOfLife(progress);
+            status.signsOfLife[peer] = core->lastSignOfLife(progress);
         }
         status.pending = pendingProposals.size();
-        status.recovering = core.recovering();
+        status.recovering = core->recovering();
         status.failure = failureMessage();
     }
 
@@ -346,8 +414,9 @@
     const GroupOptions options;
     const GroupHooks hooks;
     const Clock& clock;
-    std::unique_ptr<Wal> wal;
-    Core core;
+    Metrics& metrics;
+    std::unique_ptr<Wal> wal; ///< Null until the log was opened.
+    std::unique_ptr<Core> core; ///< Never null; not used while the replica is stopped.
     EventLoop loop;
     EventLoop snapshotLoop; ///< Writes snapshot files.
     Counter& proposals;
@@ -356,9 +425,12 @@
     Counter& snapshots;
     Counter& snapshotFailures;
     Counter& roleChanges;
+    Counter& failures;
+    Counter& recoveries;
     Counter& refusedPosts;
     Latency& commitLatency; ///< Time from a proposal until its entry is applied.
     absl::Status failure; ///< Error that stopped the replica, or OK.
+    std::optional<TimePoint> recoverAt; ///< Time of the next try of a stopped replica to recover; none if it cannot.
     HardState hardState;
     Index applied;
     uint64_t appliedBytes = 0; ///< Bytes applied since the last snapshot was started.
@@ -385,20 +457,11 @@
 absl::StatusOr<std::unique_ptr<Group>> Group::open(
     GroupOptions options, GroupHooks hooks, const Clock& clock, Metrics& metrics)
 {
-    auto wal = Wal::open({ .folder = options.folder }, metrics);
-    if (!wal.ok())
-        return wal.status();
-    auto stored = (*wal)->takeStoredState();
-    stored.voters = options.voters;
-    const auto snapshot = stored.snapshot;
-    const auto hardState = stored.hardState;
-    auto impl = std::make_unique<Impl>(
-        std::move(options), std::move(hooks), clock, metrics, std::move(*wal), std::move(stored));
-    impl->hardState = hardState;
-    if (snapshot) {
-        if (auto status = impl->hooks.restore(snapshot->data); !status.ok())
+    auto impl = std::make_unique<Impl>(std::move(options), std::move(hooks), clock, metrics);
+    if (auto status = impl->recover(); !status.ok()) {
+        if (detailsOf(status).reason != diskRefused)
             return status;
-        impl->applied = snapshot->index;
+        impl->fail(status);
     }
     impl->updateStatus();
     return std::unique_ptr<Group>(new Group(std::move(impl)));
@@ -422,10 +485,10 @@
     auto& impl = *m_impl;
     impl.submit(std::move(done), [&impl, data = std::move(data)](ProposalCallback callback) mutable {
         impl.proposals.increment();
-        const auto index = impl.core.propose(std::move(data));
+        const auto index = impl.core->propose(std::move(data));
         if (!index.ok())
             return callback(index.status());
-        impl.trackProposal(*index, impl.core.term(), std::move(callback));
+        impl.trackProposal(*index, impl.core->term(), std::move(callback));
     });
 }
 
@@ -435,7 +498,7 @@
     impl.submit(std::move(done), [&impl](std::function<void(absl::Status)> callback) {
         const auto id = impl.nextId++;
         impl.pendingReads[id] = std::move(callback);
-        impl.core.read(id, impl.clock.now());
+        impl.core->read(id, impl.clock.now());
     });
 }
 
@@ -444,7 +507,7 @@
     auto& impl = *m_impl;
     impl.post([&impl, from = std::move(from), message = std::move(message)]() mutable {
         if (impl.failure.ok())
-            impl.core.step(from, std::move(message), impl.clock.now());
+            impl.core->step(from, std::move(message), impl.clock.now());
     });
 }
 
@@ -454,7 +517,7 @@
     impl.submit(std::move(done), [&impl, voter = std::move(voter)](ProposalCallback callback) {
         const auto id = impl.nextId++;
         impl.pendingChanges[id] = std::move(callback);
-        impl.core.addVoter(id, voter, impl.clock.now());
+        impl.core->addVoter(id, voter, impl.clock.now());
     });
 }
 
@@ -464,7 +527,7 @@
     impl.submit(std::move(done), [&impl, voter = std::move(voter)](ProposalCallback callback) {
         const auto id = impl.nextId++;
         impl.pendingChanges[id] = std::move(callback);
-        impl.core.removeVoter(id, voter);
+        impl.core->removeVoter(id, voter);
     });
 }
 
@@ -473,7 +536,7 @@
     auto& impl = *m_impl;
     impl.post([&impl, to = std::move(to)] {
         if (impl.failure.ok())
-            impl.core.transferLeadership(to, impl.clock.now());
+            impl.core->transferLeadership(to, impl.clock.now());
     });
 }
 
--- a/src/consensus/wal.cc
+++ b/src/consensus/wal.cc
@@ -1,6 +1,7 @@
 #include "consensus/wal.h"
 
 #include "consensus/record.h"
+#include "turmericpier/base/disk-error.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/log.h"
 #include "wal.pb.h"
@@ -23,6 +24,8 @@
     constexpr std::string_view segmentPrefix = "log-";
     constexpr std::string_view snapshotPrefix = "snapshot-";
     constexpr std::string_view temporarySuffix = ".tmp";
+    constexpr const char* diskFailed = "DISK_FAILED";
+    constexpr size_t probeBytes = 4 * kib;
 
     absl::Status corruptionError(const fs::path& path, size_t offset, std::string_view what)
     {
@@ -32,9 +35,10 @@
 
     absl::Status diskError(const char* step, const fs::path& path)
     {
-        const std::string reason = std::strerror(errno);
-        return makeError({ absl::StatusCode::kInternal, Outcome::Unknown, "DISK_FAILED", step, path.string() },
-            absl::StrCat(path.string(), ": ", step, " failed: ", reason));
+        const int number = errno;
+        return makeError({ absl::StatusCode::kInternal, Outcome::Unknown,
+                             mayDiskRecover(number) ? diskRefused : diskFailed, step, path.string() },
+            absl::StrCat(path.string(), ": ", step, " failed: ", std::strerror(number)));
     }
 
     absl::StatusOr<std::string> readFile(const fs::path& path)
@@ -46,11 +50,22 @@
         return bytes;
     }
 
+    /// Removes the files that were left by a crash or a refused write before they were renamed.
+    void removeTemporaryFiles(const fs::path& folder)
+    {
+        std::error_code ignored;
+        for (const auto& item : fs::directory_iterator(folder)) {
+            if (item.path().string().ends_with(temporarySuffix))
+                fs::remove(item.path(), ignored);
+        }
+    }
+
     std::vector<fs::path> listFiles(const fs::path& folder, std::string_view prefix)
     {
         std::vector<fs::path> files;
         for (const auto& item : fs::directory_iterator(folder)) {
-            if (item.path().filename().string().starts_with(prefix))
+            const auto name = item.path().filename().string();
+            if (name.starts_with(prefix) && !name.ends_with(temporarySuffix))
                 files.push_back(item.path());
         }
         std::ranges::sort(files); // the fixed width of the numbers makes this their numeric order
@@ -82,6 +97,10 @@
     , m_bytesWritten(metrics.counter("consensus_wal_bytes_total"))
     , m_syncLatency(metrics.latency("consensus_wal_sync_seconds"))
 {
+    if (!m_options.write)
+        m_options.write = [](int file, const char* data, size_t size) { return ::write(file, data, size); };
+    if (!m_options.sync)
+        m_options.sync = [](int file) { return ::fdatasync(file); };
 }
 
 Wal::~Wal()
@@ -90,12 +109,24 @@
         ::close(m_file);
 }
 
+bool isDiskError(const absl::Status& status)
+{
+    const auto reason = detailsOf(status).reason;
+    return reason == diskRefused || reason == diskFailed;
+}
+
+absl::Status Wal::checkWritable(WalOptions options, Metrics& metrics)
+{
+    const Wal wal(std::move(options), metrics);
+    const auto path = wal.m_options.folder / "probe";
+    auto status = wal.replaceFile(path, std::string(probeBytes, '\0'));
+    std::error_code ignored;
+    fs::remove(path, ignored);
+    return status;
+}
+
 absl::StatusOr<std::unique_ptr<Wal>> Wal::open(WalOptions options, Metrics& metrics)
 {
-    if (!options.write)
-        options.write = [](int file, const char* data, size_t size) { return ::write(file, data, size); };
-    if (!options.sync)
-        options.sync = [](int file) { return ::fdatasync(file); };
     std::unique_ptr<Wal> wal(new Wal(std::move(options), metrics));
     if (auto status = wal->load(); !status.ok())
         return status;
@@ -115,10 +146,7 @@
     fs::create_directories(m_options.folder, error);
     if (error)
         return diskError("create folder", m_options.folder);
-    for (const auto& path : listFiles(m_options.folder, snapshotPrefix)) {
-        if (path.string().ends_with(temporarySuffix)) // left by a crash before the rename
-            fs::remove(path, error);
-    }
+    removeTemporaryFiles(m_options.folder);
     const auto snapshots = listFiles(m_options.folder, snapshotPrefix);
     const auto segments = listFiles(m_options.folder, segmentPrefix);
     m_stored.hardState.recovering = true; // overwritten by the records of the log
@@ -185,7 +213,8 @@
                         isLast ? "last segment, " : "a later segment exists, ",
                         later ? absl::StrCat("an intact record follows at ", *later) : "no intact record follows"));
             }
-            return truncateTornRecord(path, *bytes, offset);
+            countTornRecord(path, bytes->size(), offset);
+            break;
         }
         if (m_sequence != 0 && record->sequence != m_sequence + 1)
             return corruptionError(
@@ -198,18 +227,10 @@
             return status;
         offset += record->size;
     }
-    return isLast ? syncSegment(path) : absl::OkStatus();
-}
-
-/// Syncs a segment that was read. Its last record may have been written by a process that was killed before it synced
-/// the file; without this sync, a power failure could remove what this replica has already read.
-absl::Status Wal::syncSegment(const fs::path& path) const
-{
-    const int file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
-    if (file < 0)
-        return diskError("open", path);
-    const absl::Cleanup close = [file] { ::close(file); };
-    return syncFile(file, path);
+    // The last record may not be on disk, because the process was killed before it synced the file, or because the sync
+    // was refused. In the latter case another sync of the same file may succeed without writing anything, so that the
+    // segment is written anew. Without this, a power failure could remove what this replica has already read.
+    return isLast ? replaceFile(path, std::string_view(*bytes).substr(0, offset)) : absl::OkStatus();
 }
 
 absl::Status Wal::replay(const log::WalRecord& record, const fs::path& path, size_t offset)
@@ -249,19 +270,12 @@
     return absl::OkStatus();
 }
 
-absl::Status Wal::truncateTornRecord(const fs::path& path, const std::string& bytes, size_t offset)
+void Wal::countTornRecord(const fs::path& path, size_t bytes, size_t offset)
 {
     m_tornTails.increment();
     logState("consensus", "truncated an incomplete record at the end of the log",
         { { "file", path.string() }, { "offset", std::to_string(offset) },
-            { "bytes", std::to_string(bytes.size() - offset) } });
-    const int file = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
-    if (file < 0)
-        return diskError("open", path);
-    const absl::Cleanup close = [file] { ::close(file); };
-    if (::ftruncate(file, static_cast<off_t>(offset)) != 0)
-        return diskError("truncate", path);
-    return syncFile(file, path);
+            { "bytes", std::to_string(bytes - offset) } });
 }
 
 absl::Status Wal::reconcileWithSnapshot()
@@ -304,6 +318,14 @@
         return diskError("create", path);
     m_fileBytes = 0;
     m_segments.push_back({ number, m_lastIndex });
+    auto status = writeSegmentStart(hardState);
+    if (!status.ok())
+        ::unlink(path.c_str()); // Each later try to open the log would leave another segment.
+    return status;
+}
+
+absl::Status Wal::writeSegmentStart(const HardState& hardState)
+{
     log::WalRecord record;
     record.mutable_start()->set_index(m_lastIndex.value);
     record.mutable_start()->set_term(m_lastTerm.value);
@@ -360,21 +382,28 @@
     for (const auto& voter : snapshot.voters)
         proto.add_voters(voter.str());
     proto.set_data(snapshot.data);
-    const auto path = snapshotPath(snapshot.index);
+    return replaceFile(
+        snapshotPath(snapshot.index), detail::frameRecord(snapshot.index.value, proto.SerializeAsString()));
+}
+
+/// Writes and syncs a file under a temporary name and renames it.
+absl::Status Wal::replaceFile(const fs::path& path, std::string_view bytes) const
+{
     auto temporary = path;
     temporary += temporarySuffix;
     const int file = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
     if (file < 0)
         return diskError("create", temporary);
     const absl::Cleanup close = [file] { ::close(file); };
-    auto status = writeAll(file, detail::frameRecord(snapshot.index.value, proto.SerializeAsString()), temporary);
+    auto status = writeAll(file, bytes, temporary);
     if (status.ok())
         status = syncFile(file, temporary);
-    if (!status.ok())
-        return status;
-    if (::rename(temporary.c_str(), path.c_str()) != 0)
-        return diskError("rename", temporary);
-    return syncFolder();
+    if (status.ok() && ::rename(temporary.c_str(), path.c_str()) != 0)
+        status = diskError("rename", temporary);
+    if (status.ok())
+        return syncFolder();
+    ::unlink(temporary.c_str()); // A full disk needs the space.
+    return status;
 }
 
 absl::Status Wal::activateSnapshot(Index index, Term term, const HardState& hardState, bool resetLog)
--- a/src/consensus/wal.h
+++ b/src/consensus/wal.h
@@ -24,13 +24,23 @@
     std::function<int(int file)> sync;
 };
 
+/// Reason of the errors of a disk that is full or fails, which may end by itself. Other errors of files, such as a
+/// missing permission, have the reason DISK_FAILED.
+constexpr const char* diskRefused = "DISK_REFUSED";
+/// True if the error is one of writing or reading files and says nothing about the contents of the log.
+bool isDiskError(const absl::Status& status);
+
 /// The write-ahead log and the snapshots of one replica. After append(), activateSnapshot() or compact() has failed,
-/// all further calls of these methods fail, because the state of the disk is unknown.
+/// all further calls of these methods fail, because the state of the disk is unknown. The log must then be opened
+/// again.
 class Wal {
 public:
-    /// Reads the folder, or creates it if it does not exist. An incomplete record at the end of the log is truncated
-    /// and counted in a metric; any other corruption is an error that names the file and offset.
+    /// Reads the folder, or creates it if it does not exist. An incomplete record at the end of the log is removed and
+    /// counted in a metric; any other corruption is an error that names the file and offset. Everything that was read
+    /// is durable afterwards, also if an earlier sync of it was refused.
     static absl::StatusOr<std::unique_ptr<Wal>> open(WalOptions options, Metrics& metrics);
+    /// Writes, syncs and removes a small file, to find out whether the disk takes writes again.
+    static absl::Status checkWritable(WalOptions options, Metrics& metrics);
     ~Wal();
     Wal(const Wal&) = delete;
     Wal& operator=(const Wal&) = delete;
@@ -63,10 +73,11 @@
     absl::Status loadSnapshot(const std::vector<std::filesystem::path>& files);
     absl::Status loadSegment(uint64_t number, bool isLast);
     absl::Status replay(const log::WalRecord& record, const std::filesystem::path& path, size_t offset);
-    absl::Status syncSegment(const std::filesystem::path& path) const;
-    absl::Status truncateTornRecord(const std::filesystem::path& path, const std::string& bytes, size_t offset);
+    void countTornRecord(const std::filesystem::path& path, size_t bytes, size_t offset);
+    absl::Status replaceFile(const std::filesystem::path& path, std::string_view bytes) const;
     absl::Status reconcileWithSnapshot();
     absl::Status startSegment(const HardState& hardState);
+    absl::Status writeSegmentStart(const HardState& hardState);
     absl::Status removeSegments(Index index);
     absl::Status appendRecord(const HardState& hardState, const std::vector<LogEntry>& entries);
     absl::Status writeRecord(const log::WalRecord& record);
@@ -77,7 +88,7 @@
     std::filesystem::path segmentPath(uint64_t number) const;
     std::filesystem::path snapshotPath(Index index) const;
 
-    const WalOptions m_options;
+    WalOptions m_options;
     Counter& m_tornTails;
     Counter& m_bytesWritten;
     Latency& m_syncLatency;
--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -30,6 +30,28 @@
     ~TemporaryFolder() { std::filesystem::remove_all(path); }
 };
 
+/// What the disk of a replica refuses.
+struct DiskFaults {
+    std::atomic<bool> writes = false;
+    std::atomic<bool> partsOfWrites = false; ///< Writes are cut in the middle, and the rest is refused.
+    std::atomic<bool> syncs = false;
+    std::atomic<int> callsUntilRefusal = -1; ///< One write or sync is refused after this number; none if negative.
+
+    bool refusesCall() { return callsUntilRefusal >= 0 && callsUntilRefusal-- == 0; }
+    ssize_t write(int file, const char* data, size_t size)
+    {
+        if (writes || refusesCall() || (partsOfWrites && size == 1))
+            return errno = ENOSPC, -1;
+        return ::write(file, data, partsOfWrites ? size / 2 : size);
+    }
+    int sync(int file)
+    {
+        if (syncs || refusesCall())
+            return errno = EIO, -1;
+        return ::fdatasync(file);
+    }
+};
+
 /// Replicas in one process that send messages to each other by direct calls.
 class Groups {
 public:
@@ -60,6 +82,9 @@
         options.folder = m_folder.path / id.str();
         options.snapshotEvery = m_snapshotEvery;
         options.snapshotBytes = m_snapshotBytes;
+        options.write
+            = [&replica](int file, const char* data, size_t size) { return replica.disk.write(file, data, size); };
+        options.sync = [&replica](int file) { return replica.disk.sync(file); };
         GroupHooks hooks;
         hooks.send = [this, id](const InstanceId& to, Message message) {
             size_t bytes = message.snapshot ? message.snapshot->data.size() : 0;
@@ -178,6 +203,19 @@
     {
         return number(id, "applied") == number(with, "applied");
     }
+    DiskFaults& disk(const InstanceId& id) { return m_replicas.at(id).disk; }
+    bool isStopped(const InstanceId& id) { return !field(id, "failure").as_string().empty(); }
+    /// Proposes an entry to the leader until it is committed, and waits until all replicas have applied it.
+    void commitEverywhere(const std::string& data)
+    {
+        InstanceId by;
+        REQUIRE(advanceUntil([&] {
+            by = leader();
+            return propose(by, data).ok();
+        }));
+        for (const auto& id : m_voters)
+            REQUIRE(advanceUntil([&] { return caughtUp(id, by) && !isStopped(id); }));
+    }
     const std::filesystem::path& folder() const { return m_folder.path; }
     /// Stops a replica and returns the data that it has applied.
     std::string stoppedData(const InstanceId& id)
@@ -188,6 +226,7 @@
 
 private:
     struct Replica {
+        DiskFaults disk;
         std::string data;
         std::unique_ptr<Group> group;
     };
@@ -396,3 +435,100 @@
     CHECK(groups.field(leader, "failure").as_string().find("write failed") != std::string::npos);
     CHECK(detailsOf(groups.propose(leader, "again").status()).outcome == Outcome::NotRun);
 }
+
+// Guards against a group without a leader for good after the disk of each replica was full for a moment, one after the
+// other, because each of them stayed stopped.
+TEST_CASE("a replica whose disk refused a write takes part again", "[consensus]")
+{
+    const auto fault = GENERATE(&DiskFaults::writes, &DiskFaults::partsOfWrites, &DiskFaults::syncs);
+    Groups groups({ a, b, c });
+    groups.leader();
+    for (const auto& id : { a, b, c }) {
+        (groups.disk(id).*fault) = true;
+        REQUIRE(groups.advanceUntil([&] {
+            std::ignore = groups.propose(groups.leader(), "x").ok();
+            return groups.isStopped(id);
+        }));
+        (groups.disk(id).*fault) = false;
+        groups.commitEverywhere(id.str());
+    }
+    CHECK(groups.counter("consensus_recoveries_total").value() == 3);
+    const auto data = groups.stoppedData(a);
+    CHECK(data == groups.stoppedData(b));
+    CHECK(data == groups.stoppedData(c));
+    CHECK(data.ends_with(";c;"));
+}
+
+// Guards against a stopped replica that votes or acknowledges what it has not stored.
+TEST_CASE("nothing is committed while a majority of the disks is full", "[consensus]")
+{
+    Groups groups({ a, b, c });
+    groups.commitEverywhere("kept");
+    const auto leader = groups.leader();
+    const auto applied = groups.number(leader, "applied");
+    for (const auto& id : { a, b, c })
+        groups.disk(id).writes = id != leader;
+    const auto refused = groups.propose(leader, "open");
+    CHECK(detailsOf(refused.status()).outcome == Outcome::Unknown);
+    int rounds = 0;
+    CHECK(groups.advanceUntil([&] {
+        for (const auto& id : { a, b, c })
+            REQUIRE(groups.number(id, "applied") == applied);
+        return ++rounds > 1'000;
+    }));
+    for (const auto& id : { a, b, c })
+        groups.disk(id).writes = true;
+    CHECK_FALSE(groups.propose(leader, "refused").ok());
+    for (const auto& id : { a, b, c })
+        groups.disk(id).writes = false;
+    groups.commitEverywhere("again");
+    const auto data = groups.stoppedData(b);
+    CHECK(data.starts_with("kept;"));
+    CHECK(data.ends_with("again;"));
+}
+
+// Guards against a write that is refused while a segment or snapshot is begun, which leaves files that cannot be read.
+TEST_CASE("a replica recovers from a refusal of any single write or sync", "[consensus]")
+{
+    Groups groups({ a, b, c }, 10);
+    groups.leader();
+    for (int calls = 0; calls < 24; ++calls) {
+        CAPTURE(calls);
+        const auto id = std::vector { a, b, c }[calls % 3];
+        groups.disk(id).callsUntilRefusal = calls;
+        const bool isBehind = calls % 2 == 0; // and receives a snapshot
+        if (isBehind)
+            groups.isolate(id);
+        for (int i = 0; i < 25; ++i) {
+            const auto by = isBehind ? groups.leader({ id }) : groups.leader();
+            std::ignore = groups.propose(by, "x").ok();
+        }
+        groups.heal();
+        do {
+            groups.commitEverywhere(std::to_string(calls));
+        } while (groups.disk(id).callsUntilRefusal >= 0);
+    }
+    CHECK(groups.counter("consensus_recoveries_total").value() > 0);
+    CHECK(groups.counter("consensus_snapshot_failures_total").value() > 0);
+    const auto data = groups.stoppedData(a);
+    CHECK(data == groups.stoppedData(b));
+    CHECK(data == groups.stoppedData(c));
+}
+
+// Guards against a process that ends at each start while its disk is full.
+TEST_CASE("a replica that is opened while its disk is full takes part later", "[consensus]")
+{
+    Groups groups({ a, b, c });
+    groups.leader();
+    groups.commitEverywhere("one");
+    groups.stop(b);
+    groups.disk(b).writes = true;
+    groups.open(b);
+    CHECK(groups.isStopped(b));
+    const auto other = groups.leader({ b });
+    REQUIRE(groups.propose(other, "two").ok());
+    CHECK(groups.isStopped(b));
+    groups.disk(b).writes = false;
+    groups.commitEverywhere("three");
+    CHECK(groups.stoppedData(b) == "one;two;three;");
+}
