Start a control process also while its disk is full

A control process whose disk is full at its first start ended at each start, and a file above a size limit ended the process by SIGXFSZ.

Cause: an identity that could not be stored was an error of the start.

Change: the process starts, relays calls, and stores its identity once the disk takes it. Until then it names the identity to nobody, because it would be another one after a restart.

--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -71,6 +71,8 @@
     void tick();
 
     // Membership of the group.
+    bool joinsGroup() const;
+    void prepareGroup();
     void tryFormGroup();
     void recordSeed(const std::string& replica, bool unformed, const std::vector<std::string>& initialVoters);
     void formGroup(std::vector<std::string> voters);
@@ -103,7 +105,7 @@
     uint64_t m_roleChanges = 0;
     /// Identities of replicas that have no group yet, by seed address.
     std::map<std::string, std::string> m_seedReplicas;
-    TimePoint m_nextFormation;
+    TimePoint m_nextPreparation; ///< Time of the next step towards a group.
     Membership m_membership;
     HeartbeatCollector m_heartbeats;
     bool m_reportInFlight = false;
--- a/src/cell/identity.cc
+++ b/src/cell/identity.cc
@@ -1,6 +1,8 @@
 #include "turmericpier/cell/identity.h"
 
+#include "turmericpier/base/disk-error.h"
 #include "turmericpier/base/error.h"
+#include "turmericpier/base/log.h"
 #include "turmericpier/cell/links.h"
 
 #include <absl/strings/str_cat.h>
@@ -20,8 +22,10 @@
 
     absl::Status ioError(const std::filesystem::path& path, std::string_view what)
     {
-        return makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "IDENTITY", "identity", path.string() },
-            absl::StrCat(std::string(what), " ", path.string(), ": ", std::strerror(errno)));
+        const int number = errno;
+        const auto code = mayDiskRecover(number) ? absl::StatusCode::kUnavailable : absl::StatusCode::kInternal;
+        return makeError({ code, Outcome::NotRun, "IDENTITY", "identity", path.string() },
+            absl::StrCat(std::string(what), " ", path.string(), ": ", std::strerror(number)));
     }
 
     absl::Status syncPath(const std::filesystem::path& path, int flags)
@@ -98,8 +102,12 @@
             return identity;
     }
     Identity identity { .replica = generateIdentity(address), .mayFormGroup = mayFormGroup };
-    if (auto status = saveIdentity(folder, identity); !status.ok())
-        return status;
+    if (auto status = saveIdentity(folder, identity); !status.ok()) {
+        if (!absl::IsUnavailable(status))
+            return status;
+        logError("cell", "identity not stored", { { "message", std::string(status.message()) } });
+        identity.stored = false;
+    }
     return identity;
 }
 
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -23,6 +23,8 @@
     constexpr milliseconds followerTickInterval { 250 };
     constexpr milliseconds formationInterval { 100 };
     constexpr milliseconds formationTimeout { 400 };
+    // Interval at which a replica tries to store its identity or to open its log again.
+    constexpr milliseconds storageRetryInterval { 500 };
     // Time for one voter to take over, which needs a vote and a sync to disk, with some margin.
     constexpr milliseconds handOverAttemptTimeout { 400 };
     // Longer than any call to the advisor for which the leader waits.
@@ -110,9 +112,7 @@
 
 absl::Status Replica::start()
 {
-    const bool isSeed = m_options.seeds.contains(addressOf(m_identity.replica));
-    const bool hasLog = std::filesystem::exists(m_options.folder / "log");
-    if (!m_identity.initialVoters.empty() || hasLog || !m_identity.mayFormGroup || !isSeed) {
+    if (m_identity.stored && joinsGroup()) {
         if (auto status = openGroup(); !status.ok())
             return status;
     }
@@ -120,6 +120,14 @@
     return absl::OkStatus();
 }
 
+/// True if the group exists, or is formed by others.
+bool Replica::joinsGroup() const
+{
+    const bool isSeed = m_options.seeds.contains(addressOf(m_identity.replica));
+    const bool hasLog = std::filesystem::exists(m_options.folder / "log");
+    return !m_identity.initialVoters.empty() || hasLog || !m_identity.mayFormGroup || !isSeed;
+}
+
 void Replica::stop()
 {
     if (std::exchange(m_stopped, true))
@@ -285,7 +293,8 @@
 record::CallT Replica::locateCall() const
 {
     record::CallT call;
-    call.replica = m_identity.replica;
+    if (m_group) // Others can add only a replica that takes part.
+        call.replica = m_identity.replica;
     call.zone = m_options.zone;
     call.clock_ms = m_orderProxy.clockMs();
     return call;
@@ -301,7 +310,7 @@
         return handleHere(std::move(call), std::move(answer));
     record::ReplyT reply;
     reply.replica = m_identity.replica;
-    reply.unformed = !m_group;
+    reply.unformed = !m_group && m_identity.stored;
     reply.leader = m_role.leader.str();
     if (m_group) {
         for (const auto& voter : m_group->voters())
@@ -325,8 +334,8 @@
 {
     if (m_stopped)
         return;
-    if (!m_group)
-        tryFormGroup();
+    if (!m_group && m_clock.now() >= m_nextPreparation)
+        prepareGroup();
     m_leader.tick();
     if (m_leader.isActive()) {
         removeSilentProxies();
@@ -342,14 +351,27 @@
     });
 }
 
+/// Stores the identity if the disk refused it before, and then joins or forms the group.
+void Replica::prepareGroup()
+{
+    m_nextPreparation = m_clock.now() + storageRetryInterval;
+    if (!m_identity.stored) {
+        if (!saveIdentity(m_options.folder, m_identity).ok()) // openIdentity() has logged the error
+            return;
+        m_identity.stored = true;
+        logState("cell", "identity stored", { { "replica", m_identity.replica } });
+    }
+    if (!joinsGroup())
+        return tryFormGroup();
+    if (const auto status = openGroup(); !status.ok())
+        logError("cell", "cannot open the group", { { "message", std::string(status.message()) } });
+}
+
 /// Exchanges identities with the other seeds. The group is formed of all seeds, and only at the first start of the
 /// system; replicas that start later join through the leader.
 void Replica::tryFormGroup()
 {
-    const auto now = m_clock.now();
-    if (now < m_nextFormation)
-        return;
-    m_nextFormation = now + formationInterval;
+    m_nextPreparation = m_clock.now() + formationInterval;
     recordSeed(m_identity.replica, true, {});
     record::CallT call;
     call.kind = record::CallKind::Locate;
--- a/test/cell-replica-test.cc
+++ b/test/cell-replica-test.cc
@@ -5,7 +5,9 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fstream>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace turmericpier;
@@ -48,6 +50,20 @@
     }
 };
 
+/// While it exists, no file of this process can be extended.
+struct FullDisk {
+    rlimit before {};
+    FullDisk()
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        REQUIRE(::getrlimit(RLIMIT_FSIZE, &before) == 0);
+        auto limit = before;
+        limit.rlim_cur = 0;
+        REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
+    }
+    ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before); }
+};
+
 struct Group {
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
@@ -272,6 +288,27 @@
     CHECK(group.readVersion(*group.seeds.begin()) <= 20);
 }
 
+// Guards against a control process that ends at its start, or speaks under an identity that it has not stored, while
+// its disk is full.
+TEST_CASE("a replica that is started on a full disk joins later", "[cell]")
+{
+    Group group(3);
+    group.startAll(true);
+    group.awaitLeader();
+    const auto further = freeAddress();
+    {
+        FullDisk full;
+        group.start(further, false);
+        for (int i = 0; i < 20; ++i)
+            group.io.run_one();
+        CHECK(group.votersSeenBy(further) == 0);
+    }
+    CHECK_FALSE(fs::exists(group.folderOf(further) / "identity.json"));
+    group.runUntil([&] { return group.votersSeenBy(further) == 4; });
+    CHECK(openIdentity(group.folderOf(further), further, false)->replica == group.processes.at(further)->identity);
+    CHECK(group.callUntilLeader(further, group.putConfig(2)).verdict == Verdict::Ok);
+}
+
 // Guards against an identity that changes at a restart, survives the loss of the disk, or is used at another address.
 TEST_CASE("an identity is kept as long as the disk and the address", "[cell]")
 {
