Believe that a former leader leads only on its own word

Callers saw: processes without a vote logged `leader found`, with the leader of old, up to 20 times a second, and calls went to a process that had refused them.

Cause: a follower that stops after a refused write did not report that it knows no leader, because the role and the term had not changed, and its consensus core still named the leader. Relays took its word again after each refusal.

Change: a role change is compared as it is reported. A relay remembers leaders that denied or did not answer a call and accepts them only if they say themselves that they lead. The log line is written once a second for the same leader at most.

Result: `a stopped replica knows no leader` and `a former leader is called again only if it says that it leads` hold.

--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -45,6 +45,7 @@
     const std::string& leader() const { return m_leader; }
     /// Returns true if a leader has answered recently.
     bool isConnected() const;
+    /// Sets a leader that this process knows of at first hand.
     void setLeader(const std::string& leader);
     void addSeeds(const std::set<std::string>& addresses);
     /// Handles a call in this process while it is the leader.
@@ -72,6 +73,8 @@
     void onAnswer(
         const std::shared_ptr<PendingCall>& pending, const std::string& leader, std::optional<record::ReplyT> answer);
     void restartSearch();
+    bool isCredible(const std::string& leader) const;
+    void logLeaderFound();
     void giveUp(const std::shared_ptr<PendingCall>& pending);
     void retry(const std::shared_ptr<PendingCall>& pending);
     void finish(const std::shared_ptr<PendingCall>& pending, record::ReplyT reply);
@@ -87,6 +90,11 @@
     std::set<std::string> m_addresses; ///< Addresses of processes that may know the leader.
     std::string m_leader; ///< Identity of the leader; empty if unknown.
     TimePoint m_leaderLastContact;
+    /// Leaders that have denied or failed to answer a call. What other processes say of them may be outdated, so that
+    /// they are called again only once they say themselves that they lead.
+    std::set<std::string> m_formerLeaders;
+    std::string m_loggedLeader; ///< Leader of the last log line about one that was found.
+    TimePoint m_loggedAt;
     TimePoint m_lastSearchAt; ///< Start time of the last search.
     std::function<record::CallT()> m_makeLocateCall;
     LocalHandler m_localHandler;
--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -39,6 +39,8 @@
     bool isLeader = false;
     Term term;
     InstanceId leader; ///< Empty if unknown.
+
+    friend bool operator==(const RoleChange&, const RoleChange&) = default;
 };
 
 /// Callbacks into the owner of a group. They are called on the thread of the group, except that open() calls `restore`
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -16,6 +16,7 @@
     constexpr milliseconds retryDelay { 40 };
     constexpr milliseconds locateTimeout { 600 };
     constexpr milliseconds minSearchInterval { 50 };
+    constexpr milliseconds minLogInterval { 1'000 }; // Between two lines about the same leader.
     // A leader that has not answered for this long is searched for again.
     constexpr milliseconds leaderTimeout { 1'600 };
     // Without a leader a call is refused after two fifths of its caller's time, which leaves the rest for another
@@ -44,21 +45,37 @@
 
 void Relay::setLeader(const std::string& leader)
 {
-    if (leader.empty() || leader == m_leader)
+    if (leader.empty())
+        return;
+    m_formerLeaders.erase(leader);
+    if (leader == m_leader)
         return;
     m_leader = leader;
     m_leaderLastContact = m_clock.now();
     m_addresses.insert(addressOf(leader));
-    logState("cell", "leader found", { { "leader", leader } });
+    logLeaderFound();
 }
 
+/// A leader without its lease may be found and refuse calls many times a second.
+void Relay::logLeaderFound()
+{
+    const auto now = m_clock.now();
+    if (m_leader == m_loggedLeader && now - m_loggedAt < minLogInterval)
+        return;
+    m_loggedLeader = m_leader;
+    m_loggedAt = now;
+    logState("cell", "leader found", { { "leader", m_leader } });
+}
+
+bool Relay::isCredible(const std::string& leader) const { return !leader.empty() && !m_formerLeaders.contains(leader); }
+
 void Relay::locate()
 {
     if (m_stopped)
         return;
     if (!m_leader.empty() && m_clock.now() - m_leaderLastContact >= leaderTimeout) {
         logState("cell", "leader lost", { { "leader", m_leader } });
-        m_leader.clear();
+        m_formerLeaders.insert(std::exchange(m_leader, {}));
     }
     m_lastSearchAt = m_clock.now();
     record::CallT call;
@@ -97,7 +114,7 @@
     if (!reply->leader.empty() && reply->leader == reply->replica) {
         setLeader(reply->leader);
         m_leaderLastContact = m_clock.now();
-    } else if (m_leader.empty()) {
+    } else if (m_leader.empty() && isCredible(reply->leader)) {
         setLeader(reply->leader);
     }
 }
@@ -137,7 +154,8 @@
 
 void Relay::restartSearch()
 {
-    m_leader.clear();
+    if (!m_leader.empty())
+        m_formerLeaders.insert(std::exchange(m_leader, {}));
     // Many calls may fail together, and one search serves them all.
     locateAfter(std::max<Duration>(Duration::zero(), minSearchInterval - (m_clock.now() - m_lastSearchAt)));
 }
@@ -167,7 +185,7 @@
     }
     if (answer->verdict == Verdict::NotLeader) {
         // A leader may lack its lease for a moment. A former leader names the current one.
-        if (!answer->leader.empty() && answer->leader != leader)
+        if (answer->leader != leader && isCredible(answer->leader))
             setLeader(answer->leader);
         else if (m_leader == leader && leader != m_links.self())
             restartSearch();
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -275,7 +275,9 @@
     void reportRoleChange()
     {
         const bool leads = failure.ok() && core->role() == Role::Leader;
-        if (leads == lastRole.isLeader && core->term() == lastRole.term && core->leader() == lastRole.leader)
+        // A stopped replica hears of no change of the leader.
+        const RoleChange role { leads, core->term(), failure.ok() ? core->leader() : InstanceId {} };
+        if (role == lastRole)
             return;
         if (lastRole.isLeader && (!leads || core->term() != lastRole.term))
             failPendingRequests("LEADERSHIP_LOST", "leadership was lost before the entry was known to be committed");
@@ -285,7 +287,7 @@
                 { { "group", options.group.str() }, { "term", std::to_string(core->term().value) },
                     { "leader", core->leader().str() } });
         }
-        lastRole = { leads, core->term(), failure.ok() ? core->leader() : InstanceId {} };
+        lastRole = role;
         if (hooks.roleChanged)
             hooks.roleChanged(lastRole);
     }
--- a/test/cell-relay-test.cc
+++ b/test/cell-relay-test.cc
@@ -25,6 +25,7 @@
     Relay relay { io, options(), entry, clock, metrics };
     std::function<void(Links::Answer)> onCall;
     int calls = 0;
+    bool leads = true; ///< What the process says when it is asked.
 
     RelayFixture()
     {
@@ -32,7 +33,8 @@
             [this](const std::string&, std::unique_ptr<record::CallT> call, const Links::Answer& answer) {
                 if (call->kind == CallKind::Locate) {
                     record::ReplyT reply;
-                    reply.replica = reply.leader = leaderId;
+                    reply.replica = leaderId;
+                    reply.leader = leads ? leaderId : "";
                     return answer(std::move(reply));
                 }
                 ++calls;
@@ -124,6 +126,31 @@
     CHECK(reply.retry_after_ms > 0);
 }
 
+// Guards against calls that go to a former leader again and again, because a process that has not heard of its loss
+// names it, and against a log line for each time.
+TEST_CASE("a former leader is called again only if it says that it leads", "[cell]")
+{
+    RelayFixture fixture;
+    fixture.leads = false;
+    Links follower(fixture.io, { .self = freeAddress() + "/follower" }, fixture.metrics);
+    follower.setCallHandler([&](const std::string&, std::unique_ptr<record::CallT>, const Links::Answer& answer) {
+        record::ReplyT reply;
+        reply.replica = follower.self();
+        reply.leader = fixture.leaderId;
+        answer(std::move(reply));
+    });
+    REQUIRE(follower.start().ok());
+    fixture.relay.addSeeds({ addressOf(follower.self()) });
+    fixture.onCall = [](const Links::Answer& answer) { answer(replyOf(Verdict::NotLeader)); };
+    for (int i = 0; i < 3; ++i)
+        CHECK(fixture.call().verdict == Verdict::NotRun);
+    CHECK(fixture.calls <= 1);
+    fixture.leads = true;
+    fixture.onCall = [](const Links::Answer& answer) { answer(replyOf(Verdict::Ok)); };
+    while (fixture.call().verdict != Verdict::Ok) { }
+    follower.stop();
+}
+
 // Guards against a call that is held until its caller has timed out, although no leader can take it.
 TEST_CASE("a call without a leader is refused while its caller has time to retry", "[cell]")
 {
--- a/test/consensus-group-test.cc
+++ b/test/consensus-group-test.cc
@@ -108,6 +108,10 @@
             replica.data = data;
             return absl::OkStatus();
         };
+        hooks.roleChanged = [this, &replica](const RoleChange& change) {
+            std::unique_lock lock(m_mutex);
+            replica.role = change;
+        };
         auto group = Group::open(options, hooks, m_clock, m_metrics);
         REQUIRE(group.ok());
         replica.group = std::move(*group);
@@ -204,6 +208,11 @@
         return number(id, "applied") == number(with, "applied");
     }
     DiskFaults& disk(const InstanceId& id) { return m_replicas.at(id).disk; }
+    InstanceId leaderKnownTo(const InstanceId& id)
+    {
+        std::shared_lock lock(m_mutex);
+        return m_replicas.at(id).role.leader;
+    }
     bool isStopped(const InstanceId& id) { return !field(id, "failure").as_string().empty(); }
     /// Proposes an entry to the leader until it is committed, and waits until all replicas have applied it.
     void commitEverywhere(const std::string& data)
@@ -227,6 +236,7 @@
 private:
     struct Replica {
         DiskFaults disk;
+        RoleChange role; ///< As reported last.
         std::string data;
         std::unique_ptr<Group> group;
     };
@@ -532,3 +542,20 @@
     groups.commitEverywhere("three");
     CHECK(groups.stoppedData(b) == "one;two;three;");
 }
+
+// Guards against a stopped follower that names the leader of old for good to those that look for one.
+TEST_CASE("a stopped replica knows no leader", "[consensus]")
+{
+    Groups groups({ a, b, c });
+    const auto leader = groups.leader();
+    const auto follower = leader == a ? b : a;
+    REQUIRE(groups.advanceUntil([&] { return groups.leaderKnownTo(follower) == leader; }));
+    groups.disk(follower).writes = true;
+    REQUIRE(groups.advanceUntil([&] {
+        std::ignore = groups.propose(leader, "x").ok();
+        return groups.isStopped(follower);
+    }));
+    CHECK(groups.advanceUntil([&] { return groups.leaderKnownTo(follower).empty(); }));
+    groups.disk(follower).writes = false;
+    CHECK(groups.advanceUntil([&] { return groups.leaderKnownTo(follower) == leader; }));
+}
