Play full, slow and hanging disks in the fault soak

Change: a library that is preloaded into control processes lets writes and syncs of their data fail, be cut, wait or hang, as a file tells it; a limit on the size of files does the same from outside. The output of processes goes through a pipe, so that the limit meets only their data. The new group of disturbances fills three disks in turn, and then single ones and all at once, beside kills and starts on a full disk.

--- a/test/soak/cluster.cc
+++ b/test/soak/cluster.cc
@@ -2,10 +2,13 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,6 +18,7 @@
     constexpr milliseconds reapInterval { 5 };
     constexpr milliseconds firstStartTime { 1'500 }; // Within which all processes have read their settings.
     constexpr milliseconds graceTime { 6'000 };
+    constexpr size_t outputBytes = 65'536;
     constexpr int clientPort = 8161;
     constexpr int controlPort = 8166;
     constexpr int readyPort = 8167;
@@ -26,6 +30,7 @@
     constexpr int entryGroup = 2;
     constexpr int workerGroup = 3;
     constexpr int advisorGroup = 4;
+    constexpr rlim_t unlimited = RLIM_INFINITY;
     const char* const zones[] = { "zone-a", "zone-b", "zone-c" };
 
     /// Bounds of the deployment, in the platform's format.
@@ -170,30 +175,83 @@
     if (process.beforeRestart)
         std::exchange(process.beforeRestart, nullptr)();
     process.endExpected = false;
-    const auto log = (m_options.folder / (process.name + ".log")).string();
-    const auto program = m_options.program.string();
-    const auto settings = settingsFile(process).string();
-    const auto metrics = absl::StrCat("--metrics_port=", metricsPort);
+    // The output goes through a pipe, so that a limit on files meets only the data of the process.
+    int ends[2] {};
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+        return m_world.report("soak", absl::StrCat(process.name, " cannot be started: no pipe"));
     const auto parent = ::getpid();
     const pid_t pid = ::fork();
     if (pid == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The process must not outlive the soak.
-        if (::getppid() != parent)
-            ::_exit(1);
-        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-        ::dup2(out, STDOUT_FILENO);
-        ::dup2(out, STDERR_FILENO);
-        ::close_range(STDERR_FILENO + 1, ~0U, 0); // Asio opens sockets that programs would inherit.
-        ::execl(program.c_str(), program.c_str(), process.isControl ? "cell-control" : "cell-entry", settings.c_str(),
-            metrics.c_str(), nullptr);
+        if (::getppid() == parent)
+            startProgram(process, ends[1]);
         ::_exit(1);
     }
-    if (pid < 0) {
-        m_world.report("soak", absl::StrCat(process.name, " cannot be started"));
-        return;
-    }
+    ::close(ends[1]);
+    process.output = std::make_shared<boost::asio::posix::stream_descriptor>(m_world.io, ends[0]);
+    if (pid < 0)
+        return m_world.report("soak", absl::StrCat(process.name, " cannot be started"));
     process.pid = pid;
     m_world.trace(absl::StrCat(process.name, " is process ", pid));
+    copyOutput(process);
+}
+
+/// Runs in the new process. Returns only if the program cannot be started.
+void Cluster::startProgram(const Process& process, int output) const
+{
+    const auto program = m_options.program.string();
+    const auto settings = settingsFile(process).string();
+    const auto metrics = absl::StrCat("--metrics_port=", metricsPort);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0); // Asio opens sockets that programs would inherit.
+    std::signal(SIGXFSZ, SIG_IGN);
+    if (process.isControl) {
+        ::setenv("LD_PRELOAD", std::filesystem::absolute(m_options.diskLibrary).c_str(), 1);
+        ::setenv("SOAK_DISK_FOLDER", (m_options.folder / process.name).c_str(), 1);
+        ::setenv("SOAK_DISK_FAULT", diskFaultFile(process).c_str(), 1);
+    }
+    ::execl(program.c_str(), program.c_str(), process.isControl ? "cell-control" : "cell-entry", settings.c_str(),
+        metrics.c_str(), nullptr);
+}
+
+/// Appends the output of the process to its log until it has ended.
+void Cluster::copyOutput(const Process& process)
+{
+    auto buffer = std::make_shared<std::array<char, outputBytes>>();
+    process.output->async_read_some(boost::asio::buffer(*buffer),
+        [this, &process, buffer, output = process.output](const boost::system::error_code& error, size_t size) {
+            if (error || m_stopped)
+                return;
+            std::ofstream(m_options.folder / (process.name + ".log"), std::ios::app)
+                .write(buffer->data(), static_cast<std::streamsize>(size));
+            if (process.output == output)
+                copyOutput(process);
+        });
+}
+
+std::filesystem::path Cluster::diskFaultFile(const Process& process) const
+{
+    return m_options.folder / (process.name + ".disk");
+}
+
+void Cluster::setDiskFault(const Process& process, const std::string& fault) const
+{
+    m_world.trace(absl::StrCat("disk of ", process.name, ": ", fault.empty() ? "sound" : fault));
+    // Renamed, so that the process never reads an incomplete file.
+    const auto file = diskFaultFile(process);
+    const auto temporary = absl::StrCat(file.string(), ".new");
+    std::ofstream(temporary, std::ios::trunc) << fault;
+    std::filesystem::rename(temporary, file);
+}
+
+void Cluster::limitFiles(const Process& process, bool limited) const
+{
+    if (process.pid == 0)
+        return;
+    m_world.trace(absl::StrCat(process.name, limited ? " cannot extend files" : " can extend files"));
+    const rlimit limit { .rlim_cur = limited ? 0 : unlimited, .rlim_max = unlimited };
+    ::prlimit(process.pid, RLIMIT_FSIZE, &limit, nullptr);
 }
 
 /// Starts processes that have ended again.
--- a/test/soak/cluster.h
+++ b/test/soak/cluster.h
@@ -2,7 +2,9 @@
 
 #include "soak/world.h"
 
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <filesystem>
+#include <memory>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -12,6 +14,7 @@
 
 struct ClusterOptions {
     std::filesystem::path program;
+    std::filesystem::path diskLibrary; ///< Preloaded into control processes, see test/soak/disk.
     std::filesystem::path folder; ///< For settings, disks and logs.
     int network = 0; ///< Second number of all addresses, which are loopback addresses.
     int controls = 5;
@@ -29,6 +32,7 @@
     milliseconds restartDelay { 0 }; ///< Delay of the next start after the process has ended.
     bool endExpected = false; ///< The soak has sent a signal that ends the process.
     std::function<void()> beforeRestart; ///< Runs once before the next start.
+    std::shared_ptr<boost::asio::posix::stream_descriptor> output; ///< Reading end of its output.
 };
 
 class Cluster {
@@ -49,6 +53,10 @@
     void remove(Process& process, int number);
     /// Removes all files of the control process. Must be called while it is not running.
     void wipe(const Process& process) const;
+    /// Sets what the disk of the control process does, see test/soak/disk; nothing unusual if `fault` is empty.
+    void setDiskFault(const Process& process, const std::string& fault) const;
+    /// Limits the files of the process to their present size, or takes the limit away.
+    void limitFiles(const Process& process, bool limited) const;
     /// Writes the settings file again, with other seeds if `rotateSeeds`.
     void rewriteSettings(Process& process, bool rotateSeeds);
 
@@ -68,7 +76,10 @@
     void writeSettings(const Process& process, bool isFirstStart, bool rotateSeeds) const;
     void spawn(Process& process);
     void reap();
+    void startProgram(const Process& process, int output) const;
+    void copyOutput(const Process& process);
     std::filesystem::path settingsFile(const Process& process) const;
+    std::filesystem::path diskFaultFile(const Process& process) const;
     std::string address(int group, int number, int port) const;
 
     World& m_world;
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -14,11 +14,16 @@
     constexpr milliseconds recoverTime { 12'000 };
     constexpr size_t bearableLosses = 1;
     constexpr int replacementsInSeries = 3;
+    constexpr size_t disksInTurn = 3;
+    constexpr milliseconds fullDiskTime { 3'000 };
     constexpr milliseconds throttledStop { 90 };
     constexpr milliseconds throttledRun { 20 };
 } // namespace
 
-std::vector<std::string> faultGroups() { return { "planned", "processes", "links", "disks", "replacements" }; }
+std::vector<std::string> faultGroups()
+{
+    return { "planned", "processes", "links", "disks", "replacements", "storage" };
+}
 
 Faults::Faults(World& world, Cluster& cluster, Links& links, std::vector<std::unique_ptr<Worker>>& workers,
     const std::string& group)
@@ -26,6 +31,7 @@
     , m_cluster(cluster)
     , m_links(links)
     , m_workers(workers)
+    , m_group(group)
 {
     const bool all = group == "all";
     if (all || group == "planned")
@@ -38,13 +44,16 @@
         addDiskFaults();
     if (all || group == "replacements")
         addReplacements();
-    m_startsWithReplacements = group == "replacements";
+    if (all || group == "storage")
+        addStorageFaults();
 }
 
 void Faults::start()
 {
-    if (m_startsWithReplacements)
+    if (m_group == "replacements")
         replaceInSeries();
+    if (m_group == "storage")
+        fillDisksInTurn(disksInTurn);
     next();
 }
 
@@ -293,6 +302,70 @@
     m_faults.emplace_back("stop a control process", [this] { terminate(anyControlToDisturb()); });
 }
 
+void Faults::disturbDisk(Process& control, const std::string& fault, milliseconds time)
+{
+    lose(control, m_world.now() + time);
+    m_world.disturb("disk of " + control.name + ": " + fault, m_world.now() + time);
+    m_cluster.setDiskFault(control, fault);
+    m_world.after(time, [this, &control] { m_cluster.setDiskFault(control, ""); });
+}
+
+void Faults::limitFiles(Process& control, milliseconds time)
+{
+    lose(control, m_world.now() + time);
+    m_world.disturb("files of " + control.name, m_world.now() + time);
+    m_cluster.limitFiles(control, true);
+    m_world.after(time, [this, &control] { m_cluster.limitFiles(control, false); });
+}
+
+void Faults::fillDisk(Process& control, milliseconds time)
+{
+    switch (m_world.random(0, 3)) {
+    case 0:
+        return limitFiles(control, time);
+    case 1:
+        return disturbDisk(control, "full", time);
+    case 2:
+        return disturbDisk(control, "cut", time);
+    default:
+        return disturbDisk(control, "sync", time);
+    }
+}
+
+/// Fills the disks of some control processes, each once the one before counts as back.
+void Faults::fillDisksInTurn(size_t count)
+{
+    if (count == 0 || m_stopped)
+        return;
+    fillDisk(*m_cluster.controls()[count - 1], fullDiskTime);
+    m_world.after(fullDiskTime + catchUpTime, [this, count] { fillDisksInTurn(count - 1); });
+}
+
+void Faults::addStorageFaults()
+{
+    m_faults.emplace_back("fill a disk", [this] { fillDisk(anyControlToDisturb(), m_world.randomTime(200, 5'000)); });
+    m_faults.emplace_back("slow a disk down", [this] {
+        disturbDisk(
+            anyControlToDisturb(), "slow " + std::to_string(m_world.random(20, 300)), m_world.randomTime(1'000, 6'000));
+    });
+    m_faults.emplace_back(
+        "hang a disk", [this] { disturbDisk(anyControlToDisturb(), "hang", m_world.randomTime(300, 5'000)); });
+    m_faults.emplace_back("fill all disks", [this] {
+        if (m_inSeries)
+            return;
+        const auto time = m_world.randomTime(200, 3'000);
+        for (auto* control : m_cluster.controls())
+            fillDisk(*control, time);
+    });
+    m_faults.emplace_back("restart a process on a full disk", [this] {
+        auto& control = anyControlToDisturb();
+        disturbDisk(control, "full", m_world.randomTime(1'000, 4'000));
+        kill(control, m_world.randomTime(0, 500));
+    });
+    m_faults.emplace_back(
+        "kill a control process", [this] { kill(anyControlToDisturb(), m_world.randomTime(0, 1'000)); });
+}
+
 void Faults::addReplacements()
 {
     m_faults.emplace_back("replace control processes in series and lose a disk", [this] { replaceInSeries(); });
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -42,6 +42,10 @@
     Time replace(Process& control);
     void replaceInSeries();
     void continueSeries(int count);
+    void disturbDisk(Process& control, const std::string& fault, milliseconds time);
+    void limitFiles(Process& control, milliseconds time);
+    void fillDisk(Process& control, milliseconds time);
+    void fillDisksInTurn(size_t count);
     /// Records that a control process is down, cut off or slow until `end`.
     void lose(const Process& process, Time end);
     bool mayLoseDisk() const { return !m_inSeries && m_world.now() >= m_nextDiskLoss; }
@@ -53,6 +57,7 @@
     void addLinkFaults();
     void addDiskFaults();
     void addReplacements();
+    void addStorageFaults();
 
     World& m_world;
     Cluster& m_cluster;
@@ -61,7 +66,7 @@
     std::vector<std::pair<std::string, std::function<void()>>> m_faults;
     std::map<std::string, int> m_played;
     Time m_nextDiskLoss { 0 };
-    bool m_startsWithReplacements = false;
+    const std::string m_group;
     bool m_inSeries = false; ///< Control processes are being replaced one after the other.
     std::map<const Process*, Time> m_lostUntil; ///< Control processes that count as lost.
     bool m_stopped = false;
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -17,9 +17,10 @@
 #include <unistd.h>
 
 DEFINE_string(program, "build/turmericpier", "the program under test");
+DEFINE_string(disk_library, "build/libsoak-disk.so", "library that disturbs the disks of control processes");
 DEFINE_string(seeds, "1", "seeds to play, one run each: 1,2,3 or 1-50");
-DEFINE_string(
-    faults, "", "group of disturbances: planned, processes, links, disks, replacements or all; by the seed if empty");
+DEFINE_string(faults, "",
+    "group of disturbances: planned, processes, links, disks, replacements, storage or all; by the seed if empty");
 DEFINE_int32(seconds, 30, "time with disturbances in each run");
 DEFINE_int32(controls, 5, "control processes");
 DEFINE_int32(entries, 7, "entries");
@@ -42,7 +43,7 @@
 public:
     Soak(uint64_t seed, const std::string& group, const std::filesystem::path& folder)
         : m_world(seed, FLAGS_verbose)
-        , m_cluster(m_world, { FLAGS_program, folder, network(), FLAGS_controls, FLAGS_entries })
+        , m_cluster(m_world, { FLAGS_program, FLAGS_disk_library, folder, network(), FLAGS_controls, FLAGS_entries })
         , m_http(m_world.io, { .connectionsPerAddress = 64 }, m_world.clock, m_world.metrics)
         , m_links(m_world)
         , m_operator(m_world, m_cluster, m_http)
