--- a/test/cell-membership-test.cc
+++ b/test/cell-membership-test.cc
@@ -80,6 +80,18 @@
         run(randomTime(maxStartDelay));
         network.start(nextMachine());
     }
+    /// Several machines are gone for good at once, while the processes of others are down for a while.
+    void replaceWhileDown(const std::vector<InstanceId>& replaced, const InstanceId& down, Duration duration)
+    {
+        network.crash(down);
+        for (const auto& id : replaced)
+            network.crash(id);
+        run(randomTime(maxStartDelay));
+        for (size_t i = 0; i < replaced.size(); ++i)
+            network.start(nextMachine());
+        run(duration);
+        network.start(down);
+    }
     /// The machine is back at its address with an empty disk.
     void loseDisk(const InstanceId& id)
     {
@@ -219,6 +231,61 @@
     }
 }
 
+// Guards against a group that cannot bear two replacements at once beside a process that is down for a while.
+TEST_CASE("service is back after overlapping replacements and a restart", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Cell cell(seed, 5, 3);
+        const auto ids = cell.running();
+        cell.replaceWhileDown({ ids[seed % 5], ids[(seed + 1) % 5] }, ids[(seed + 2) % 5], cell.randomTime(8s));
+        cell.requireService();
+        cell.run(catchUpTime);
+        cell.loseDisk(cell.anyReplica());
+        cell.requireService();
+    }
+}
+
+// Guards against a first identity that comes back in place of the second one, and against halves of a split that both
+// lack a majority after the split.
+TEST_CASE("a disk is lost twice at one address, and a split meets a replacement", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Cell cell(seed, seed % 2 == 0 ? 3 : 5, 3);
+        const auto address = addressOf(cell.anyReplica().str());
+        for (int i = 0; i < 2; ++i) {
+            const auto ids = cell.running();
+            cell.loseDisk(*std::ranges::find_if(ids, [&](const auto& id) { return addressOf(id.str()) == address; }));
+            cell.run(cell.randomTime(1'500ms));
+        }
+        cell.requireService();
+        cell.run(catchUpTime);
+        cell.replace(cell.anyReplica());
+        cell.split(cell.randomTime(8s));
+        cell.requireService();
+        cell.run(catchUpTime);
+        CHECK(cell.voters().size() == cell.running().size());
+    }
+}
+
+// Guards against a machine that comes back without its disk after its vote was taken away, and counts twice.
+TEST_CASE("a machine is suspended until it is no voter, and comes back with or without its disk", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Cell cell(seed, seed % 2 == 0 ? 3 : 5, 3);
+        const auto id = cell.anyReplica();
+        cell.pause(id, 6s + cell.randomTime(30s));
+        if (seed % 3 == 0)
+            cell.loseDisk(id);
+        cell.run(catchUpTime);
+        CHECK(cell.voters().size() == cell.running().size());
+        cell.loseDisk(cell.anyReplica());
+        cell.requireService();
+    }
+}
+
 // Guards against a cell that bears less than the loss of a machine after any series of losses that it must bear.
 TEST_CASE("the voters follow the machines that are alive", "[cell]")
 {
