Test that a ledger records outcomes again after its disk was full

Cause: the group of the ledger recovers by the same code as that of a cell, which no test showed.

Change: the limit on files that a test sets moves to test/full-disk.h, and a ledger with one voter is played through it.

--- a/test/cell-replica-test.cc
+++ b/test/cell-replica-test.cc
@@ -2,12 +2,11 @@
 
 #include "cell-fixtures.h"
 #include "free-address.h"
+#include "full-disk.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
-#include <csignal>
 #include <fstream>
-#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace turmericpier;
@@ -17,6 +16,7 @@
 using record::Verdict;
 using std::chrono::milliseconds;
 using turmericpier::test::freeAddress;
+using turmericpier::test::FullDisk;
 
 namespace {
 
@@ -50,20 +50,6 @@
     }
 };
 
-/// While it exists, no file of this process can be extended.
-struct FullDisk {
-    rlimit before {};
-    FullDisk()
-    {
-        std::signal(SIGXFSZ, SIG_IGN);
-        REQUIRE(::getrlimit(RLIMIT_FSIZE, &before) == 0);
-        auto limit = before;
-        limit.rlim_cur = 0;
-        REQUIRE(::setrlimit(RLIMIT_FSIZE, &limit) == 0);
-    }
-    ~FullDisk() { ::setrlimit(RLIMIT_FSIZE, &before); }
-};
-
 struct Group {
     boost::asio::io_context io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
--- a/test/ledger-replica-test.cc
+++ b/test/ledger-replica-test.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/ledger/replica.h"
 
+#include "full-disk.h"
 #include "log.pb.h"
 #include "peer_generated.h"
 
@@ -62,17 +63,21 @@
     log::LedgerResults submit(const log::LedgerBatch& batch)
     {
         for (;;) {
-            peer::wire::LedgerSubmitT body;
-            const auto bytes = batch.SerializeAsString();
-            body.batch.assign(bytes.begin(), bytes.end());
-            peer::Envelope envelope;
-            envelope.body.Set(std::move(body));
-            m_replica->submit(std::move(envelope));
-            const auto reply = m_outbox.next();
+            const auto reply = submitOnce(batch);
             if (const auto* results = reply.body.AsLedgerReply())
                 return parse(results->results);
         }
     }
+    peer::Envelope submitOnce(const log::LedgerBatch& batch)
+    {
+        peer::wire::LedgerSubmitT body;
+        const auto bytes = batch.SerializeAsString();
+        body.batch.assign(bytes.begin(), bytes.end());
+        peer::Envelope envelope;
+        envelope.body.Set(std::move(body));
+        m_replica->submit(std::move(envelope));
+        return m_outbox.next();
+    }
     log::LedgerResults read(bool fillsReplica)
     {
         for (;;) {
@@ -166,3 +171,21 @@
     ledger.submit(outcome("r1", rpc::RAN));
     CHECK(ledger.replica().abandonedClaims(Duration::zero()).empty());
 }
+
+// Guards against a ledger that records nothing more after its disk was full for a moment, or that loses an outcome.
+TEST_CASE("a ledger records outcomes again after its disk was full", "[ledger]")
+{
+    const Folder folder;
+    {
+        Ledger ledger(folder.path);
+        ledger.submit(outcome("r1", rpc::RAN));
+        {
+            const test::FullDisk full;
+            CHECK(ledger.submitOnce(outcome("r2", rpc::RAN)).body.AsRefusal());
+        }
+        ledger.submit(outcome("r3", rpc::RAN));
+    }
+    Ledger ledger(folder.path);
+    CHECK(ledger.submit(outcome("r1", rpc::NOT_RUN)).results(0).code() == log::LedgerResult::ENDED_BEFORE);
+    CHECK(ledger.submit(outcome("r3", rpc::NOT_RUN)).results(0).code() == log::LedgerResult::ENDED_BEFORE);
+}
