Share the recording of a disturbance in the soak

Cause: the second reading found the same pair of calls, that a process is lost and that callers may see it, at seven places, and the reset of all connections in two groups.

Change: Faults::disturb and Faults::resetConnections serve all of them. No check, bound or random draw changes.

--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -89,6 +89,12 @@
     m_nextDiskLoss = std::max(m_nextDiskLoss, m_lostUntil.size() > bearableLosses ? end + recoverTime : until);
 }
 
+void Faults::disturb(const Process& process, const std::string& what, Time end)
+{
+    lose(process, end);
+    m_world.disturb(what, end);
+}
+
 void Faults::terminate(Process& process)
 {
     const auto restartDelay = m_world.randomTime(0, 1'500);
@@ -99,15 +105,13 @@
 void Faults::kill(Process& process, milliseconds restartDelay)
 {
     const auto end = m_world.now() + restartDelay + startTime;
-    lose(process, end);
-    m_world.disturb("kill " + process.name, end);
+    disturb(process, "kill " + process.name, end);
     m_cluster.end(process, SIGKILL, restartDelay);
 }
 
 void Faults::pause(Process& process, milliseconds time)
 {
-    lose(process, m_world.now() + time);
-    m_world.disturb("pause " + process.name, m_world.now() + time);
+    disturb(process, "pause " + process.name, m_world.now() + time);
     m_cluster.signal(process, SIGSTOP);
     m_world.after(time, [this, &process] { m_cluster.signal(process, SIGCONT); });
 }
@@ -125,8 +129,7 @@
 
 void Faults::cutLinks(Process& process, bool incoming, bool outgoing, Time until)
 {
-    lose(process, until);
-    m_world.disturb("cut the links of " + process.name, until);
+    disturb(process, "cut the links of " + process.name, until);
     const auto self = m_cluster.peerAddress(process);
     auto others = m_cluster.controls();
     const auto entries = m_cluster.entries();
@@ -140,6 +143,12 @@
     }
 }
 
+void Faults::resetConnections()
+{
+    m_world.disturb("reset", m_world.now());
+    m_links.resetAll();
+}
+
 void Faults::wipeDisk()
 {
     if (mayLoseDisk())
@@ -253,8 +262,7 @@
     m_faults.emplace_back("leave a process little processor time", [this] {
         auto& process = anyProcess();
         const auto until = m_world.now() + m_world.randomTime(1'000, 5'000);
-        lose(process, until);
-        m_world.disturb("throttle " + process.name, until);
+        disturb(process, "throttle " + process.name, until);
         throttle(process, until);
         if (m_world.chance(0.4))
             m_world.after(m_world.randomTime(0, 1'000), [this, &process] { terminate(process); });
@@ -274,18 +282,14 @@
         auto& process = anyProcess();
         const auto self = m_cluster.peerAddress(process);
         const auto time = m_world.randomTime(1, 40);
-        lose(process, m_world.now() + milliseconds(3'000));
-        m_world.disturb("delay " + self, m_world.now() + milliseconds(3'000));
+        disturb(process, "delay " + self, m_world.now() + milliseconds(3'000));
         for (auto* other : m_cluster.controls()) {
             m_links.delay({ self, m_cluster.peerAddress(*other) }, time);
             m_links.delay({ m_cluster.peerAddress(*other), self }, time);
         }
         m_world.after(milliseconds(3'000), [this] { m_links.clearDelays(); });
     });
-    m_faults.emplace_back("reset all connections", [this] {
-        m_world.disturb("reset", m_world.now());
-        m_links.resetAll();
-    });
+    m_faults.emplace_back("reset all connections", [this] { resetConnections(); });
     m_faults.emplace_back("silence all connections", [this] {
         m_world.disturb("silence", m_world.now());
         m_links.silenceAll();
@@ -304,16 +308,14 @@
 
 void Faults::disturbDisk(Process& control, const std::string& fault, milliseconds time)
 {
-    lose(control, m_world.now() + time);
-    m_world.disturb("disk of " + control.name + ": " + fault, m_world.now() + time);
+    disturb(control, "disk of " + control.name + ": " + fault, m_world.now() + time);
     m_cluster.setDiskFault(control, fault);
     m_world.after(time, [this, &control] { m_cluster.setDiskFault(control, ""); });
 }
 
 void Faults::limitFiles(Process& control, milliseconds time)
 {
-    lose(control, m_world.now() + time);
-    m_world.disturb("files of " + control.name, m_world.now() + time);
+    disturb(control, "files of " + control.name, m_world.now() + time);
     m_cluster.limitFiles(control, true);
     m_world.after(time, [this, &control] { m_cluster.limitFiles(control, false); });
 }
@@ -369,10 +371,7 @@
 void Faults::addReplacements()
 {
     m_faults.emplace_back("replace control processes in series and lose a disk", [this] { replaceInSeries(); });
-    m_faults.emplace_back("reset all connections", [this] {
-        m_world.disturb("reset", m_world.now());
-        m_links.resetAll();
-    });
+    m_faults.emplace_back("reset all connections", [this] { resetConnections(); });
     m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back("stop a process", [this] { terminate(anyProcess()); });
     m_faults.emplace_back("reload the settings", [this] {
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -35,6 +35,7 @@
     void pause(Process& process, milliseconds time);
     void throttle(Process& process, Time until);
     void cutLinks(Process& process, bool incoming, bool outgoing, Time until);
+    void resetConnections();
     void wipeDisk();
     void wipeDisk(Process& control);
     void replaceControl();
@@ -48,6 +49,8 @@
     void fillDisksInTurn(size_t count);
     /// Records that a control process is down, cut off or slow until `end`.
     void lose(const Process& process, Time end);
+    /// As lose(), and callers may see the disturbance until `end`.
+    void disturb(const Process& process, const std::string& what, Time end);
     bool mayLoseDisk() const { return !m_inSeries && m_world.now() >= m_nextDiskLoss; }
     /// Returns a control process, or an entry while the series of replacements leaves no other loss to bear.
     Process& anyControlToDisturb();
