Log why no leader serves

Change: a replica whose election fails or is not begun, a leader that loses its quorum, and a leader that has neither lease nor a committed entry of its term for an election timeout write a line `quorum` with the voters counted, those heard, those that refused, the number needed and the reason, once a second at most. `membership` lines give the number of voters and of reachable ones, refusals of the relay the leader that is believed in. No decision changes.

--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -170,7 +170,7 @@
     logDecision("cell", "relay", pending->call->path, pending->inDoubt ? "in doubt" : "refused",
         { { "inputs",
             absl::StrCat(reply.message, ", waited_ms=", waited, " attempts=", pending->attempts,
-                " call=", record::EnumNameCallKind(pending->call->kind)) } });
+                " call=", record::EnumNameCallKind(pending->call->kind), " leader=", m_leader) } });
     finish(pending, std::move(reply));
 }
 
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -457,8 +457,9 @@
 void Replica::changeVoters(const VoterChange& change)
 {
     m_changingVoters = true;
-    logDecision(
-        "cell", "membership", change.replica, change.add ? "adding" : "removing", { { "inputs", change.reason } });
+    const auto voters = m_group->voters().size();
+    logDecision("cell", "membership", change.replica, change.add ? "adding" : "removing",
+        { { "inputs", absl::StrCat(change.reason, ", voters=", voters, " reachable=", reachableVoters().size()) } });
     const auto done = [this, replica = change.replica](const absl::StatusOr<consensus::Applied>& result) {
         asio::post(m_io, [this, replica, status = result.status()] {
             m_changingVoters = false;
--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -36,8 +36,11 @@
 
 void Core::tickLeader()
 {
-    if (!hasQuorumContact())
+    if (!hasQuorumContact()) {
+        reportQuorum("no quorum answers the leader");
         return becomeFollower(m_hardState.term, {});
+    }
+    reportIdleLeader();
     if (!m_transferTarget.empty() && m_now >= m_transferDeadline)
         m_transferTarget = {};
     if (m_pendingVoter && hasPendingVoterFailed()) {
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -117,6 +117,7 @@
         return tickLeader();
     if (m_now < m_electionDeadline)
         return;
+    reportElection();
     m_leader = {};
     resetElectionTimer();
     if (mayCampaign())
@@ -233,6 +234,7 @@
     m_uncommittedBytes = 0;
     m_nextPreferredTransfer = m_now + m_options.electionTimeoutMax;
     m_termStart = m_log.last().next();
+    m_lastServed = m_now;
     // The first two entries of the log identify the first election, in which every voter took part, and store the
     // voters, so that replicas added later do not depend on their settings.
     const bool first = m_log.last().value == 0;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <utility>
 
 /// Raft with pre-vote, check-quorum and leader leases, as a deterministic state machine without I/O, threads or a
 /// clock.
@@ -100,6 +102,17 @@
 enum class Role { Follower, PreCandidate, Candidate, Leader };
 std::string_view toString(Role role);
 
+/// Why a replica does not lead, or does not serve although it leads.
+struct QuorumReport {
+    Role role = Role::Follower;
+    Term term;
+    std::vector<InstanceId> voters;
+    std::vector<InstanceId> heard; ///< Voters that granted their vote, or that answered a leader lately; with itself.
+    std::vector<InstanceId> refused; ///< Voters that refused their vote.
+    size_t needed = 0; ///< Number of voters that must be heard.
+    std::string_view reason;
+};
+
 /// Replication state of a peer, tracked by the leader.
 struct Progress {
     Index match; ///< Last entry known to be durable on the peer.
@@ -166,6 +179,8 @@
     /// End of the leader lease, before which no other replica can lead; zero unless this replica holds one.
     TimePoint leaseEnd() const { return m_role == Role::Leader && m_leaseAllowed ? m_leaseEnd : TimePoint {}; }
     const std::shared_ptr<const Snapshot>& snapshot() const { return m_snapshot; }
+    /// Returns why the last election failed or was not begun, or why the leader does not serve, and forgets it.
+    std::optional<QuorumReport> takeReport() { return std::exchange(m_report, std::nullopt); }
     /// Description of a conflict with a committed entry, after which the replica must stop; empty if there is none.
     const std::string& fault() const { return m_fault; }
 
@@ -208,6 +223,12 @@
     uint64_t firstLeaderIncarnation() const;
     void finishRecoveryIfVotedFor(uint64_t firstLeader);
 
+    // Reports for the log (core-report.cc).
+    void reportQuorum(std::string_view reason);
+    void reportElection();
+    void reportIdleLeader();
+    bool serves() const;
+
     // Follower side of replication (core-follower.cc).
     void followLeader(const InstanceId& from);
     void onAppend(const InstanceId& from, Message& message);
@@ -279,10 +300,12 @@
     Index m_persisted;
     Index m_lastDelivered; ///< Last committed entry that takeReady() has returned for applying.
     std::string m_fault;
+    std::optional<QuorumReport> m_report; ///< Not taken yet.
 
     // State of a leader.
     std::map<InstanceId, Progress> m_progress;
     Index m_termStart; ///< First entry of the leader's own term.
+    TimePoint m_lastServed; ///< Last time at which the leader could serve; initially that of its election.
     uint64_t m_heartbeatRound = 0;
     bool m_heartbeatRoundRequested = false;
     /// Number and start of each heartbeat round that no quorum has acknowledged.
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -1,6 +1,7 @@
 #include "turmericpier/consensus/group.h"
 
 #include "consensus/core.h"
+#include "consensus/quorum-log.h"
 #include "consensus/wal.h"
 #include "turmericpier/base/error.h"
 #include "turmericpier/base/event-loop.h"
@@ -66,6 +67,7 @@
         , clock(groupClock)
         , metrics(groupMetrics)
         , core(std::make_unique<Core>(coreOptions(options), StoredState {}, clock.now()))
+        , quorumLog(options.group)
         , loop("consensus", clock)
         , snapshotLoop("snapshot", clock)
         , proposals(metrics.counter("consensus_proposals_total"))
@@ -101,6 +103,8 @@
         if (failure.ok() && !core->fault().empty())
             fail(makeError(
                 { absl::StatusCode::kInternal, Outcome::Unknown, "LOG_DIVERGED", "append", "" }, core->fault()));
+        if (const auto report = core->takeReport(); report && failure.ok())
+            quorumLog.write(*report, clock.now());
         reportRoleChange();
         updateStatus();
     }
@@ -419,6 +423,7 @@
     Metrics& metrics;
     std::unique_ptr<Wal> wal; ///< Null until the log was opened.
     std::unique_ptr<Core> core; ///< Never null; not used while the replica is stopped.
+    QuorumLog quorumLog;
     EventLoop loop;
     EventLoop snapshotLoop; ///< Writes snapshot files.
     Counter& proposals;
--- /dev/null
+++ b/test/consensus-quorum-test.cc
@@ -0,0 +1,55 @@
+#include "consensus-network.h"
+
+using namespace turmericpier;
+using namespace turmericpier::consensus;
+
+namespace {
+
+const std::vector<InstanceId> three { InstanceId("a"), InstanceId("b"), InstanceId("c") };
+
+std::optional<QuorumReport> nextReport(Network& network, const InstanceId& id)
+{
+    std::ignore = network.core(id).takeReport();
+    std::optional<QuorumReport> report;
+    network.runUntil([&] { return (report = network.core(id).takeReport()).has_value(); }, 10s);
+    return report;
+}
+
+} // namespace
+
+// Guards against a cell without a leader of which no log line tells which voters are missing.
+TEST_CASE("a replica without a leader reports the voters that it has heard", "[consensus]")
+{
+    Network network(1, three);
+    const auto leader = network.waitForLeader();
+    for (const auto& id : three) {
+        if (id != leader)
+            network.crash(id);
+    }
+    const auto stepsDown = nextReport(network, leader);
+    REQUIRE(stepsDown);
+    CHECK(stepsDown->reason == "no quorum answers the leader");
+    CHECK(stepsDown->role == Role::Leader);
+    const auto election = nextReport(network, leader);
+    REQUIRE(election);
+    CHECK(election->reason == "too few pre-votes");
+    CHECK(election->voters == three);
+    CHECK(election->heard == std::vector { leader });
+    CHECK(election->refused.empty());
+    CHECK(election->needed == 2);
+}
+
+// Guards against machines that have the log and no vote, and do not say so.
+TEST_CASE("a removed replica reports that it is not a voter", "[consensus]")
+{
+    Network network(2, three);
+    network.commitEntries(1);
+    const auto leader = network.waitForLeader();
+    const auto removed = leader == three[0] ? three[1] : three[0];
+    network.change(leader, removed, false);
+    network.run(1s);
+    const auto report = nextReport(network, removed);
+    REQUIRE(report);
+    CHECK(report->reason == "this replica is not a voter");
+    CHECK(report->voters.size() == 2);
+}
