Keep as many voters as the loss of the allowed disks needs

What callers saw: in a cell of nine control processes, of which two may lose their disks, every call was refused for good after four were suspended for 9 s, then one more, and two of the others lost their disks at one moment.

Cause: silent voters were removed down to three, whatever the deployment allows to be lost. The voters shrank to four; without the two wiped ones two were left, no majority, and only a leader can change the voters. The five machines that came back had the log and no vote.

Change: silent voters are removed only while 2 * n + 1 of them remain, where n is fault-tolerance.machines of the settings, which was not read before, and three at least. A full group may always remove one for its successor. A majority of such a set is left after n losses, so that the group goes on as soon as its other voters are back.

--- a/include/turmericpier/cell/membership.h
+++ b/include/turmericpier/cell/membership.h
@@ -22,12 +22,17 @@
     Duration removeSilentAfter = std::chrono::milliseconds(2'000);
     /// Time after which a replica that has stopped asking to join is forgotten. Replicas ask every second.
     Duration requestTimeout = std::chrono::milliseconds(3'000);
-    /// Silent voters are removed only while there are more voters than this. Of two voters, one whose disk is lost
-    /// would leave no majority for good.
-    size_t minVoters = 3;
+    /// Number of disks that may be lost at a time.
+    size_t maxLostDisks = 1;
     size_t maxVoters = 9;
 };
 
+/// Silent voters are removed only while there are more voters than this. Of fewer, the loss of as many disks as allowed
+/// would leave no majority for good, also once all others are back: they have the log and no vote.
+///
+///     minVoters({ .maxLostDisks = 2 }) == 5
+size_t minVoters(const MembershipOptions& options);
+
 /// A change of one voter.
 struct VoterChange {
     std::string replica;
--- a/src/cell/membership.cc
+++ b/src/cell/membership.cc
@@ -8,6 +8,14 @@
 
 using Voters = std::vector<consensus::Group::Voter>;
 
+size_t minVoters(const MembershipOptions& options)
+{
+    constexpr size_t smallest = 3; // A group of two bears no loss at all.
+    const auto bearing = std::max(2 * options.maxLostDisks + 1, smallest);
+    // A full group must be able to remove a lost voter, so that its successor can join.
+    return std::min(bearing, options.maxVoters - 1);
+}
+
 void Membership::recordRequest(const std::string& replica, TimePoint now)
 {
     auto& candidate = m_candidates[addressOf(replica)];
@@ -36,7 +44,7 @@
             return VoterChange { voter.id.str(), false, "replaced at its address" };
     }
     const auto longest = std::ranges::max_element(voters, {}, &consensus::Group::Voter::silentFor);
-    if (voters.size() <= m_options.minVoters || longest->silentFor <= m_options.removeSilentAfter)
+    if (voters.size() <= minVoters(m_options) || longest->silentFor <= m_options.removeSilentAfter)
         return std::nullopt;
     return VoterChange { longest->id.str(), false, "silent" };
 }
--- a/test/cell-membership-test.cc
+++ b/test/cell-membership-test.cc
@@ -31,8 +31,9 @@
 /// A cell of simulated machines whose leader maintains the voters.
 class Cell {
 public:
-    Cell(uint64_t seed, size_t machines, size_t seeds)
+    Cell(uint64_t seed, size_t machines, size_t seeds, size_t maxLostDisks = 1)
         : network(seed, firstVoters(seeds), ReplicaOptions {}.electionTimeoutMin, ReplicaOptions {}.electionTimeoutMax)
+        , m_options { .removeSilentAfter = catchUpTime / 2, .maxLostDisks = maxLostDisks }
         , m_machines(seeds)
     {
         while (m_machines < machines)
@@ -97,7 +98,7 @@
     {
         network.crash(id);
         run(randomTime(maxStartDelay));
-        network.start(InstanceId(absl::StrCat(addressOf(id.str()), "/", ++m_identities)));
+        network.start(nextIdentity(id));
     }
     void pause(const InstanceId& id, Duration duration)
     {
@@ -105,6 +106,31 @@
         run(duration);
         network.replicas.at(id).paused = false;
     }
+    /// Suspends the machine, which goes on by itself after `duration`.
+    void suspend(const InstanceId& id, Duration duration)
+    {
+        network.replicas.at(id).paused = true;
+        m_resumeAt[id] = network.now + duration;
+    }
+    /// Machines are back at their addresses, some with empty disks, after all of them ended at one moment.
+    void restart(const std::set<InstanceId>& ids, const std::set<InstanceId>& wiped)
+    {
+        for (const auto& id : ids)
+            network.crash(id);
+        for (const auto& id : ids) {
+            run(randomTime(maxStartDelay) / ids.size());
+            network.start(wiped.contains(id) ? nextIdentity(id) : id);
+        }
+    }
+    /// Machines that are not suspended, in random order.
+    std::vector<InstanceId> awake()
+    {
+        auto ids = running();
+        std::erase_if(ids, [this](const InstanceId& id) { return network.replicas.at(id).paused; });
+        std::ranges::shuffle(ids, network.random);
+        return ids;
+    }
+    bool isAnySuspended() const { return !m_resumeAt.empty(); }
     /// The running machines are split into two halves.
     void split(Duration duration)
     {
@@ -133,14 +159,29 @@
 
 private:
     InstanceId nextMachine() { return InstanceId(absl::StrCat("10.0.0.", ++m_machines, ":1/first")); }
+    InstanceId nextIdentity(const InstanceId& id)
+    {
+        return InstanceId(absl::StrCat(addressOf(id.str()), "/", ++m_identities));
+    }
+
+    void resumeDue()
+    {
+        std::erase_if(m_resumeAt, [this](const auto& item) {
+            if (item.second > network.now)
+                return false;
+            network.replicas.at(item.first).paused = false;
+            return true;
+        });
+    }
 
     void step()
     {
+        resumeDue();
         network.step();
         const auto leader = network.leader();
         if (leader != m_leader) {
             m_leader = leader;
-            m_membership = std::make_unique<Membership>(MembershipOptions { .removeSilentAfter = catchUpTime / 2 });
+            m_membership = std::make_unique<Membership>(m_options);
             m_pendingChange.reset();
         }
         if (leader.empty() || network.now < m_nextCheck)
@@ -181,7 +222,9 @@
         return network.lastCommitted() > before;
     }
 
+    const MembershipOptions m_options;
     size_t m_machines; ///< Machines that were ever started.
+    std::map<InstanceId, TimePoint> m_resumeAt; ///< Suspended machines.
     int m_identities = 0;
     InstanceId m_leader;
     std::unique_ptr<Membership> m_membership;
@@ -269,6 +312,60 @@
     }
 }
 
+// Guards against voters that were reduced to four while machines were suspended, of which two then lost their disks:
+// the five machines that came back had the log and no vote.
+TEST_CASE("two of nine disks may be lost after four machines were suspended", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 12; ++seed) {
+        CAPTURE(seed);
+        Cell cell(seed, 9, 3, 2);
+        auto ids = cell.awake();
+        for (size_t i = 0; i < 4; ++i)
+            cell.suspend(ids[i], 9s);
+        cell.run(catchUpTime);
+        for (size_t i = 4; i < 5 + seed % 2; ++i)
+            cell.suspend(ids[i], 5s);
+        cell.run(catchUpTime);
+        ids = cell.awake();
+        const std::set<InstanceId> wiped(ids.begin(), ids.begin() + 2);
+        cell.restart(seed % 3 == 0 ? std::set(ids.begin(), ids.end()) : wiped, wiped);
+        cell.run(6s);
+        cell.requireService();
+        cell.run(2 * catchUpTime);
+        CHECK(cell.voters().size() == 9);
+    }
+}
+
+// Guards against a cell that has no leader for good after losses that overlap beyond what the deployment bears,
+// although no more disks were lost than it allows.
+TEST_CASE("service is back after any overlapping losses with as many disks as may be lost", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 16; ++seed) {
+        const size_t lostDisks = 1 + seed % 2;
+        Cell cell(seed, lostDisks == 2 ? 9 : 5, 3, lostDisks);
+        for (int event = 0; event < 3; ++event) {
+            CAPTURE(seed, event);
+            for (int i = 0; i < 3; ++i) {
+                auto ids = cell.awake();
+                for (size_t j = 0; j + 1 < ids.size() && j < cell.network.random() % 5; ++j)
+                    cell.suspend(ids[j], 1s + cell.randomTime(12s));
+                cell.run(cell.randomTime(5s));
+                if (cell.network.random() % 3 == 0)
+                    cell.split(cell.randomTime(4s));
+            }
+            auto ids = cell.awake();
+            const auto lost = std::min(lostDisks, ids.size());
+            const std::set<InstanceId> wiped(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(lost));
+            cell.restart(cell.network.random() % 2 == 0 ? std::set(ids.begin(), ids.end()) : wiped, wiped);
+            while (cell.isAnySuspended())
+                cell.run(100ms);
+            cell.requireService();
+            cell.run(recoveryTime);
+            CHECK(cell.voters().size() == cell.running().size());
+        }
+    }
+}
+
 // Guards against a machine that comes back without its disk after its vote was taken away, and counts twice.
 TEST_CASE("a machine is suspended until it is no voter, and comes back with or without its disk", "[cell]")
 {
@@ -332,6 +429,21 @@
     CHECK_FALSE(membership.nextChange({ voter("a:1/x"), voter("b:1/x", 2s), voter("c:1/x"), voter("d:1/x") }, start));
 }
 
+// Guards against silent voters that are removed until the group bears the loss of fewer disks than the deployment
+// allows, and against a lost voter that stays because the group is full.
+TEST_CASE("silent voters are removed while the others bear the loss of as many disks as allowed", "[cell]")
+{
+    std::vector<consensus::Group::Voter> voters;
+    for (int i = 1; i <= 6; ++i)
+        voters.push_back(voter(absl::StrCat("10.0.0.", i, ":1/x"), i == 1 ? 1h : 0ms));
+    Membership two({ .maxLostDisks = 2 });
+    REQUIRE(two.nextChange(voters, start));
+    voters.pop_back();
+    CHECK_FALSE(two.nextChange(voters, start));
+    Membership four({ .maxLostDisks = 4, .maxVoters = 5 });
+    REQUIRE(four.nextChange(voters, start));
+}
+
 // Guards against a replica that replaces a later one at the same address, when a disk was lost twice.
 TEST_CASE("the last identity at an address takes the place of the former ones", "[cell]")
 {
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -21,6 +21,8 @@
 control = "10.1.0.16:8166"
 [limits]
 max-fds = 4324
+[fault-tolerance]
+machines = 2
 [bounds]
 grace-s = 6
 max-hold-ms = 10000
@@ -54,6 +56,7 @@
     CHECK(settings->firstStart);
     CHECK(settings->grace == std::chrono::seconds(6));
     CHECK(settings->maxLease == std::chrono::seconds(10));
+    CHECK(settings->maxLostDisks == 2);
     CHECK(settings->statusRetention == std::chrono::seconds(120));
     CHECK(internalAddress(*settings, "10.2.0.32:8166") == "10.2.0.32:7720");
     CHECK(settings->peerListenAddress.empty());
@@ -71,6 +74,8 @@
     CHECK(errorOf(replaced(control, "max-hold-ms = 10000", "max-hold-ms = -5"))
               .find("bounds.max-hold-ms: is out of range")
         == 0);
+    CHECK(errorOf(replaced(control, "machines = 2", "machines = -1")).find("fault-tolerance.machines: is out of range")
+        == 0);
     CHECK(errorOf(replaced(control, "max-fds = 4324", "max-fds = 100"))
         == "limits.max-fds: is out of range; accepted: 512 to 1048576");
     CHECK(errorOf(replaced(control, "data-dir = \"/data/control\"\n", "")).find("data-dir") == 0);
