Give up leadership without a lease

What callers see: every call is refused with 'no leader is known' although all processes name one leader, for as long as the answers to its heartbeats take longer than its lease and less than the election timeout.

Cause: a leader stays one while a majority answers within the election timeout, but serves only with a lease, of half that time. Between the two bounds it refuses every call, while its heartbeats keep the others from an election. The same holds for the rest of the term once TimeoutNow was sent and its receiver was not elected. The class of fault: two checks of one condition, with different bounds, of which the weaker one decides whether another may take over.

Change: a leader that had no lease for the longest election timeout steps down. A group of one voter needs no answers and is left out, so that it serves at once after a pause.

Evidence: 'a leader that cannot get its lease gives up leadership' failed before, with 600 ms to each answer and a lease of 500 ms: no other leader in 12 s. It holds; all consensus tests pass.

--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -40,7 +40,12 @@
         reportQuorum("no quorum answers the leader");
         return becomeFollower(m_hardState.term, {});
     }
-    reportIdleLeader();
+    if (isLeaseOverdue()) {
+        reportQuorum("the leader has no lease");
+        return becomeFollower(m_hardState.term, {});
+    }
+    if (m_hardState.commit < m_termStart && m_now - m_electedAt >= m_options.electionTimeoutMax)
+        reportQuorum("no entry of the term is committed");
     if (!m_transferTarget.empty() && m_now >= m_transferDeadline)
         m_transferTarget = {};
     if (m_pendingVoter && hasPendingVoterFailed()) {
@@ -63,6 +68,15 @@
     return m_now >= m_pendingVoter->deadline || silence >= newVoterContactTimeouts * m_options.electionTimeoutMin;
 }
 
+/// A leader without its lease refuses every call, and its heartbeats keep the others from an election. Answers that are
+/// slower than the lease, but faster than the election timeout, would leave it in this state for good.
+bool Core::isLeaseOverdue()
+{
+    if (hasValidLease(m_now) || voters().size() == 1)
+        m_lastLease = m_now;
+    return m_now - m_lastLease >= m_options.electionTimeoutMax;
+}
+
 void Core::recordContact(Progress& progress) const { progress.lastContact = progress.lastHeard = m_now; }
 
 TimePoint Core::lastSignOfLife(const Progress& progress) const
--- a/src/consensus/core-report.cc
+++ b/src/consensus/core-report.cc
@@ -37,15 +37,4 @@
         reportQuorum("the disk was empty at the start and has not caught up");
 }
 
-bool Core::serves() const { return hasValidLease(m_now) && m_hardState.commit >= m_termStart; }
-
-void Core::reportIdleLeader()
-{
-    if (serves())
-        m_lastServed = m_now;
-    else if (m_now - m_lastServed >= m_options.electionTimeoutMax)
-        reportQuorum(
-            m_hardState.commit < m_termStart ? "no entry of the term is committed" : "the leader has no lease");
-}
-
 } // namespace turmericpier::consensus
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -234,7 +234,7 @@
     m_uncommittedBytes = 0;
     m_nextPreferredTransfer = m_now + m_options.electionTimeoutMax;
     m_termStart = m_log.last().next();
-    m_lastServed = m_now;
+    m_electedAt = m_lastLease = m_now;
     // The first two entries of the log identify the first election, in which every voter took part, and store the
     // voters, so that replicas added later do not depend on their settings.
     const bool first = m_log.last().value == 0;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -226,8 +226,6 @@
     // Reports for the log (core-report.cc).
     void reportQuorum(std::string_view reason);
     void reportElection();
-    void reportIdleLeader();
-    bool serves() const;
 
     // Follower side of replication (core-follower.cc).
     void followLeader(const InstanceId& from);
@@ -243,6 +241,7 @@
     // Leader side of replication (core-leader.cc).
     void tickLeader();
     bool hasQuorumContact() const;
+    bool isLeaseOverdue();
     void recordContact(Progress& progress) const;
     TimePoint lastHeardBefore(const InstanceId& voter) const;
     std::vector<InstanceId> silentVoters() const;
@@ -305,7 +304,8 @@
     // State of a leader.
     std::map<InstanceId, Progress> m_progress;
     Index m_termStart; ///< First entry of the leader's own term.
-    TimePoint m_lastServed; ///< Last time at which the leader could serve; initially that of its election.
+    TimePoint m_electedAt;
+    TimePoint m_lastLease; ///< Last time at which the leader held its lease; initially that of its election.
     uint64_t m_heartbeatRound = 0;
     bool m_heartbeatRoundRequested = false;
     /// Number and start of each heartbeat round that no quorum has acknowledged.
--- a/test/consensus-network.h
+++ b/test/consensus-network.h
@@ -228,6 +228,7 @@
     /// If set, decides whether a replica is killed at a stage, instead of `faults.crash`.
     std::function<bool(const InstanceId&, Stage, const Ready&)> killAt;
     std::function<bool(const InstanceId& from, const InstanceId& to, const Message&)> dropIf;
+    std::function<Duration(const InstanceId& from, const InstanceId& to)> extraDelay; ///< May be empty.
 
 private:
     /// Returns the voters that a replica knows; with `peers` also those that a leader is adding.
@@ -264,7 +265,8 @@
                 continue;
             for (int copies = chance(faults.duplicate) ? 2 : 1; copies > 0; --copies) {
                 const Duration delay(std::uniform_int_distribution<int64_t>(0, faults.maxDelay.count())(random));
-                m_queue.emplace(now + delay, std::tuple { out.to, from, out.message });
+                const auto extra = extraDelay ? extraDelay(from, out.to) : Duration::zero();
+                m_queue.emplace(now + delay + extra, std::tuple { out.to, from, out.message });
             }
         }
     }
--- a/test/consensus-quorum-test.cc
+++ b/test/consensus-quorum-test.cc
@@ -53,3 +53,19 @@
     CHECK(report->reason == "this replica is not a voter");
     CHECK(report->voters.size() == 2);
 }
+
+// Guards against a leader that goes on although it cannot serve, and keeps the others from electing one that can.
+TEST_CASE("a leader that cannot get its lease gives up leadership", "[consensus]")
+{
+    Network network(3, three);
+    const auto slow = network.waitForLeader();
+    // The answers to its heartbeats arrive after the lease that they grant has ended, and before the election timeout.
+    network.extraDelay = [&](const InstanceId& from, const InstanceId& to) -> Duration {
+        return from == slow || to == slow ? 300ms : 0ms;
+    };
+    const auto serves = [&] {
+        const auto id = network.leader();
+        return !id.empty() && id != slow && network.core(id).hasValidLease(network.now);
+    };
+    REQUIRE(network.runUntil(serves, 12s));
+}
