Believe the leader of the latest term

What callers see: while the disk of a former leader hangs, calls wait 50 ms and more and some are refused, though another leader was elected: the former one says that it leads, and the last answer to a search decided whom the relay calls.

Cause: a replica whose thread waits for its disk hears of no election. Its answer to a search is its own word, which was believed whatever others say.

Change: replies that name a leader carry the term in which it leads, and a relay that knows of a leader of a later term ignores them.

--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -45,8 +45,8 @@
     const std::string& leader() const { return m_leader; }
     /// Returns true if a leader has answered recently.
     bool isConnected() const;
-    /// Sets a leader that this process knows of at first hand.
-    void setLeader(const std::string& leader);
+    /// Sets a leader that this process knows of at first hand. `term` is the one in which it leads, 0 if unknown.
+    void setLeader(const std::string& leader, uint64_t term = 0);
     void addSeeds(const std::set<std::string>& addresses);
     /// Handles a call in this process while it is the leader.
     using LocalHandler = std::function<void(std::unique_ptr<record::CallT>, Answer)>;
@@ -74,6 +74,7 @@
         const std::shared_ptr<PendingCall>& pending, const std::string& leader, std::optional<record::ReplyT> answer);
     void restartSearch();
     bool isCredible(const std::string& leader) const;
+    bool isOutdated(uint64_t term) const { return term != 0 && term < m_latestTerm; }
     void logLeaderFound();
     void giveUp(const std::shared_ptr<PendingCall>& pending);
     void retry(const std::shared_ptr<PendingCall>& pending);
@@ -89,6 +90,7 @@
     boost::asio::steady_timer m_timer;
     std::set<std::string> m_addresses; ///< Addresses of processes that may know the leader.
     std::string m_leader; ///< Identity of the leader; empty if unknown.
+    uint64_t m_latestTerm = 0; ///< Latest term of which a leader is known.
     TimePoint m_leaderLastContact;
     /// Leaders that have denied or failed to answer a call. What other processes say of them may be outdated, so that
     /// they are called again only once they say themselves that they lead.
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -43,10 +43,12 @@
 
 void Relay::addSeeds(const std::set<std::string>& addresses) { m_addresses.insert(addresses.begin(), addresses.end()); }
 
-void Relay::setLeader(const std::string& leader)
+void Relay::setLeader(const std::string& leader, uint64_t term)
 {
-    if (leader.empty())
+    // A deposed leader whose disk hangs does not know of its successor, and says that it leads.
+    if (leader.empty() || isOutdated(term))
         return;
+    m_latestTerm = std::max(m_latestTerm, term);
     m_formerLeaders.erase(leader);
     if (leader == m_leader)
         return;
@@ -112,10 +114,11 @@
     for (const auto& member : reply->members)
         m_addresses.insert(addressOf(member));
     if (!reply->leader.empty() && reply->leader == reply->replica) {
-        setLeader(reply->leader);
-        m_leaderLastContact = m_clock.now();
+        setLeader(reply->leader, reply->term);
+        if (m_leader == reply->leader)
+            m_leaderLastContact = m_clock.now();
     } else if (m_leader.empty() && isCredible(reply->leader)) {
-        setLeader(reply->leader);
+        setLeader(reply->leader, reply->term);
     }
 }
 
@@ -185,8 +188,8 @@
     }
     if (answer->verdict == Verdict::NotLeader) {
         // A leader may lack its lease for a moment. A former leader names the current one.
-        if (answer->leader != leader && isCredible(answer->leader))
-            setLeader(answer->leader);
+        if (answer->leader != leader && isCredible(answer->leader) && !isOutdated(answer->term))
+            setLeader(answer->leader, answer->term);
         else if (m_leader == leader && leader != m_links.self())
             restartSearch();
         return retry(pending);
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -212,7 +212,7 @@
 {
     const bool sameLeadership = m_role.isLeader && change.isLeader && m_role.term == change.term;
     m_role = change;
-    m_relay.setLeader(change.leader.str());
+    m_relay.setLeader(change.leader.str(), change.term.value);
     if (sameLeadership)
         return;
     const auto number = ++m_roleChanges;
@@ -284,8 +284,10 @@
 void Replica::handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer)
 {
     m_leader.handle(std::move(call), [this, answer = std::move(answer)](record::ReplyT reply) {
-        if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader)
+        if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader) {
             reply.leader = m_role.leader.str();
+            reply.term = m_role.term.value;
+        }
         answer(std::move(reply));
     });
 }
@@ -312,6 +314,7 @@
     reply.replica = m_identity.replica;
     reply.unformed = !m_group && m_identity.stored;
     reply.leader = m_role.leader.str();
+    reply.term = m_role.term.value;
     if (m_group) {
         for (const auto& voter : m_group->voters())
             reply.members.push_back(voter.id.str());
--- a/test/cell-relay-test.cc
+++ b/test/cell-relay-test.cc
@@ -26,6 +26,7 @@
     std::function<void(Links::Answer)> onCall;
     int calls = 0;
     bool leads = true; ///< What the process says when it is asked.
+    uint64_t term = 0; ///< Term that the process gives.
 
     RelayFixture()
     {
@@ -35,6 +36,7 @@
                     record::ReplyT reply;
                     reply.replica = leaderId;
                     reply.leader = leads ? leaderId : "";
+                    reply.term = term;
                     return answer(std::move(reply));
                 }
                 ++calls;
@@ -151,6 +153,35 @@
     follower.stop();
 }
 
+// Guards against calls that go to a leader whose disk hangs, and that says that it leads after another one was elected.
+TEST_CASE("a deposed leader that does not know of its successor is not called", "[cell]")
+{
+    RelayFixture fixture;
+    fixture.term = 5;
+    fixture.onCall = [](const Links::Answer& answer) { answer(replyOf(Verdict::NotLeader)); };
+    Links successor(fixture.io, { .self = freeAddress() + "/successor" }, fixture.metrics);
+    bool isReady = false;
+    successor.setCallHandler([&](const std::string&, std::unique_ptr<record::CallT> call, const Links::Answer& answer) {
+        record::ReplyT reply = replyOf(isReady ? Verdict::Ok : Verdict::NotLeader);
+        if (call->kind == CallKind::Locate) {
+            reply.replica = reply.leader = successor.self();
+            reply.term = 6;
+        }
+        answer(std::move(reply));
+    });
+    REQUIRE(successor.start().ok());
+    fixture.relay.addSeeds({ addressOf(successor.self()) });
+    while (fixture.relay.leader() != successor.self())
+        std::ignore = fixture.call();
+    const auto before = fixture.calls;
+    for (int i = 0; i < 3; ++i)
+        CHECK(fixture.call().verdict == Verdict::NotRun); // Each call searches several times.
+    CHECK(fixture.calls == before);
+    isReady = true;
+    CHECK(fixture.call().verdict == Verdict::Ok);
+    successor.stop();
+}
+
 // Guards against a call that is held until its caller has timed out, although no leader can take it.
 TEST_CASE("a call without a leader is refused while its caller has time to retry", "[cell]")
 {
