Let a due removal cancel an addition that takes long

What callers would see: no leader for good after a machine that came back slowly, a replacement, and a lost disk, though no more disks were lost at a time than allowed.

Cause: one change of the voters is made at a time, and the addition of a replica lasts for as long as it makes progress in catching up. Meanwhile a lost voter kept its vote, and its successor waited.

Change: while an addition is pending and a removal is due, the addition is cancelled. It is tried again later, after replicas that were not tried yet.

--- a/include/turmericpier/cell/membership.h
+++ b/include/turmericpier/cell/membership.h
@@ -52,6 +52,9 @@
     void recordRequest(const std::string& replica, TimePoint now);
     /// Returns the next change to make, or nothing if the voters are as they should be.
     std::optional<VoterChange> nextChange(const std::vector<consensus::Group::Voter>& voters, TimePoint now);
+    /// Returns true if a voter is to be removed. A replica that is being added must not delay this by catching up
+    /// slowly.
+    bool isRemovalDue(const std::vector<consensus::Group::Voter>& voters, TimePoint now);
 
 private:
     struct Candidate {
@@ -60,6 +63,7 @@
         TimePoint lastAttempt; ///< Time of the last change that was to add it; zero if there was none.
     };
 
+    void forgetCandidates(const std::vector<consensus::Group::Voter>& voters, TimePoint now);
     std::optional<VoterChange> removal(const std::vector<consensus::Group::Voter>& voters) const;
     std::optional<VoterChange> addition(const std::vector<consensus::Group::Voter>& voters, TimePoint now);
 
--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -96,6 +96,8 @@
     void receive(InstanceId from, Message message);
     /// Adds one voter once it has caught up; fails while another membership change is in progress.
     void addVoter(InstanceId voter, ProposalCallback done);
+    /// Cancels an addition whose voter has not caught up yet; does nothing if there is none.
+    void cancelAddition();
     /// Removes one voter; fails while another membership change is in progress.
     void removeVoter(InstanceId voter, ProposalCallback done);
     /// Starts a transfer of leadership to `to`; ignored unless this replica leads and `to` is another voter.
--- a/src/cell/membership.cc
+++ b/src/cell/membership.cc
@@ -24,13 +24,25 @@
     candidate.lastRequest = now;
 }
 
-std::optional<VoterChange> Membership::nextChange(const Voters& voters, TimePoint now)
+/// Forgets replicas that have become voters or stopped asking.
+void Membership::forgetCandidates(const Voters& voters, TimePoint now)
 {
     std::erase_if(m_candidates, [&](const auto& item) {
         const auto& candidate = item.second;
         return now - candidate.lastRequest > m_options.requestTimeout
             || std::ranges::any_of(voters, [&](const auto& voter) { return voter.id.str() == candidate.replica; });
     });
+}
+
+bool Membership::isRemovalDue(const Voters& voters, TimePoint now)
+{
+    forgetCandidates(voters, now);
+    return removal(voters).has_value();
+}
+
+std::optional<VoterChange> Membership::nextChange(const Voters& voters, TimePoint now)
+{
+    forgetCandidates(voters, now);
     // A lost voter is removed first, because it may take away the majority while a new one catches up.
     if (auto change = removal(voters))
         return change;
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -451,9 +451,14 @@
 void Replica::maintainVoters()
 {
     const auto now = m_clock.now();
-    if (m_changingVoters || now < m_nextVoterCheck)
+    if (now < m_nextVoterCheck)
         return;
     m_nextVoterCheck = now + voterCheckInterval;
+    if (m_changingVoters) {
+        if (m_membership.isRemovalDue(m_group->voters(), now))
+            m_group->cancelAddition();
+        return;
+    }
     if (const auto change = m_membership.nextChange(m_group->voters(), now))
         changeVoters(*change);
 }
--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -454,6 +454,18 @@
     proposeVoters(id, next);
 }
 
+void Core::cancelAddition()
+{
+    if (!m_pendingVoter)
+        return;
+    m_changeResults.push_back({ m_pendingVoter->id,
+        refuse(absl::StatusCode::kAborted, "CHANGE_CANCELLED",
+            absl::StrCat("the addition of instance ", m_pendingVoter->voter.str(), " was cancelled")),
+        {} });
+    m_progress.erase(m_pendingVoter->voter);
+    m_pendingVoter.reset();
+}
+
 void Core::removeVoter(uint64_t id, const InstanceId& voter)
 {
     auto status = checkMembershipChange();
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -151,6 +151,8 @@
     void read(uint64_t id, TimePoint now);
     /// Adds `voter` once it has caught up. The result appears in Ready::changes under `id`.
     void addVoter(uint64_t id, const InstanceId& voter, TimePoint now);
+    /// Ends an addition whose voter has not caught up yet with an error; does nothing if there is none.
+    void cancelAddition();
     /// Removes `voter`. The result appears in Ready::changes under `id`.
     void removeVoter(uint64_t id, const InstanceId& voter);
     /// Transfers leadership to `to` once its log is complete; abandoned after the shortest election timeout.
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -520,6 +520,14 @@
     });
 }
 
+void Group::cancelAddition()
+{
+    m_impl->post([impl = m_impl.get()] {
+        if (impl->failure.ok())
+            impl->core->cancelAddition();
+    });
+}
+
 void Group::removeVoter(InstanceId voter, ProposalCallback done)
 {
     m_impl->submitChange(std::move(done),
--- a/test/cell-membership-test.cc
+++ b/test/cell-membership-test.cc
@@ -190,10 +190,8 @@
         maintainVoters(network.core(leader));
     }
 
-    void maintainVoters(const Core& leader)
+    void maintainVoters(Core& leader)
     {
-        if (m_pendingChange && !network.changes.contains(*m_pendingChange))
-            return;
         std::vector<consensus::Group::Voter> voters;
         for (const auto& id : leader.voters()) {
             const auto found = leader.progress().find(id);
@@ -206,7 +204,10 @@
                 && std::ranges::find(leader.voters(), id) == leader.voters().end())
                 m_membership->recordRequest(id.str(), network.now);
         }
-        if (const auto change = m_membership->nextChange(voters, network.now))
+        if (m_pendingChange && !network.changes.contains(*m_pendingChange)) {
+            if (m_membership->isRemovalDue(voters, network.now))
+                network.cancelAddition(m_leader);
+        } else if (const auto change = m_membership->nextChange(voters, network.now))
             m_pendingChange = network.change(m_leader, InstanceId(change->replica), change->add);
     }
 
@@ -366,6 +367,35 @@
     }
 }
 
+// Guards against a lost voter that keeps its vote, and a successor that waits, while another replica catches up slowly.
+// The next lost disk then leaves no majority for good.
+TEST_CASE("a replica that catches up slowly does not keep a lost voter", "[cell]")
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        Cell cell(seed, 5, 3);
+        auto& network = cell.network;
+        const auto leader = network.waitForLeader();
+        auto others = cell.awake();
+        std::erase(others, leader);
+        const auto slow = others[0];
+        cell.suspend(slow, 8s);
+        cell.run(3s);
+        network.commitEntries(1'500);
+        while (cell.isAnySuspended())
+            cell.run(100ms);
+        network.extraDelay = [&](const InstanceId& from, const InstanceId& to) -> Duration {
+            return from == slow || to == slow ? 100ms : 0ms;
+        };
+        cell.run(2s);
+        cell.replace(others[1]);
+        cell.run(catchUpTime + 500ms);
+        cell.loseDisk(others[2]);
+        network.extraDelay = nullptr;
+        cell.requireService();
+    }
+}
+
 // Guards against a machine that comes back without its disk after its vote was taken away, and counts twice.
 TEST_CASE("a machine is suspended until it is no voter, and comes back with or without its disk", "[cell]")
 {
--- a/test/consensus-network.h
+++ b/test/consensus-network.h
@@ -176,6 +176,11 @@
         processReady(id);
         return number;
     }
+    void cancelAddition(const InstanceId& id)
+    {
+        core(id).cancelAddition();
+        processReady(id);
+    }
     /// True if every set of voters that any replica knows keeps a majority with intact disks when `id` loses its disk.
     /// No algorithm tolerates more losses.
     bool canLoseDisk(const InstanceId& id)
