Go below the needed voters only for a waiting successor

Cause: in a group of nine of which four disks may be lost, one silent voter was removed although nine are needed, so that eight were left, of which four lost disks leave no majority.

Change: a group of as many voters as there may be removes a silent one below that number only while another replica waits for its place.

Evidence: the check of four disks in 'silent voters are removed while the others bear the loss of as many disks as allowed' now requires this, and failed before by its first line; it holds.

--- a/src/cell/membership.cc
+++ b/src/cell/membership.cc
@@ -11,9 +11,7 @@
 size_t minVoters(const MembershipOptions& options)
 {
     constexpr size_t smallest = 3; // A group of two bears no loss at all.
-    const auto bearing = std::max(2 * options.maxLostDisks + 1, smallest);
-    // A full group must be able to remove a lost voter, so that its successor can join.
-    return std::min(bearing, options.maxVoters - 1);
+    return std::max(2 * options.maxLostDisks + 1, smallest);
 }
 
 void Membership::recordRequest(const std::string& replica, TimePoint now)
@@ -56,7 +54,9 @@
             return VoterChange { voter.id.str(), false, "replaced at its address" };
     }
     const auto longest = std::ranges::max_element(voters, {}, &consensus::Group::Voter::silentFor);
-    if (voters.size() <= minVoters(m_options) || longest->silentFor <= m_options.removeSilentAfter)
+    // In a full group, a lost voter has to go before its successor can join.
+    const bool isInTheWay = voters.size() >= m_options.maxVoters && !m_candidates.empty();
+    if ((voters.size() <= minVoters(m_options) && !isInTheWay) || longest->silentFor <= m_options.removeSilentAfter)
         return std::nullopt;
     return VoterChange { longest->id.str(), false, "silent" };
 }
--- a/test/cell-membership-test.cc
+++ b/test/cell-membership-test.cc
@@ -471,7 +471,11 @@
     voters.pop_back();
     CHECK_FALSE(two.nextChange(voters, start));
     Membership four({ .maxLostDisks = 4, .maxVoters = 5 });
-    REQUIRE(four.nextChange(voters, start));
+    CHECK_FALSE(four.nextChange(voters, start));
+    four.recordRequest("10.0.0.9:1/x", start);
+    const auto change = four.nextChange(voters, start);
+    REQUIRE(change);
+    CHECK_FALSE(change->add);
 }
 
 // Guards against a replica that replaces a later one at the same address, when a disk was lost twice.
