--- a/src/cell/membership.cc
+++ b/src/cell/membership.cc
@@ -11,9 +11,7 @@
 size_t minVoters(const MembershipOptions& options)
 {
     constexpr size_t smallest = 3; // A group of two bears no loss at all.
-    const auto bearing = std::max(2 * options.maxLostDisks + 1, smallest);
-    // A full group must be able to remove a lost voter, so that its successor can join.
-    return std::min(bearing, options.maxVoters - 1);
+    return std::max(2 * options.maxLostDisks + 1, smallest);
 }
 
 void Membership::recordRequest(const std::string& replica, TimePoint now)
@@ -24,13 +22,25 @@
     candidate.lastRequest = now;
 }
 
-std::optional<VoterChange> Membership::nextChange(const Voters& voters, TimePoint now)
+/// Forgets replicas that have become voters or stopped asking.
+void Membership::forgetCandidates(const Voters& voters, TimePoint now)
 {
     std::erase_if(m_candidates, [&](const auto& item) {
         const auto& candidate = item.second;
         return now - candidate.lastRequest > m_options.requestTimeout
             || std::ranges::any_of(voters, [&](const auto& voter) { return voter.id.str() == candidate.replica; });
     });
+}
+
+bool Membership::isRemovalDue(const Voters& voters, TimePoint now)
+{
+    forgetCandidates(voters, now);
+    return removal(voters).has_value();
+}
+
+std::optional<VoterChange> Membership::nextChange(const Voters& voters, TimePoint now)
+{
+    forgetCandidates(voters, now);
     // A lost voter is removed first, because it may take away the majority while a new one catches up.
     if (auto change = removal(voters))
         return change;
@@ -44,7 +54,9 @@
             return VoterChange { voter.id.str(), false, "replaced at its address" };
     }
     const auto longest = std::ranges::max_element(voters, {}, &consensus::Group::Voter::silentFor);
-    if (voters.size() <= minVoters(m_options) || longest->silentFor <= m_options.removeSilentAfter)
+    // In a full group, a lost voter has to go before its successor can join.
+    const bool isInTheWay = voters.size() >= m_options.maxVoters && !m_candidates.empty();
+    if ((voters.size() <= minVoters(m_options) && !isInTheWay) || longest->silentFor <= m_options.removeSilentAfter)
         return std::nullopt;
     return VoterChange { longest->id.str(), false, "silent" };
 }
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -162,6 +162,7 @@
     options.folder = m_options.folder / "log";
     options.electionTimeoutMin = m_options.electionTimeoutMin;
     options.electionTimeoutMax = m_options.electionTimeoutMax;
+    options.servesByLease = true;
     options.snapshotEvery = m_options.snapshotEvery;
     options.snapshotBytes = snapshotBytes;
     options.seed = std::random_device {}();
@@ -450,9 +451,14 @@
 void Replica::maintainVoters()
 {
     const auto now = m_clock.now();
-    if (m_changingVoters || now < m_nextVoterCheck)
+    if (now < m_nextVoterCheck)
         return;
     m_nextVoterCheck = now + voterCheckInterval;
+    if (m_changingVoters) {
+        if (m_membership.isRemovalDue(m_group->voters(), now))
+            m_group->cancelAddition();
+        return;
+    }
     if (const auto change = m_membership.nextChange(m_group->voters(), now))
         changeVoters(*change);
 }
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -32,6 +32,8 @@
     /// Maximum size of one append. 256 KiB occupy the paid link (30 Mbit/s) for 70 ms, less than a heartbeat interval.
     size_t appendBytes = 256 * kib;
     size_t snapshotChunkBytes = 256 * kib;
+    /// The leader serves only while it holds its lease, and steps down if it cannot get one.
+    bool servesByLease = false;
     size_t inflightBytes = mib; ///< Limit of the unacknowledged appends to one peer.
     size_t uncommittedBytes = 64 * mib; ///< Limit of the uncommitted proposals; further ones are rejected.
 };
@@ -149,6 +151,8 @@
     void read(uint64_t id, TimePoint now);
     /// Adds `voter` once it has caught up. The result appears in Ready::changes under `id`.
     void addVoter(uint64_t id, const InstanceId& voter, TimePoint now);
+    /// Ends an addition whose voter has not caught up yet with an error; does nothing if there is none.
+    void cancelAddition();
     /// Removes `voter`. The result appears in Ready::changes under `id`.
     void removeVoter(uint64_t id, const InstanceId& voter);
     /// Transfers leadership to `to` once its log is complete; abandoned after the shortest election timeout.
