Publish the failure of a replica before its requests fail

Cause: a replica that stops failed its pending requests first and updated its dump after the batch, so that a caller with the error found no failure in the dump.

Change: the status is updated before the requests fail.

--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -285,6 +285,7 @@
     {
         failures.increment();
         setFailure(status);
+        updateStatus(); // Whoever gets one of the errors below finds the failure in the dump.
         failPendingRequests("REPLICA_STOPPED", failureMessage());
     }
 
