--- a/include/turmericpier/cell/relay.h
+++ b/include/turmericpier/cell/relay.h
@@ -73,7 +73,7 @@
     void onAnswer(
         const std::shared_ptr<PendingCall>& pending, const std::string& leader, std::optional<record::ReplyT> answer);
     void restartSearch();
-    bool isCredible(const std::string& leader) const;
+    bool isCredible(const std::string& leader, uint64_t term) const;
     bool isOutdated(uint64_t term) const { return term != 0 && term < m_latestTerm; }
     void logLeaderFound();
     void giveUp(const std::shared_ptr<PendingCall>& pending);
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -62,6 +62,7 @@
 private:
     void reportHeartbeats();
     void handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer);
+    void nameLeader(record::ReplyT& reply) const;
     record::CallT locateCall() const;
     absl::Status openGroup();
     consensus::GroupHooks groupHooks();
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -69,7 +69,10 @@
     logState("cell", "leader found", { { "leader", m_leader } });
 }
 
-bool Relay::isCredible(const std::string& leader) const { return !leader.empty() && !m_formerLeaders.contains(leader); }
+bool Relay::isCredible(const std::string& leader, uint64_t term) const
+{
+    return !leader.empty() && !isOutdated(term) && !m_formerLeaders.contains(leader);
+}
 
 void Relay::locate()
 {
@@ -117,7 +120,7 @@
         setLeader(reply->leader, reply->term);
         if (m_leader == reply->leader)
             m_leaderLastContact = m_clock.now();
-    } else if (m_leader.empty() && isCredible(reply->leader)) {
+    } else if (m_leader.empty() && isCredible(reply->leader, reply->term)) {
         setLeader(reply->leader, reply->term);
     }
 }
@@ -188,7 +191,7 @@
     }
     if (answer->verdict == Verdict::NotLeader) {
         // A leader may lack its lease for a moment. A former leader names the current one.
-        if (answer->leader != leader && isCredible(answer->leader) && !isOutdated(answer->term))
+        if (answer->leader != leader && isCredible(answer->leader, answer->term))
             setLeader(answer->leader, answer->term);
         else if (m_leader == leader && leader != m_links.self())
             restartSearch();
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -282,13 +282,17 @@
         });
 }
 
+void Replica::nameLeader(record::ReplyT& reply) const
+{
+    reply.leader = m_role.leader.str();
+    reply.term = m_role.term.value;
+}
+
 void Replica::handleHere(std::unique_ptr<record::CallT> call, Links::Answer answer)
 {
     m_leader.handle(std::move(call), [this, answer = std::move(answer)](record::ReplyT reply) {
-        if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader) {
-            reply.leader = m_role.leader.str();
-            reply.term = m_role.term.value;
-        }
+        if (reply.verdict == record::Verdict::NotLeader && !m_role.isLeader)
+            nameLeader(reply);
         answer(std::move(reply));
     });
 }
@@ -314,8 +318,7 @@
     record::ReplyT reply;
     reply.replica = m_identity.replica;
     reply.unformed = !m_group && m_identity.stored;
-    reply.leader = m_role.leader.str();
-    reply.term = m_role.term.value;
+    nameLeader(reply);
     if (m_group) {
         for (const auto& voter : m_group->voters())
             reply.members.push_back(voter.id.str());
--- a/src/consensus/core-leader.cc
+++ b/src/consensus/core-leader.cc
@@ -49,12 +49,8 @@
     if (!m_transferTarget.empty() && m_now >= m_transferDeadline)
         m_transferTarget = {};
     if (m_pendingVoter && hasPendingVoterFailed()) {
-        m_changeResults.push_back({ m_pendingVoter->id,
-            refuse(absl::StatusCode::kDeadlineExceeded, "NOT_CAUGHT_UP",
-                absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")),
-            {} });
-        m_progress.erase(m_pendingVoter->voter);
-        m_pendingVoter.reset();
+        endAddition(refuse(absl::StatusCode::kDeadlineExceeded, "NOT_CAUGHT_UP",
+            absl::StrCat("instance ", m_pendingVoter->voter.str(), " made no progress in catching up")));
     }
     if (m_now < m_heartbeatDue)
         return;
@@ -458,10 +454,14 @@
 {
     if (!m_pendingVoter)
         return;
-    m_changeResults.push_back({ m_pendingVoter->id,
-        refuse(absl::StatusCode::kAborted, "CHANGE_CANCELLED",
-            absl::StrCat("the addition of instance ", m_pendingVoter->voter.str(), " was cancelled")),
-        {} });
+    endAddition(refuse(absl::StatusCode::kAborted, "CHANGE_CANCELLED",
+        absl::StrCat("the addition of instance ", m_pendingVoter->voter.str(), " was cancelled")));
+}
+
+/// Fails the addition of the pending voter.
+void Core::endAddition(absl::Status status)
+{
+    m_changeResults.push_back({ m_pendingVoter->id, std::move(status), {} });
     m_progress.erase(m_pendingVoter->voter);
     m_pendingVoter.reset();
 }
--- a/src/consensus/core-report.cc
+++ b/src/consensus/core-report.cc
@@ -1,7 +1,5 @@
 #include "consensus/core.h"
 
-#include <algorithm>
-
 /// Reports of why there is no leader that serves.
 namespace turmericpier::consensus {
 
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -266,6 +266,7 @@
     void onVotersCommitted();
     void advancePendingVoter();
     bool hasPendingVoterFailed() const;
+    void endAddition(absl::Status status);
     void proposeVoters(uint64_t id, const std::vector<InstanceId>& voters);
     absl::Status checkMembershipChange() const;
     bool hasHealthyMajority(const std::vector<InstanceId>& voters) const;
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -119,6 +119,14 @@
     m_cluster.end(process, SIGKILL, restartDelay);
 }
 
+void Faults::killAllControls()
+{
+    if (m_inSeries)
+        return;
+    for (auto* control : m_cluster.controls())
+        kill(*control, m_world.randomTime(0, 900));
+}
+
 void Faults::pause(Process& process, milliseconds time)
 {
     disturb(process, "pause " + process.name, m_world.now() + time);
@@ -368,12 +376,7 @@
     m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back(
         "kill a control process", [this] { kill(anyControlToDisturb(), m_world.randomTime(0, 1'000)); });
-    m_faults.emplace_back("kill all control processes", [this] {
-        if (m_inSeries)
-            return;
-        for (auto* control : m_cluster.controls())
-            kill(*control, m_world.randomTime(0, 900));
-    });
+    m_faults.emplace_back("kill all control processes", [this] { killAllControls(); });
     m_faults.emplace_back("kill a control process again and again", [this] {
         auto& control = anyControlToDisturb();
         for (int i = 0; i < 6; ++i)
@@ -507,12 +510,7 @@
     m_faults.emplace_back("reset all connections", [this] { resetConnections(); });
     m_faults.emplace_back("kill an entry", [this] { kill(anyEntry(), m_world.randomTime(0, 1'000)); });
     m_faults.emplace_back("stop a process", [this] { terminate(anyProcess()); });
-    m_faults.emplace_back("kill all control processes", [this] {
-        if (m_inSeries)
-            return;
-        for (auto* control : m_cluster.controls())
-            kill(*control, m_world.randomTime(0, 900));
-    });
+    m_faults.emplace_back("kill all control processes", [this] { killAllControls(); });
 }
 
 void Faults::addReplacements()
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -42,6 +42,7 @@
     Process& anyProcess();
     void terminate(Process& process);
     void kill(Process& process, milliseconds restartDelay);
+    void killAllControls();
     void pause(Process& process, milliseconds time);
     void throttle(Process& process, Time until);
     void cutLinks(Process& process, bool incoming, bool outgoing, Time until);
