Bound what the peer port holds for other processes

Cause: each connection had a buffer of 64 KiB and could hold a message of 64 MiB, messages waited for the event loop without a limit, connections that were only held open kept the processes of the cluster out, and each invented sender cost an outgoing connection for good. Entries of one message could refer to the same bytes, which were copied for each of them.

Change: connections share one read buffer and take the memory of incomplete messages from a share; at its limit the one that holds most is closed. Calls, replies and consensus messages that wait are counted in bytes. At the limit of connections the oldest without a valid message is closed for a new one. Addresses that never answered a probe are given up at the limit of peers.

--- a/include/turmericpier/cell/links.h
+++ b/include/turmericpier/cell/links.h
@@ -5,6 +5,7 @@
 #include "turmericpier/consensus/message.h"
 #include "turmericpier/peer/transport.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -28,7 +29,14 @@
     /// Time after which a connection that does not acknowledge data is replaced. It is shorter than an election,
     /// because a connection may stop delivering for good while new ones work.
     std::chrono::milliseconds userTimeout { 1'000 };
-    size_t maxIncoming = 256; ///< Connections accepted from other processes; further ones are closed and counted.
+    size_t maxIncoming = 256; ///< Connections accepted from other processes; see peer::TransportOptions.
+    /// Addresses to which connections are opened. For a further one, one that has never answered a probe is given up;
+    /// if there is none, its messages are dropped.
+    size_t maxPeers = 256;
+    size_t maxMessageBytes = size_t { 16 } << 20U; ///< Larger messages from other processes are refused.
+    /// Memory for messages from other processes: one half for those that are being received, the other for calls and
+    /// replies that wait for the event loop. Further ones are dropped and counted. 0 for no limit.
+    size_t memoryBytes = 0;
     /// Interval at which the connections that have carried something are probed. A connection whose probe is not
     /// answered within two intervals is replaced.
     std::chrono::milliseconds probeInterval { 500 };
@@ -73,6 +81,8 @@
     void sendProbe(const std::string& to, bool answer);
     void onProbe(const std::string& from, bool answer);
     void probePeers();
+    bool evictPeer();
+    bool tryQueue(const peer::Envelope& envelope, size_t bytes);
     void receive(peer::Envelope envelope);
     void onCall(peer::Envelope& envelope);
     void onReply(peer::Envelope& envelope);
@@ -89,6 +99,9 @@
     Counter& m_misdirected;
     Counter& m_probesAnswered;
     Counter& m_silentConnections;
+    Counter& m_overMemory;
+    Counter& m_overPeers;
+    std::atomic<size_t> m_queuedBytes { 0 }; ///< Of calls and replies that wait for the event loop.
     peer::Transport m_transport;
     CallHandler m_onCall;
     MessageHandler m_onMessage;
--- a/include/turmericpier/peer/frame.h
+++ b/include/turmericpier/peer/frame.h
@@ -58,6 +58,12 @@
 /// After the first fault every call returns the same error.
 class FrameDecoder {
 public:
+    /// Refuses messages of more than `maxMessageBytes`, which is at most maxMessage.
+    explicit FrameDecoder(size_t maxMessageBytes = maxMessage)
+        : m_maxMessageBytes(maxMessageBytes)
+    {
+    }
+
     /// Adds received bytes; ignored after a fault.
     void append(std::string_view bytes);
     /// Returns the next envelope, or nothing if more bytes are needed.
@@ -66,6 +72,10 @@
     absl::Status finish();
     /// Returns the fault that stopped the decoder, if any.
     std::optional<FrameFault> fault() const { return m_fault; }
+    /// Drops what has arrived and frees its memory. Must not be used afterwards.
+    void release();
+    /// Memory that is held for messages that are not complete.
+    size_t memory() const { return m_buffer.capacity() + m_messageBuffer.capacity() * sizeof(uint64_t); }
 
 private:
     absl::Status fail(FrameFault fault, std::string_view message);
@@ -73,6 +83,7 @@
     absl::Status appendBody(const char* body, size_t size);
     absl::StatusOr<wire::EnvelopeT> decodeMessage();
 
+    const size_t m_maxMessageBytes;
     std::string m_buffer;
     size_t m_decodedBytes = 0; ///< Bytes of m_buffer that are already decoded.
     std::vector<uint64_t> m_messageBuffer; ///< Bodies of the current message, 8-byte aligned as FlatBuffers requires.
--- a/include/turmericpier/peer/transport.h
+++ b/include/turmericpier/peer/transport.h
@@ -32,7 +32,13 @@
     size_t queueBytesPerPeer = 16U << 20U; ///< Further messages are dropped while at least this many bytes are queued.
     /// Time after which a connection that does not acknowledge data is closed.
     std::chrono::milliseconds userTimeout = defaultUserTimeout;
-    size_t maxIncoming = 256; ///< Incoming connections; further ones are closed and counted.
+    /// Incoming connections. For a further one, the oldest on which no valid message has arrived is closed; if there is
+    /// none, the new one is closed and counted.
+    size_t maxIncoming = 256;
+    size_t maxMessageBytes = size_t { 64 } << 20U; ///< Larger incoming messages close their connection.
+    /// Memory for incoming messages that are not complete. At this limit the connection that holds most is closed. 0
+    /// for no limit.
+    size_t memoryBytes = 0;
 };
 
 /// Sends and receives envelopes. Messages to one peer arrive in order; a message may be lost but is never duplicated.
@@ -58,6 +64,8 @@
     bool send(const InstanceId& to, Envelope envelope);
     /// Adds a peer or changes its address.
     void setPeer(InstanceId peer, Address address);
+    /// Closes the connection to the peer and drops its queue. Does nothing if the peer is unknown.
+    void removePeer(const InstanceId& peer);
     /// Replaces the connection to the peer; does nothing if there is none.
     void reconnect(const InstanceId& peer);
     uint16_t port() const; ///< Port that start() bound, also if the options have port 0.
--- a/src/cell/links.cc
+++ b/src/cell/links.cc
@@ -5,6 +5,8 @@
 #include "turmericpier/base/log.h"
 #include "turmericpier/peer/convert.h"
 
+#include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <random>
 
@@ -48,7 +50,20 @@
     template <typename Table>
     bool unpackBody(const std::vector<uint8_t>& bytes, typename Table::NativeTableType& record)
     {
-        return unpack<Table>({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, record);
+        // Tables may take many times their size once they are unpacked.
+        constexpr uint32_t maxTables = 100'000;
+        return unpack<Table>({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }, record, maxTables);
+    }
+
+    /// Returns the size of a call or a reply in memory.
+    size_t bodyBytes(const peer::Envelope& envelope)
+    {
+        size_t bytes = sizeof(envelope) + envelope.from.capacity() + envelope.to.capacity();
+        if (const auto* call = envelope.body.AsCellCall())
+            bytes += call->call.capacity();
+        else if (const auto* reply = envelope.body.AsCellReply())
+            bytes += reply->reply.capacity();
+        return bytes;
     }
 
     peer::TransportOptions transportOptions(const LinksOptions& options)
@@ -58,6 +73,8 @@
         transport.listen = parseOrEmpty(options.listen.empty() ? addressOf(options.self) : options.listen);
         transport.userTimeout = options.userTimeout;
         transport.maxIncoming = options.maxIncoming;
+        transport.maxMessageBytes = options.maxMessageBytes;
+        transport.memoryBytes = options.memoryBytes / 2;
         return transport;
     }
 } // namespace
@@ -72,6 +89,8 @@
     , m_misdirected(metrics.counter("cell_messages_for_former_replicas_total"))
     , m_probesAnswered(metrics.counter("cell_probes_answered_total"))
     , m_silentConnections(metrics.counter("cell_silent_connections_total"))
+    , m_overMemory(metrics.counter("peer_messages_over_memory_total"))
+    , m_overPeers(metrics.counter("peer_messages_over_peers_total"))
     , m_transport(transportOptions(m_options), metrics)
     , m_probeTimer(io)
     , m_nextCall(chooseFirstCall())
@@ -106,6 +125,11 @@
     }
     {
         std::lock_guard lock(m_mutex);
+        // The address may come from a message, and each one costs a connection.
+        if (m_peers.size() >= m_options.maxPeers && !m_peers.contains(address) && !evictPeer()) {
+            m_overPeers.increment();
+            return;
+        }
         const auto [peer, isNew] = m_peers.try_emplace(address);
         if (isNew)
             m_transport.setPeer(InstanceId(address), parseOrEmpty(address));
@@ -114,6 +138,18 @@
     m_transport.send(InstanceId(address), std::move(envelope));
 }
 
+/// Removes an address that has never answered a probe, as one that was made up. Returns false if there is none. The
+/// caller holds the lock.
+bool Links::evictPeer()
+{
+    const auto found = std::ranges::find_if(m_peers, [](const auto& entry) { return !entry.second.answersProbes; });
+    if (found == m_peers.end())
+        return false;
+    m_transport.removePeer(InstanceId(found->first));
+    m_peers.erase(found);
+    return true;
+}
+
 void Links::sendProbe(const std::string& to, bool answer)
 {
     peer::wire::CellProbeT body;
@@ -224,7 +260,11 @@
                 { { "peer", envelope.from }, { "message", std::string(message.status().message()) } });
         return;
     }
-    asio::post(m_io, [this, shared = std::make_shared<peer::Envelope>(std::move(envelope))] {
+    const auto bytes = bodyBytes(envelope);
+    if (!tryQueue(envelope, bytes))
+        return;
+    asio::post(m_io, [this, bytes, shared = std::make_shared<peer::Envelope>(std::move(envelope))] {
+        m_queuedBytes -= bytes;
         if (shared->body.AsCellCall())
             onCall(*shared);
         else if (shared->body.AsCellReply())
@@ -232,6 +272,22 @@
     });
 }
 
+/// Counts a message that is to wait for the event loop. Returns false if too much waits already. Runs on the
+/// transport's thread, the only one that adds to what waits.
+bool Links::tryQueue(const peer::Envelope& envelope, size_t bytes)
+{
+    if (m_options.memoryBytes > 0 && m_queuedBytes + bytes > m_options.memoryBytes / 2) {
+        m_overMemory.increment();
+        logDecision("cell", "memory", envelope.from, "refused",
+            { { "inputs",
+                absl::StrCat("share=calls limit=", m_options.memoryBytes / 2, " used=", m_queuedBytes.load(),
+                    " wanted=", bytes) } });
+        return false;
+    }
+    m_queuedBytes += bytes;
+    return true;
+}
+
 void Links::onCall(peer::Envelope& envelope)
 {
     auto call = std::make_unique<record::CallT>();
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -20,6 +20,17 @@
     constexpr std::chrono::milliseconds snapshotRetryDelay { 1'000 };
     // Delay before a stopped replica checks its disk again.
     constexpr std::chrono::milliseconds recoveryInterval { 250 };
+    // Messages of other replicas that wait for the event loop, which a hanging disk may hold up. An entry has at most
+    // 3 MiB. Further messages are lost and sent again.
+    constexpr size_t maxReceivedBytes = size_t { 32 } << 20U;
+
+    size_t sizeOf(const Message& message)
+    {
+        auto bytes = sizeof(message) + (message.snapshot ? message.snapshot->data.size() : 0);
+        for (const auto& entry : message.entries)
+            bytes += sizeof(entry) + entry.data.size();
+        return bytes;
+    }
 } // namespace
 
 struct Group::Impl {
@@ -431,6 +442,7 @@
     Counter& failures;
     Counter& recoveries;
     Counter& refusedPosts;
+    std::atomic<size_t> receivedBytes { 0 }; ///< Of messages that wait for the event loop.
     Latency& commitLatency; ///< Time from a proposal until its entry is applied.
     absl::Status failure; ///< Error that stopped the replica, or OK.
     std::optional<TimePoint> recoverAt; ///< Time of the next try of a stopped replica to recover; none if it cannot.
@@ -508,10 +520,19 @@
 void Group::receive(InstanceId from, Message message)
 {
     auto& impl = *m_impl;
-    impl.post([&impl, from = std::move(from), message = std::move(message)]() mutable {
+    const auto bytes = sizeOf(message);
+    if (impl.receivedBytes + bytes > maxReceivedBytes) {
+        impl.refusedPosts.increment();
+        return;
+    }
+    impl.receivedBytes += bytes;
+    const bool queued = impl.post([&impl, bytes, from = std::move(from), message = std::move(message)]() mutable {
+        impl.receivedBytes -= bytes;
         if (impl.failure.ok())
             impl.core->step(from, std::move(message), impl.clock.now());
     });
+    if (!queued)
+        impl.receivedBytes -= bytes;
 }
 
 void Group::addVoter(InstanceId voter, ProposalCallback done)
--- a/src/peer/frame.cc
+++ b/src/peer/frame.cc
@@ -24,10 +24,10 @@
     // Larger buffers are freed after use: those of each sending thread and those of each incoming connection.
     constexpr size_t maxRetainedBuilderBytes = 256U << 10U;
     constexpr size_t maxRetainedMessageBytes = 256U << 10U;
+    constexpr size_t maxRetainedBufferBytes = 64U << 10U;
 
     constexpr size_t maxTableDepth = 16; // The schema nests up to four tables.
-    // A table takes at least 8 bytes: its offset in the parent and the offset of its vtable.
-    constexpr size_t maxTables = maxMessage / 8;
+    constexpr size_t minTableBytes = 8; // The offset in the parent and the offset of the vtable.
 
     template <typename T> T loadUnaligned(const char* from)
     {
@@ -57,6 +57,19 @@
         return checksum;
     }
 
+    /// Returns the bytes of log entries in an envelope. Several entries may refer to the same bytes, which would be
+    /// copied for each of them.
+    size_t unpackedBytes(const wire::Envelope& envelope)
+    {
+        const auto* consensus = envelope.body_as_Consensus();
+        if (!consensus || !consensus->entries())
+            return 0;
+        size_t bytes = 0;
+        for (const auto* entry : *consensus->entries())
+            bytes += entry->data() ? entry->data()->size() : 0;
+        return bytes;
+    }
+
     absl::Status makeFrameError(FrameFault fault, std::string_view step, std::string_view message)
     {
         return makeError({ absl::StatusCode::kDataLoss, Outcome::Unknown, std::string(toString(fault)),
@@ -117,6 +130,8 @@
     if (m_decodedBytes == m_buffer.size()) {
         m_buffer.clear();
         m_decodedBytes = 0;
+        if (m_buffer.capacity() > maxRetainedBufferBytes)
+            m_buffer.shrink_to_fit();
     } else if (m_decodedBytes > m_buffer.size() / 2) {
         // Moving only when most of the buffer is decoded keeps the amortized cost per received byte constant.
         m_buffer.erase(0, m_decodedBytes);
@@ -177,10 +192,15 @@
 {
     m_fault = fault;
     m_error = makeFrameError(fault, "decode frame", message);
+    release();
+    return m_error;
+}
+
+void FrameDecoder::release()
+{
     std::string().swap(m_buffer); // Assigning an empty string would keep the allocation.
     m_decodedBytes = 0;
     m_messageBuffer = std::vector<uint64_t>();
-    return m_error;
 }
 
 /// Checks each field as soon as it is complete, so that a stream of another protocol fails on its first bytes.
@@ -211,9 +231,10 @@
 
 absl::Status FrameDecoder::appendBody(const char* body, size_t size)
 {
-    if (m_messageSize + size > maxMessage)
+    if (m_messageSize + size > m_maxMessageBytes)
         return fail(FrameFault::TooLarge,
-            absl::StrCat("message of at least ", m_messageSize + size, " bytes exceeds the limit of ", maxMessage));
+            absl::StrCat(
+                "message of at least ", m_messageSize + size, " bytes exceeds the limit of ", m_maxMessageBytes));
     const size_t needed = (m_messageSize + size + sizeof(uint64_t) - 1) / sizeof(uint64_t);
     if (m_messageBuffer.size() < needed)
         m_messageBuffer.resize(needed);
@@ -227,7 +248,8 @@
 {
     const auto* data = reinterpret_cast<const uint8_t*>(m_messageBuffer.data());
     const size_t size = m_messageSize;
-    flatbuffers::Verifier verifier(data, size, maxTableDepth, maxTables);
+    flatbuffers::Verifier verifier(
+        data, size, maxTableDepth, static_cast<flatbuffers::uoffset_t>(m_maxMessageBytes / minTableBytes));
     if (!wire::VerifyEnvelopeBuffer(verifier))
         return fail(FrameFault::BadBody, absl::StrCat("message of ", size, " bytes is not a valid envelope"));
     // The generated verifier accepts a union with an unknown type or without a table.
@@ -236,6 +258,9 @@
     if (type > wire::Body::MAX || (type != wire::Body::NONE) != (root->body() != nullptr))
         return fail(FrameFault::BadBody,
             absl::StrCat("envelope has body type ", static_cast<int>(type), ", which is unknown or has no table"));
+    if (unpackedBytes(*root) > size)
+        return fail(
+            FrameFault::BadBody, absl::StrCat("message of ", size, " bytes refers to the same data repeatedly"));
     wire::EnvelopeT envelope;
     root->UnPackTo(&envelope);
     return envelope;
--- a/src/peer/incoming.cc
+++ b/src/peer/incoming.cc
@@ -7,6 +7,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 
 namespace turmericpier::peer::detail {
@@ -24,6 +25,13 @@
         return absl::StrCat("peer_frames_refused_", absl::AsciiStrToLower(std::string(toString(fault))), "_total");
     }
 
+    std::string formatRemoteHost(const tcp::socket& socket)
+    {
+        error_code error;
+        const auto endpoint = socket.remote_endpoint(error);
+        return error ? "unknown" : endpoint.address().to_string();
+    }
+
     std::string formatRemoteAddress(const tcp::socket& socket)
     {
         error_code error;
@@ -32,12 +40,14 @@
     }
 } // namespace
 
-Incoming::Incoming(asio::io_context& io, size_t maxConnections, Metrics& metrics)
-    : m_maxConnections(maxConnections)
+Incoming::Incoming(asio::io_context& io, Limits limits, Metrics& metrics)
+    : m_limits(limits)
+    , m_memory(limits.memoryBytes == 0 ? nullptr : std::make_shared<MemoryShare>("peers", limits.memoryBytes, metrics))
     , m_received(metrics.counter("peer_messages_received_total"))
     , m_receivedBytes(metrics.counter("peer_bytes_received_total"))
     , m_overLimit(metrics.counter("peer_connections_over_limit_total"))
     , m_superseded(metrics.counter("peer_connections_superseded_total"))
+    , m_evicted(metrics.counter("peer_connections_evicted_total"))
     , m_connectionCount(metrics.gauge("peer_incoming_connections"))
     , m_acceptor(io)
     , m_acceptRetry(io)
@@ -84,10 +94,12 @@
             });
             return;
         }
-        if (m_connections.size() >= m_maxConnections) {
+        if (m_connections.size() >= m_limits.connections && !evictSilent()) {
             m_overLimit.increment();
         } else {
             setOptions(socket);
+            error_code ignored;
+            socket.non_blocking(true, ignored);
             auto connection = std::make_shared<Connection>(*this, std::move(socket), m_nextSerial++);
             m_connections.insert(connection);
             m_connectionCount.set(static_cast<int64_t>(m_connections.size()));
@@ -97,6 +109,44 @@
     });
 }
 
+/// Closes the oldest connection on which no valid message has arrived, so that connections that are only held open do
+/// not keep other processes out. Returns false if there is none.
+bool Incoming::evictSilent()
+{
+    ConnectionPtr oldest;
+    for (const auto& connection : m_connections) {
+        if (connection->peer.empty() && (!oldest || connection->serial < oldest->serial))
+            oldest = connection;
+    }
+    if (!oldest)
+        return false;
+    m_evicted.increment();
+    oldest->close("made room for a new connection");
+    return true;
+}
+
+/// Reserves the memory that a connection holds for messages that are not complete. At the limit the connections that
+/// hold most are closed. Returns false if this connection is one of them.
+bool Incoming::reserve(Connection& connection)
+{
+    const auto bytes = connection.decoder.memory();
+    while (!connection.memory.tryResize(bytes)) {
+        Connection* largest = &connection;
+        for (const auto& other : m_connections) {
+            if (!connection.memory.isSourceFull(bytes) || other->memory.source() == connection.memory.source()) {
+                if (other->memory.size() > std::max(largest->memory.size(), largest == &connection ? bytes : 0))
+                    largest = other.get();
+            }
+        }
+        m_memory->recordRefusal(largest->memory.source(), largest->memory.size(), bytes);
+        m_evicted.increment();
+        largest->close("its messages take too much memory");
+        if (largest == &connection)
+            return false;
+    }
+    return true;
+}
+
 /// Makes a connection the current one of its sender unless a newer one is. Closes the previous connection, because its
 /// unread messages would arrive out of order. Returns false if the envelope must be dropped and the connection closed.
 bool Incoming::makeCurrent(const ConnectionPtr& connection, const std::string& from)
@@ -121,18 +171,25 @@
     : owner(owner)
     , socket(std::move(socket))
     , serial(serial)
+    , decoder(owner.m_limits.messageBytes)
+    , memory(owner.m_memory, owner.m_memory ? formatRemoteHost(this->socket) : std::string())
 {
 }
 
 void Incoming::Connection::read()
 {
-    socket.async_read_some(asio::buffer(buffer), [self = shared_from_this()](error_code error, size_t size) {
+    socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
         if (!self->socket.is_open())
             return;
+        size_t size = 0;
+        if (!error)
+            size = self->socket.read_some(asio::buffer(self->owner.m_buffer), error);
+        if (error == asio::error::would_block)
+            return self->read();
         if (!error) {
             self->owner.m_receivedBytes.increment(size);
-            self->decoder.append({ self->buffer.data(), size });
-            if (self->decode())
+            self->decoder.append({ self->owner.m_buffer.data(), size });
+            if (self->decode() && self->owner.reserve(*self))
                 self->read();
             return;
         }
@@ -179,6 +236,8 @@
         logState("peer", "incoming connection closed", { { "peer", peer }, { "reason", std::string(reason) } });
     error_code ignored;
     socket.close(ignored);
+    decoder.release();
+    memory.tryResize(0);
     // Keeps this object alive until the end of the function.
     const auto self = shared_from_this();
     if (const auto found = owner.m_current.find(peer); found != owner.m_current.end() && found->second == self)
--- a/src/peer/incoming.h
+++ b/src/peer/incoming.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "turmericpier/base/memory-share.h"
 #include "turmericpier/base/metrics.h"
 #include "turmericpier/peer/frame.h"
 #include "turmericpier/peer/transport.h"
@@ -18,7 +19,13 @@
 /// Accepts connections and passes the envelopes received over them to the handler.
 class Incoming {
 public:
-    Incoming(boost::asio::io_context& io, size_t maxConnections, Metrics& metrics);
+    struct Limits {
+        size_t connections = 0;
+        size_t messageBytes = 0;
+        size_t memoryBytes = 0; ///< For messages that are not complete; 0 for no limit.
+    };
+
+    Incoming(boost::asio::io_context& io, Limits limits, Metrics& metrics);
 
     absl::Status listen(const Address& address);
     uint16_t port() const { return m_port; }
@@ -37,18 +44,24 @@
         const uint64_t serial; ///< Increases in the order of acceptance.
         std::string peer; ///< Sender of the envelopes; empty before the first one.
         FrameDecoder decoder;
-        std::array<char, 65'536> buffer;
+        MemoryReservation memory;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     void accept();
+    bool evictSilent();
+    bool reserve(Connection& connection);
     bool makeCurrent(const ConnectionPtr& connection, const std::string& from);
 
-    const size_t m_maxConnections;
+    const Limits m_limits;
+    const std::shared_ptr<MemoryShare> m_memory; ///< Null if there is no limit.
+    // All connections read into one buffer, because most of them are idle at any time.
+    std::array<char, 65'536> m_buffer {};
     Counter& m_received;
     Counter& m_receivedBytes;
     Counter& m_overLimit;
     Counter& m_superseded;
+    Counter& m_evicted;
     std::array<Counter*, frameFaultCount> m_faults;
     Gauge& m_connectionCount;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/peer/outgoing.cc
+++ b/src/peer/outgoing.cc
@@ -98,8 +98,22 @@
     onDisconnected("replaced");
 }
 
+void Outgoing::close()
+{
+    m_closed = true;
+    m_timer.cancel();
+    if (m_socket) {
+        error_code ignored;
+        m_socket->close(ignored);
+    }
+    m_socket.reset();
+    dropQueue();
+}
+
 void Outgoing::connect()
 {
+    if (m_closed)
+        return;
     auto socket = std::make_shared<Socket>(m_io);
     m_socket = socket;
     {
@@ -217,6 +231,8 @@
     }
     m_socket.reset();
     m_writing = false;
+    if (m_closed)
+        return;
     if (wasConnected) {
         logState("peer", "connection lost", { { "peer", m_peer.str() }, { "reason", reason } });
     } else {
--- a/src/peer/outgoing.h
+++ b/src/peer/outgoing.h
@@ -36,6 +36,8 @@
     // The following functions must be called on the I/O thread.
     void connect();
     void setAddress(Address address);
+    /// Closes the connection for good. Runs on the I/O thread.
+    void close();
     void reconnect(); ///< Replaces the connection; does nothing while there is none.
 
 private:
@@ -64,6 +66,7 @@
     boost::asio::steady_timer m_timer;
     std::mt19937_64 m_random;
     uint32_t m_failedAttempts = 0;
+    bool m_closed = false;
     bool m_writing = false;
     std::vector<std::string> m_batch; ///< Frames taken from the queue for the next write.
     char m_unexpectedByte = 0;
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -24,7 +24,7 @@
         : options(std::move(transportOptions))
         , metrics(metrics)
         , dropped(metrics.counter("peer_messages_dropped_total"))
-        , incoming(io, options.maxIncoming, metrics)
+        , incoming(io, { options.maxIncoming, options.maxMessageBytes, options.memoryBytes }, metrics)
     {
         for (const auto& [peer, address] : options.peers)
             addPeer(peer, address);
@@ -142,6 +142,16 @@
     asio::post(m_impl->io, [link] { link->connect(); });
 }
 
+void Transport::removePeer(const InstanceId& peer)
+{
+    std::lock_guard lock(m_impl->mutex);
+    const auto found = m_impl->peers.find(peer);
+    if (found == m_impl->peers.end())
+        return;
+    asio::post(m_impl->io, [link = found->second] { link->close(); });
+    m_impl->peers.erase(found);
+}
+
 void Transport::reconnect(const InstanceId& peer)
 {
     if (const auto link = m_impl->find(peer))
