Bound what an HTTP client or server and the state hold for untrusted peers

Cause: the parser of Beast collects trailers and chunk extensions in a buffer without a limit, keeps each header field as a node, limits only the part of a header that it is given at a time, and takes the memory of a whole content length at once. Nothing bounded the sum of the bodies that were being read, of decoded jobs that wait for a leader, of responses that nobody reads, or of the jobs and workers in the state. In builds with assertions the last chunk of an empty chunked body in two parts ends the process.

Change: MessageReader parses for the server, the client and the admin server from a bounded buffer. Sessions reserve what they hold in a share; at its limit unused connections are closed, then the largest unfinished request is refused with 503. Refused requests are read to their end for a second, so that the caller gets the refusal. Ambiguous lengths are refused with 400. The client passes over four informational responses and never uses a connection with bytes behind a response again.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds heartbeatInterval { 1'500 }; ///< Interval at which workers send heartbeats.
     /// How long ended jobs are kept; twice what callers are promised.
     std::chrono::milliseconds endedJobRetention { 240'000 };
+    /// Memory of the state beyond which jobs and workers are refused; 0 for no limit. Only the leader checks it, so
+    /// that replicas with other limits apply the same commands.
+    size_t maxStateBytes = 0;
 };
 
 /// Callbacks through which the leader reaches the log, the workers and the advisor. All run on the leader's thread.
@@ -180,6 +183,8 @@
 
     // Handling of calls (leader-calls.cc).
     void submit(std::unique_ptr<record::CallT> call, Answer answer);
+    bool fitsState(size_t bytes, std::string_view id);
+    Answer holdStateMemory(size_t bytes, Answer answer);
     const record::QueueT* matchQueueOrAnswer(const record::CallT& call, const Answer& answer) const;
     void status(const record::CallT& call, const Answer& answer) const;
     void cancel(const record::CallT& call, Answer answer);
@@ -263,6 +268,8 @@
     Counter& m_adviceCalls;
     Counter& m_plans;
     Counter& m_callsHandled;
+    Counter& m_stateRefusals;
+    Gauge& m_stateBytes;
     Latency& m_planLatency;
     Latency& m_tickGap;
     Latency& m_startLatency;
@@ -293,6 +300,7 @@
     /// Ended jobs, with the time at which this leader learned of their end.
     std::map<std::string, TimePoint> m_endedSince;
     int64_t m_nextDueMs = 0;
+    size_t m_pendingStateBytes = 0; ///< Estimated memory of jobs and workers that wait for their commit.
     LoadFigures m_load;
     TimePoint m_loadReportedAt;
     std::optional<TimePoint> m_lastTickAt;
--- a/include/turmericpier/cell/replica.h
+++ b/include/turmericpier/cell/replica.h
@@ -36,6 +36,8 @@
     /// Number of log entries between two snapshots. At 100 to 200 entries per second of a few hundred bytes each, the
     /// log in memory stays below 10 MB.
     uint64_t snapshotEvery = 4'000;
+    /// Bytes of log entries between two snapshots. The log keeps up to twice as many in memory.
+    uint64_t snapshotBytes = 8U << 20U;
 };
 
 /// All methods must be called on the event loop's thread.
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -73,6 +73,12 @@
 /// Returns the key of a queue, which consists of its host and path prefix.
 std::string queueKey(std::string_view host, std::string_view prefix);
 
+/// Estimates the memory that the record of a job takes before it is in the state, where its tasks are added.
+size_t estimateRecordMemory(const record::JobT& job);
+/// Estimates the memory that a job with all its tasks, or a worker, takes in the state.
+size_t estimateMemory(const record::JobT& job);
+size_t estimateMemory(const record::WorkerT& worker);
+
 /// Holds the replicated state; only apply() and restore() change it.
 class State {
 public:
@@ -80,6 +86,9 @@
     std::string snapshot() const;
     absl::Status restore(std::string_view data);
 
+    /// Returns the estimated memory of all jobs and workers.
+    size_t memory() const { return m_memory; }
+
     const record::ConfigT* config() const { return m_config.get(); }
     /// Returns the active queue with the longest prefix of `path`, or null.
     const record::QueueT* matchQueue(std::string_view host, std::string_view path) const;
@@ -131,6 +140,7 @@
     std::unordered_map<std::string, uint32_t> m_workersById; ///< Serials of the workers by id.
     std::unordered_map<std::string, std::set<uint32_t>> m_workersByAddress; ///< Serials of the workers by address.
     uint32_t m_nextSerial = 1;
+    size_t m_memory = 0;
 };
 
 /// Returns the capacity that a task of the step occupies on its worker.
--- a/include/turmericpier/http/client.h
+++ b/include/turmericpier/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "turmericpier/base/clock.h"
+#include "turmericpier/base/memory-share.h"
 #include "turmericpier/base/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +44,9 @@
     size_t queuePerAddress = 512; ///< Queued requests; more fail with Unreachable.
     std::chrono::milliseconds connectTimeout { 700 }; ///< Allows for many round trips of 16 ms and one lost packet.
     std::chrono::milliseconds idleTimeout { 20'000 }; ///< Time for which an unused connection is kept.
+    /// Share that responses take their memory from while they are read. At its limit the largest of them is given up.
+    /// Null for no limit.
+    std::shared_ptr<MemoryShare> memory;
 };
 
 /// Must be used on the thread of the event loop only.
--- a/include/turmericpier/http/server.h
+++ b/include/turmericpier/http/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "turmericpier/base/clock.h"
+#include "turmericpier/base/memory-share.h"
 #include "turmericpier/base/metrics.h"
 #include "turmericpier/peer/transport.h"
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// HTTP/1.1 server that runs on the caller's event loop and answers asynchronously:
 ///
@@ -22,6 +24,11 @@
     peer::Address listen;
     size_t maxHeaderBytes = 16'384; ///< Larger headers are answered with 431.
     size_t maxBodyBytes = 4U << 20U; ///< Larger bodies are answered with 413.
+    /// All chunk extensions and trailers of one request together; more are answered with 431.
+    size_t maxFramingBytes = 16'384;
+    /// Share that requests and large responses take their memory from. At its limit the largest request that is still
+    /// being read is refused with 503. Null for no limit.
+    std::shared_ptr<MemoryShare> memory;
     /// For reading the body of a request, and for writing a response.
     std::chrono::milliseconds requestTimeout { 3'000 };
     /// For the arrival of a request header, including that of the next request on a connection.
@@ -29,6 +36,7 @@
     /// At the limit the connection that has been idle longest is closed for a new one. If none is idle, the new one is
     /// closed and counted.
     size_t maxConnections = 2'000;
+    std::vector<std::string> readHeaders; ///< Names of the headers that are passed on in Request::headers.
 };
 
 struct Request {
@@ -36,7 +44,14 @@
     std::string target;
     std::string host;
     std::string body;
-    std::optional<std::string> deadline; ///< Value of the deadline header, if the server reads one.
+    std::map<std::string, std::string> headers; ///< Those of ServerOptions::readHeaders that were sent, by these names.
+    /// Reserves memory for what the handler keeps until it responds, in place of what it has reserved so before. If
+    /// this returns false, the handler must refuse the request with tooBusy(). Null if the server has no share of
+    /// memory.
+    std::function<bool(size_t bytes)> holdMemory;
+
+    /// Returns the value of a header of ServerOptions::readHeaders; null if it was not sent.
+    const std::string* findHeader(const std::string& name) const;
 };
 
 struct Response {
@@ -46,6 +61,9 @@
     std::map<std::string, std::string> headers;
 };
 
+/// Returns the response to a request that was not handled for lack of memory: 503 with a time for the next attempt.
+Response tooBusy();
+
 /// Answers one request, immediately or later, on the event loop. Without a response the connection is closed. Only the
 /// first call has an effect.
 using Respond = std::function<void(std::optional<Response>)>;
@@ -54,9 +72,7 @@
 
 class Server {
 public:
-    /// `deadlineHeader` is the name of the header whose value becomes Request::deadline; empty for none.
-    Server(boost::asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics,
-        std::string deadlineHeader = {});
+    Server(boost::asio::io_context& io, ServerOptions options, Handler handler, Metrics& metrics);
     ~Server();
 
     /// Starts to accept connections. Fails with LISTEN_FAILED if the address cannot be bound.
--- a/include/turmericpier/settings/settings.h
+++ b/include/turmericpier/settings/settings.h
@@ -37,6 +37,8 @@
     std::chrono::milliseconds defaultDeadline { 10'000 }; ///< Deadline of requests that name none.
     std::chrono::milliseconds maxDeadline { 60'000 }; ///< Requests with a longer deadline are refused.
     uint32_t maxRequests = 20'000; ///< Largest number of open requests; more are refused with NOT_RUN.
+    uint32_t maxMemoryMib = 256; ///< Memory that the calls of callers, operators and workers may take, in MiB.
+    uint32_t maxStreamsPerConnection = 1'000; ///< Calls that are open on one connection at a time.
 };
 
 /// Durations of leases.
--- a/src/admin/server.cc
+++ b/src/admin/server.cc
@@ -1,5 +1,6 @@
 #include "turmericpier/admin/server.h"
 
+#include "http/message-reader.h"
 #include "turmericpier/base/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -8,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <optional>
+#include <string_view>
 #include <thread>
 
 namespace turmericpier::admin {
@@ -64,7 +65,7 @@
 
     absl::Status listen();
     void accept();
-    Response handle(const http::request<http::empty_body>& request) const;
+    Response handle(std::string_view method, std::string_view target) const;
 
     const ServerOptions options;
     const ServerHooks hooks;
@@ -85,6 +86,7 @@
     Session(Impl& owner, tcp::socket socket)
         : m_owner(owner)
         , m_stream(std::move(socket))
+        , m_reader({ owner.options.maxHeaderBytes, maxFramingBytes, 0 })
     {
         ++m_owner.openConnections;
     }
@@ -94,27 +96,43 @@
 
     void readRequest()
     {
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<uint32_t>(m_owner.options.maxHeaderBytes));
-        m_parser->body_limit(uint64_t { 0 });
+        m_reader.begin();
         m_stream.expires_after(m_owner.options.idleTimeout);
-        http::async_read(m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](error_code error, size_t) { self->onRequestRead(error); });
+        parse();
     }
 
 private:
-    void onRequestRead(const error_code& error)
+    using Reader = turmericpier::http::MessageReader<true>;
+
+    void parse()
+    {
+        error_code error;
+        auto step = m_reader.parse(error);
+        while (step == Reader::Step::Header)
+            step = m_reader.parse(error);
+        if (step == Reader::Step::Failed)
+            return refuse(error);
+        if (step == Reader::Step::Done)
+            return respond();
+        m_stream.async_read_some(m_reader.prepare(), [self = shared_from_this()](error_code failure, size_t size) {
+            if (failure)
+                return; // Destroying the session closes the connection.
+            self->m_reader.received(size);
+            self->parse();
+        });
+    }
+
+    void respond()
+    {
+        m_owner.requests.increment();
+        const auto& request = m_reader.parser().get();
+        m_response = m_owner.handle(request.method_string(), request.target());
+        m_response.keep_alive(request.keep_alive());
+        writeResponse();
+    }
+
+    void refuse(const error_code& error)
     {
-        if (!error) {
-            m_owner.requests.increment();
-            m_response = m_owner.handle(m_parser->get());
-            m_response.keep_alive(m_parser->get().keep_alive());
-            writeResponse();
-            return;
-        }
-        const bool isHttpError = error.category() == http::make_error_code(http::error::bad_method).category();
-        if (error == http::error::end_of_stream || error == http::error::partial_message || !isHttpError)
-            return; // Destroying the session closes the connection.
         m_owner.badRequests.increment();
         m_response = makeResponse(toHttpStatus(error), absl::StrCat(error.message(), "\n"));
         m_response.keep_alive(false);
@@ -135,10 +153,11 @@
         });
     }
 
+    static constexpr size_t maxFramingBytes = 4'096; // Chunk extensions and trailers; requests have no body.
+
     Impl& m_owner;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::empty_body>> m_parser; ///< Parser of the current request.
+    Reader m_reader;
     Response m_response;
 };
 
@@ -188,10 +207,9 @@
     });
 }
 
-Response Server::Impl::handle(const http::request<http::empty_body>& request) const
+Response Server::Impl::handle(std::string_view method, std::string_view target) const
 {
-    const std::string target(request.target().data(), request.target().size());
-    const std::string path = target.substr(0, target.find('?'));
+    const auto path = target.substr(0, target.find('?'));
     std::function<Response()> respond;
     if (path == "/dump" && hooks.dump)
         respond = [&] { return makeResponse(http::status::ok, hooks.dump(), "application/json"); };
@@ -203,7 +221,7 @@
         respond = [&] { return makeResponse(hooks.readiness()); };
     else
         return makeResponse(http::status::not_found, "unknown path; known are /dump, /metrics, /healthz and /readyz\n");
-    if (request.method() == http::verb::get)
+    if (method == "GET")
         return respond();
     auto response = makeResponse(http::status::method_not_allowed, "only GET is allowed\n");
     response.set(http::field::allow, "GET");
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -24,6 +24,15 @@
             && std::ranges::all_of(id, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
     }
 
+    /// Refuses a job or a worker for which the state has no memory. Jobs that have ended free theirs after minutes.
+    record::ReplyT makeStateFullReply()
+    {
+        constexpr uint32_t stateFullRetryMs = 5'000;
+        auto reply = makeReply(Verdict::NotRun, "the state of the cell has no memory for it");
+        reply.retry_after_ms = stateFullRetryMs;
+        return reply;
+    }
+
     Verdict verdictOf(const absl::Status& status)
     {
         if (status.ok())
@@ -92,6 +101,29 @@
         });
 }
 
+/// Returns false, and logs and counts it, if the state would exceed its memory with a job or a worker of this size.
+bool Leader::fitsState(size_t bytes, std::string_view id)
+{
+    if (m_options.maxStateBytes == 0 || m_state.memory() + m_pendingStateBytes + bytes <= m_options.maxStateBytes)
+        return true;
+    m_stateRefusals.increment();
+    recordDecision("memory", id, "refused",
+        absl::StrCat("share=state limit=", m_options.maxStateBytes, " used=", m_state.memory(),
+            " pending=", m_pendingStateBytes, " wanted=", bytes));
+    return false;
+}
+
+/// Counts the memory of a job or a worker until its commit is answered; the state contains it from then on.
+Leader::Answer Leader::holdStateMemory(size_t bytes, Answer answer)
+{
+    m_pendingStateBytes += bytes;
+    return [this, bytes, generation = m_generation, answer = std::move(answer)](record::ReplyT reply) {
+        if (generation == m_generation)
+            m_pendingStateBytes -= bytes;
+        answer(std::move(reply));
+    };
+}
+
 void Leader::submit(std::unique_ptr<record::CallT> call, Answer answer)
 {
     if (!m_state.config())
@@ -105,10 +137,14 @@
         return answer(makeReply(Verdict::NoSuchQueue, absl::StrCat("no job id follows the prefix of the queue")));
     if (m_state.findJob(job.id))
         return answer(makeReply(Verdict::Ok));
-    auto& waiters = m_pendingSubmits[job.id];
-    waiters.push_back(std::move(answer));
-    if (waiters.size() > 1)
+    if (const auto pending = m_pendingSubmits.find(job.id); pending != m_pendingSubmits.end()) {
+        pending->second.push_back(std::move(answer));
         return;
+    }
+    const auto bytes = estimateMemory(job);
+    if (!fitsState(bytes, job.id))
+        return answer(makeStateFullReply());
+    m_pendingSubmits[job.id].push_back(holdStateMemory(bytes, std::move(answer)));
     job.queue = queueKey(queue->host, queue->prefix);
     job.accepted_ms = m_hooks.wallMs();
     const auto id = job.id;
@@ -212,6 +248,10 @@
     const auto* atAddress = m_state.findWorkerAt(worker.address);
     if (!known && atAddress && atAddress->worker.born_ms > worker.born_ms)
         return answer(makeReply(Verdict::Ok)); // A later incarnation has registered at the address.
+    const auto bytes = estimateMemory(worker);
+    if ((!known || bytes > estimateMemory(known->worker)) && !fitsState(bytes, worker.id))
+        return answer(makeStateFullReply());
+    answer = holdStateMemory(bytes, std::move(answer));
     const auto id = absl::StrCat(worker.id, worker.draining ? " draining" : " ready");
     record::CommandT command;
     if (known && known->worker.born_ms < worker.born_ms)
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -78,6 +78,8 @@
     , m_adviceCalls(metrics.counter("cell_advice_calls_total"))
     , m_plans(metrics.counter("cell_plans_total"))
     , m_callsHandled(metrics.counter("cell_calls_total"))
+    , m_stateRefusals(metrics.counter("memory_state_refused_total"))
+    , m_stateBytes(metrics.gauge("memory_state_bytes"))
     , m_planLatency(metrics.latency("cell_plan_seconds"))
     , m_tickGap(metrics.latency("cell_tick_gap_seconds"))
     , m_startLatency(metrics.latency("cell_start_order_seconds"))
@@ -116,6 +118,7 @@
     m_endsCommand = {};
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
+    m_pendingStateBytes = 0;
     for (const auto& [serial, held] : std::exchange(m_heldHeartbeats, {}))
         held.answer(makeReply(Verdict::NotLeader, "this replica does not lead"));
     m_endedSince.clear();
@@ -369,9 +372,12 @@
 void Leader::forgetOldJobs()
 {
     const auto now = m_clock.now();
+    // Half of the retention is what callers are promised; the rest is given up for new jobs.
+    const bool isHalfFull = m_options.maxStateBytes > 0 && m_state.memory() > m_options.maxStateBytes / 2;
+    const Duration retention = m_options.endedJobRetention / (isHalfFull ? 2 : 1);
     record::CommandT command;
     for (const auto& [id, since] : m_endedSince) {
-        if (now - since >= m_options.endedJobRetention)
+        if (now - since >= retention)
             command.forget.push_back(id);
     }
     if (command.forget.empty())
@@ -396,6 +402,7 @@
         m_loadReportedAt = now;
     }
     m_lastTickAt = now;
+    m_stateBytes.set(static_cast<int64_t>(m_state.memory()));
     if (now - m_loadReportedAt >= loadReportInterval)
         reportLoad();
 }
@@ -458,6 +465,7 @@
     }
     return boost::json::serialize(boost::json::object { { "active", m_active }, { "term", m_term },
         { "open_jobs", m_state.openJobs().size() }, { "jobs", m_state.jobs().size() },
+        { "state_bytes", m_state.memory() }, { "max_state_bytes", m_options.maxStateBytes },
         { "config_version", m_state.config() ? m_state.config()->version : 0 }, { "workers", std::move(workers) } });
 }
 
--- a/src/cell/replica.cc
+++ b/src/cell/replica.cc
@@ -31,7 +31,6 @@
     constexpr milliseconds adviceTimeout { 4'000 };
     constexpr milliseconds voterCheckInterval { 300 };
     constexpr milliseconds heartbeatReportTimeout { 600 };
-    constexpr uint64_t snapshotBytes = 8U << 20U;
     // Voters answer heartbeats every 100 ms. Orders that a silent one may hold are sent again through another replica.
     constexpr milliseconds maxProxySilence { 500 };
 } // namespace
@@ -164,7 +163,7 @@
     options.electionTimeoutMax = m_options.electionTimeoutMax;
     options.servesByLease = true;
     options.snapshotEvery = m_options.snapshotEvery;
-    options.snapshotBytes = snapshotBytes;
+    options.snapshotBytes = m_options.snapshotBytes;
     options.seed = std::random_device {}();
     auto group = consensus::Group::open(std::move(options), groupHooks(), m_clock, m_metrics);
     if (!group.ok())
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -47,6 +47,29 @@
         return occurrence->steps[step]->tasks[index].get();
     }
 
+    // A string is in the state, in the snapshot that is being made, in the last one or two that were, and in the log.
+    // Of the other fields these copies take far less than the state.
+    constexpr size_t copiesOfStrings = 5;
+
+    /// Returns the memory of the record without its strings, with the overhead of the allocator.
+    size_t recordBytes(const record::JobT& job)
+    {
+        constexpr size_t jobBytes = 512;
+        constexpr size_t stepBytes = 320;
+        size_t bytes = jobBytes + job.steps.size() * stepBytes;
+        for (const auto& step : job.steps)
+            bytes += step->after.size() * sizeof(uint32_t);
+        return bytes;
+    }
+
+    size_t stringBytes(const record::JobT& job)
+    {
+        size_t bytes = job.id.size() + job.queue.size() + job.spec.size();
+        for (const auto& step : job.steps)
+            bytes += step->needs.size() + step->data_rack.size() + step->image.size();
+        return bytes;
+    }
+
     bool isDone(const record::StepTasksT& step)
     {
         return std::ranges::all_of(step.tasks, [](const auto& task) { return task->state == TaskState::Done; });
@@ -89,6 +112,27 @@
     return found && std::ranges::all_of(after, [&](uint32_t earlier) { return isDone(*found->steps[earlier]); });
 }
 
+size_t estimateRecordMemory(const record::JobT& job) { return recordBytes(job) + stringBytes(job); }
+
+size_t estimateMemory(const record::JobT& job)
+{
+    constexpr size_t taskBytes = 128;
+    size_t tasks = 0;
+    for (const auto& step : job.steps)
+        tasks += step->count;
+    return recordBytes(job) + copiesOfStrings * stringBytes(job) + tasks * occurrenceCount(job) * taskBytes;
+}
+
+size_t estimateMemory(const record::WorkerT& worker)
+{
+    constexpr size_t workerBytes = 1'024; // With the indexes and the leader's session.
+    size_t strings
+        = worker.id.size() + worker.address.size() + worker.service.size() + worker.zone.size() + worker.rack.size();
+    for (const auto& label : worker.labels)
+        strings += sizeof(label) + label.size();
+    return workerBytes + copiesOfStrings * strings;
+}
+
 void State::apply(const record::CommandT& command)
 {
     if (command.config)
@@ -125,7 +169,9 @@
 /// Stores a worker under its serial and its id, which no other worker has, and under its address.
 void State::storeWorker(const record::WorkerT& worker, uint32_t serial)
 {
-    auto& stored = m_workers[serial].worker;
+    const auto [found, isNew] = m_workers.try_emplace(serial);
+    auto& stored = found->second.worker;
+    m_memory += estimateMemory(worker) - (isNew ? 0 : estimateMemory(stored));
     stored = worker;
     stored.serial = serial;
     m_workersById[worker.id] = serial;
@@ -174,6 +220,7 @@
         endTask(job, key, EndKind::Lapsed, "", serial);
     }
     removeAddress(found->second.worker);
+    m_memory -= estimateMemory(found->second.worker);
     m_workersById.erase(found->second.worker.id);
     m_workers.erase(found);
 }
@@ -186,6 +233,7 @@
     added->state = JobState::Open;
     added->occurrences.clear();
     auto& stored = *added;
+    m_memory += estimateMemory(stored);
     m_jobs.emplace(job.id, std::move(added));
     indexJob(stored);
 }
@@ -350,6 +398,7 @@
         if (first != worker.placed.end() && first->job == id)
             return;
     }
+    m_memory -= estimateMemory(*found->second);
     m_jobs.erase(found);
 }
 
@@ -426,22 +475,26 @@
 
 std::string State::snapshot() const
 {
-    record::SnapshotT out;
-    if (m_config)
-        out.config = std::make_unique<record::ConfigT>(*m_config);
+    // The records are serialized in place, because a copy of them would take as much memory as the state. What the
+    // builder does not use of its buffer takes none.
+    flatbuffers::FlatBufferBuilder builder(std::max<size_t>(m_memory, 1'024));
+    std::vector<flatbuffers::Offset<record::Queue>> queues;
     for (const auto& [key, queue] : m_queues)
-        out.queues.push_back(std::make_unique<record::QueueT>(queue));
+        queues.push_back(record::Queue::Pack(builder, &queue));
+    std::vector<flatbuffers::Offset<record::Worker>> workers;
     for (const auto& [serial, worker] : m_workers)
-        out.workers.push_back(std::make_unique<record::WorkerT>(worker.worker));
+        workers.push_back(record::Worker::Pack(builder, &worker.worker));
     // Open jobs come first and in their order, which is part of the state.
+    std::vector<flatbuffers::Offset<record::Job>> jobs;
     for (const auto& [order, job] : m_openJobs)
-        out.jobs.push_back(std::make_unique<record::JobT>(*job));
+        jobs.push_back(record::Job::Pack(builder, job));
     for (const auto& [id, job] : m_jobs) {
         if (job->state != JobState::Open)
-            out.jobs.push_back(std::make_unique<record::JobT>(*job));
+            jobs.push_back(record::Job::Pack(builder, job.get()));
     }
-    out.next_serial = m_nextSerial;
-    return pack<record::Snapshot>(out);
+    const auto config = m_config ? record::Config::Pack(builder, m_config.get()) : 0;
+    builder.Finish(record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
 absl::Status State::restore(std::string_view data)
@@ -461,6 +514,7 @@
     m_nextSerial = std::max<uint32_t>(1, in.next_serial);
     for (auto& job : in.jobs) {
         auto& stored = *(m_jobs[job->id] = std::move(job));
+        m_memory += estimateMemory(stored);
         indexJob(stored);
         for (const auto& occurrence : stored.occurrences) {
             for (uint32_t step = 0; step < occurrence->steps.size(); ++step) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,7 @@
 #include "turmericpier/http/client.h"
 
 #include "http/idle-list.h"
+#include "http/message-reader.h"
 #include "turmericpier/peer/address.h"
 
 #include <algorithm>
@@ -53,6 +54,7 @@
         , faults(metrics.counter("http_client_faults_total"))
         , evictions(metrics.counter("http_client_evictions_total"))
         , starvations(metrics.counter("http_client_starved_total"))
+        , interimRefused(metrics.counter("http_client_interim_refused_total"))
         , openGauge(metrics.gauge("http_client_connections"))
         , idleTimer(io)
     {
@@ -63,6 +65,7 @@
     void removeConnection(const std::string& address, const std::shared_ptr<Connection>& connection);
     void closeIdleConnections();
     void scheduleIdleCheck();
+    bool reserve(Connection& connection, size_t bytes);
 
     asio::io_context& io;
     const ClientOptions options;
@@ -72,6 +75,7 @@
     Counter& faults;
     Counter& evictions;
     Counter& starvations;
+    Counter& interimRefused;
     Gauge& openGauge;
     std::map<std::string, Pool> pools;
     IdleList idle;
@@ -90,6 +94,7 @@
         : m_owner(std::move(owner))
         , m_address(std::move(address))
         , m_stream(m_owner->io)
+        , m_memory(m_owner->options.memory, m_address)
     {
     }
 
@@ -129,6 +134,18 @@
         m_stream.socket().close(ignored);
     }
 
+    bool isReading() const { return m_isReading; }
+    /// Returns true if nothing has arrived since the last response.
+    bool isClean()
+    {
+        error_code error;
+        return m_stream.socket().available(error) == 0 && !error;
+    }
+    MemoryReservation& memory() { return m_memory; }
+
+    /// Gives up the request, which is in doubt.
+    void abandon() { fail(CallFault::NoAnswer); }
+
     void discard() override
     {
         unlink();
@@ -159,21 +176,89 @@
 
     void receive()
     {
-        m_parser.emplace();
-        m_parser->body_limit(maxResponseBytes);
-        beast::http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, size_t) {
+        m_informationalCount = 0;
+        m_isReading = true;
+        m_reader.begin();
+        read();
+    }
+
+    void read()
+    {
+        m_stream.async_read_some(m_reader.prepare(), [self = shared_from_this()](error_code error, size_t size) {
+            if (!self->m_isReading)
+                return;
+            if (error == asio::error::eof)
+                return self->onEnd();
             if (error)
                 return self->fail(CallFault::NoAnswer);
-            self->finish();
+            self->m_reader.received(size);
+            self->parse();
         });
     }
 
+    void parse()
+    {
+        error_code error;
+        for (auto step = m_reader.parse(error);; step = m_reader.parse(error)) {
+            if (step == Step::Failed)
+                return fail(CallFault::NoAnswer);
+            if (step == Step::Header) // The fields may take many times their size while the body is read.
+                m_reader.parser().get().base().clear();
+            if (!m_owner->reserve(*this, m_reader.memory()))
+                return;
+            if (step == Step::Done) {
+                if (!isInformational())
+                    return finish();
+                if (!skipInformational())
+                    return;
+            }
+            if (step == Step::Read)
+                return read();
+        }
+    }
+
+    bool isInformational()
+    {
+        return m_reader.parser().get().result_int() < static_cast<unsigned>(beast::http::status::ok);
+    }
+
+    /// Goes on to the response behind an informational one (1xx). Returns false if the call has failed.
+    bool skipInformational()
+    {
+        constexpr uint32_t maxInformational = 4;
+        if (m_reader.parser().get().result() == beast::http::status::switching_protocols
+            || ++m_informationalCount > maxInformational) {
+            m_owner->interimRefused.increment();
+            fail(CallFault::NoAnswer);
+            return false;
+        }
+        m_reader.begin();
+        return true;
+    }
+
+    /// A response without a length ends with the connection.
+    void onEnd()
+    {
+        error_code error;
+        if (!m_reader.isHeaderSeen() || !m_reader.parser().need_eof())
+            return fail(CallFault::NoAnswer);
+        m_reader.parser().put_eof(error);
+        if (error)
+            return fail(CallFault::NoAnswer);
+        finish();
+    }
+
     void finish()
     {
-        auto message = m_parser->release();
-        ClientResponse response { CallFault::None, message.result_int(), std::move(message.body()) };
+        m_isReading = false;
+        auto& parser = m_reader.parser();
+        const bool keepAlive = parser.keep_alive();
+        ClientResponse response { CallFault::None, parser.get().result_int(), std::move(parser.get().body()) };
+        m_reader.reset();
+        m_memory.tryResize(m_reader.memory());
         auto pending = std::exchange(m_pending, std::nullopt);
-        if (message.keep_alive())
+        // Bytes behind the response belong to no request.
+        if (keepAlive && m_reader.unparsedBytes() == 0)
             awaitReuse();
         else
             discard();
@@ -200,8 +285,11 @@
     void fail(CallFault fault)
     {
         m_owner->faults.increment();
+        m_isReading = false;
         auto pending = std::exchange(m_pending, std::nullopt);
         discard();
+        m_reader.clear();
+        m_memory.tryResize(0);
         if (pending)
             pending->done({ fault, 0, {} });
         m_owner->dispatch(m_address);
@@ -211,24 +299,57 @@
     // A poll response lists up to 500 ended tasks and all running ones; this leaves headroom.
     static constexpr size_t maxResponseBytes = 8U << 20U;
 
+    using Step = MessageReader<false>::Step;
+
     const std::shared_ptr<Impl> m_owner;
     const std::string m_address;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    MessageReader<false> m_reader { ReaderLimits { .bodyBytes = maxResponseBytes } };
+    MemoryReservation m_memory;
     beast::http::request<beast::http::string_body> m_message;
-    std::optional<beast::http::response_parser<beast::http::string_body>> m_parser;
+    bool m_isReading = false;
+    uint32_t m_informationalCount = 0; ///< Informational responses to the current request.
     std::optional<PendingRequest> m_pending;
     uint64_t m_useCount = 0;
     TimePoint m_idleSince;
 };
 
+/// Reserves memory for a response in place of what its connection has reserved before. Gives up larger responses that
+/// are still being read if that is needed. Returns false if the response itself was given up.
+bool Client::Impl::reserve(Connection& connection, size_t bytes)
+{
+    while (!connection.memory().tryResize(bytes)) {
+        std::shared_ptr<Connection> largest;
+        if (!connection.memory().isSourceFull(bytes)) {
+            for (const auto& [address, pool] : pools) {
+                for (const auto& other : pool.connections) {
+                    if (other.get() != &connection && other->isReading() && other->memory().size() > bytes
+                        && (!largest || other->memory().size() > largest->memory().size()))
+                        largest = other;
+                }
+            }
+        }
+        auto& refused = largest ? *largest : connection;
+        options.memory->recordRefusal(refused.memory().source(), refused.memory().size(), bytes);
+        refused.abandon();
+        if (!largest)
+            return false;
+    }
+    return true;
+}
+
 void Client::Impl::dispatch(const std::string& address)
 {
     if (closed)
         return;
     auto& pool = pools[address];
     while (!pool.queue.empty()) {
-        const auto reusable = std::ranges::find_if(pool.connections, [](const auto& c) { return c->isIdle(); });
+        auto reusable = std::ranges::find_if(pool.connections, [](const auto& c) { return c->isIdle(); });
+        if (reusable != pool.connections.end() && !(*reusable)->isClean()) {
+            const auto stale = *reusable; // Its bytes would be taken for the next response.
+            stale->discard();
+            continue;
+        }
         const bool isFull = pool.connections.size() >= options.connectionsPerAddress;
         if (reusable == pool.connections.end()) {
             if (isFull)
--- a/src/rpc/entry.cc
+++ b/src/rpc/entry.cc
@@ -393,6 +393,12 @@
         builder.AddListeningPort(m_settings.rpcAddress, grpc::InsecureServerCredentials(), &port);
         builder.AddChannelArgument(
             GRPC_ARG_ALLOW_REUSEPORT, 0); // A second process must fail to listen on the same address.
+        constexpr size_t mebibyte = size_t { 1 } << 20U;
+        grpc::ResourceQuota quota("entry");
+        quota.Resize(m_settings.entry.maxMemoryMib * mebibyte);
+        builder.SetResourceQuota(quota);
+        builder.AddChannelArgument(
+            GRPC_ARG_MAX_CONCURRENT_STREAMS, static_cast<int>(m_settings.entry.maxStreamsPerConnection));
         builder.RegisterService(&m_callerService);
         builder.RegisterService(&m_operatorService);
         builder.RegisterService(&m_streams);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -2,6 +2,7 @@
 
 #include "settings/object-reader.h"
 #include "turmericpier/base/error.h"
+#include "turmericpier/base/json.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -93,6 +94,10 @@
         result.maxDeadline = reader.readMilliseconds("max_deadline_ms", result.maxDeadline, 10, millisecondsPerHour);
         result.maxRequests
             = static_cast<uint32_t>(reader.readInteger("max_requests", result.maxRequests, 1, 1'000'000));
+        result.maxMemoryMib
+            = static_cast<uint32_t>(reader.readInteger("max_memory_mib", result.maxMemoryMib, 16, 1'000'000));
+        result.maxStreamsPerConnection = static_cast<uint32_t>(
+            reader.readInteger("max_streams_per_connection", result.maxStreamsPerConnection, 1, 1'000'000));
         reader.rejectUnknownKeys();
         return result;
     }
@@ -185,13 +190,12 @@
 
 absl::StatusOr<Settings> parseSettings(std::string_view json, const std::string& name)
 {
-    boost::json::error_code error;
-    const auto value = boost::json::parse(boost::json::string_view(json.data(), json.size()), error);
-    if (error)
-        return invalidSettings(name + ": is not valid JSON: " + error.message());
+    const auto document = parseJson(json);
+    if (!document.ok())
+        return invalidSettings(name + ": is not valid JSON: " + std::string(document.status().message()));
     absl::Status status;
     Settings settings;
-    ObjectReader reader(value, "", status);
+    ObjectReader reader(document->value(), "", status);
     settings.instance = InstanceId(reader.readString("instance"));
     settings.dataCentre = DataCentreId(reader.readString("data_centre"));
     settings.region = RegionId(reader.readString("region"));
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -31,7 +31,8 @@
     explicit Fixture(Handler handler, ClientOptions options = {}, ServerOptions serverOptions = {})
     {
         serverOptions.listen = { "127.0.0.1", port };
-        server = std::make_unique<Server>(io, serverOptions, std::move(handler), metrics, "X-Deadline");
+        serverOptions.readHeaders = { "X-Deadline" };
+        server = std::make_unique<Server>(io, serverOptions, std::move(handler), metrics);
         REQUIRE(server->start().ok());
         client = std::make_unique<Client>(io, options, clock, metrics);
     }
@@ -68,7 +69,8 @@
     CHECK(received.method == "PUT");
     CHECK(received.target == "/x?y");
     CHECK(received.body == "body");
-    CHECK(received.deadline == "250");
+    REQUIRE(received.findHeader("X-Deadline"));
+    CHECK(*received.findHeader("X-Deadline") == "250");
 }
 
 // Guards against opening a connection for each request, and against an unbounded number of them.
--- a/test/platform-interface-test.cc
+++ b/test/platform-interface-test.cc
@@ -35,8 +35,10 @@
     const std::string& body = {}, std::optional<std::string> deadline = std::nullopt)
 {
     http::Response response;
-    handler({ method, target, "a.example:80", body, std::move(deadline) },
-        [&](std::optional<http::Response> result) { response = *std::move(result); });
+    http::Request request { .method = method, .target = target, .host = "a.example:80", .body = body };
+    if (deadline)
+        request.headers[deadlineHeader] = *std::move(deadline);
+    handler(std::move(request), [&](std::optional<http::Response> result) { response = *std::move(result); });
     return response;
 }
 
--- a/test/settings-settings-test.cc
+++ b/test/settings-settings-test.cc
@@ -47,7 +47,7 @@
     object["entry"] = { { "max_atempts", 3 } };
     CHECK(errorOf(object)
         == "entry.max_atempts: is not a known key; accepted: default_deadline_ms, heartbeat_ms, "
-           "max_attempts, max_deadline_ms, max_requests");
+           "max_attempts, max_deadline_ms, max_memory_mib, max_requests, max_streams_per_connection");
 }
 
 // Guards against values that would start a process in an unsafe state.
--- a/test/soak/worker.cc
+++ b/test/soak/worker.cc
@@ -7,6 +7,7 @@
 namespace json = boost::json;
 
 namespace {
+    constexpr const char* expectedInstanceHeader = "X-Turmericpier-Expect-Instance";
     constexpr milliseconds heartbeatInterval { 1'500 };
     constexpr milliseconds heartbeatTimeout { 1'000 };
     constexpr milliseconds firstHeartbeatDelay { 250 };
@@ -42,11 +43,11 @@
     http::ServerOptions options;
     options.listen
         = { m_options.address.substr(0, colon), static_cast<uint16_t>(std::stoi(m_options.address.substr(colon + 1))) };
-    // The server passes on the value of one header, here that of the id that the order is for.
+    options.readHeaders = { expectedInstanceHeader };
     m_server = std::make_unique<http::Server>(
         m_world.io, options,
         [this](const http::Request& request, const http::Respond& respond) { handle(request, respond); },
-        m_world.metrics, "X-Turmericpier-Expect-Instance");
+        m_world.metrics);
     if (const auto status = m_server->start(); !status.ok())
         return m_world.report("soak", std::string(status.message()));
     const auto incarnation = ++m_incarnation;
@@ -98,7 +99,8 @@
 
 void Worker::handle(const http::Request& request, const http::Respond& respond)
 {
-    if (request.deadline && *request.deadline != m_options.id)
+    const auto* expected = request.findHeader(expectedInstanceHeader);
+    if (expected && *expected != m_options.id)
         return respond(makeAnswer(421, {}));
     json::error_code error;
     const auto value = json::parse(request.body, error);
