--- a/include/turmericpier/consensus/group.h
+++ b/include/turmericpier/consensus/group.h
@@ -29,6 +29,9 @@
     /// Bytes of entries applied between two snapshots; a snapshot is taken when either limit is reached. Bounds the
     /// memory of the log, which keeps all entries since the last but one snapshot, of up to 3 MiB each.
     uint64_t snapshotBytes = 128ULL * 1024 * 1024;
+    /// Bytes of messages of other replicas that wait for the event loop, which a hanging disk may hold up. Further ones
+    /// are lost and sent again. An entry has at most 3 MiB.
+    size_t maxReceivedBytes = size_t { 32 } << 20U;
     uint64_t seed = 1; ///< Seed of the random election timeouts.
     /// System calls with the semantics of ::write and ::fdatasync; replaceable for tests of disk failures.
     std::function<ssize_t(int file, const char* data, size_t size)> write;
--- a/include/turmericpier/consensus/message.h
+++ b/include/turmericpier/consensus/message.h
@@ -68,4 +68,13 @@
     std::vector<InstanceId> silent;
 };
 
+/// Returns the memory that a message takes, nearly all of it for entries and chunks of snapshots.
+inline size_t sizeOf(const Message& message)
+{
+    auto bytes = sizeof(message) + (message.snapshot ? message.snapshot->data.size() : 0);
+    for (const auto& entry : message.entries)
+        bytes += sizeof(entry) + entry.data.size();
+    return bytes;
+}
+
 } // namespace turmericpier::consensus
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -129,7 +129,7 @@
     size_t strings
         = worker.id.size() + worker.address.size() + worker.service.size() + worker.zone.size() + worker.rack.size();
     for (const auto& label : worker.labels)
-        strings += sizeof(label) + label.size();
+        strings += sizeof(std::string) + label.size();
     return workerBytes + copiesOfStrings * strings;
 }
 
--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -20,17 +20,6 @@
     constexpr std::chrono::milliseconds snapshotRetryDelay { 1'000 };
     // Delay before a stopped replica checks its disk again.
     constexpr std::chrono::milliseconds recoveryInterval { 250 };
-    // Messages of other replicas that wait for the event loop, which a hanging disk may hold up. An entry has at most
-    // 3 MiB. Further messages are lost and sent again.
-    constexpr size_t maxReceivedBytes = size_t { 32 } << 20U;
-
-    size_t sizeOf(const Message& message)
-    {
-        auto bytes = sizeof(message) + (message.snapshot ? message.snapshot->data.size() : 0);
-        for (const auto& entry : message.entries)
-            bytes += sizeof(entry) + entry.data.size();
-        return bytes;
-    }
 } // namespace
 
 struct Group::Impl {
@@ -521,18 +510,15 @@
 {
     auto& impl = *m_impl;
     const auto bytes = sizeOf(message);
-    if (impl.receivedBytes + bytes > maxReceivedBytes) {
-        impl.refusedPosts.increment();
-        return;
-    }
+    if (impl.receivedBytes + bytes > impl.options.maxReceivedBytes)
+        return impl.refusedPosts.increment();
     impl.receivedBytes += bytes;
     const bool queued = impl.post([&impl, bytes, from = std::move(from), message = std::move(message)]() mutable {
         impl.receivedBytes -= bytes;
         if (impl.failure.ok())
             impl.core->step(from, std::move(message), impl.clock.now());
     });
-    if (!queued)
-        impl.receivedBytes -= bytes;
+    impl.receivedBytes -= queued ? 0 : bytes;
 }
 
 void Group::addVoter(InstanceId voter, ProposalCallback done)
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -47,7 +47,7 @@
 
     Impl(asio::io_context& io, ClientOptions options, const Clock& clock, Metrics& metrics)
         : io(io)
-        , options(options)
+        , options(std::move(options))
         , clock(clock)
         , calls(metrics.counter("http_client_calls_total"))
         , connects(metrics.counter("http_client_connects_total"))
@@ -422,7 +422,7 @@
 }
 
 Client::Client(asio::io_context& io, ClientOptions options, const Clock& clock, Metrics& metrics)
-    : m_impl(std::make_shared<Impl>(io, options, clock, metrics))
+    : m_impl(std::make_shared<Impl>(io, std::move(options), clock, metrics))
 {
 }
 
--- a/src/http/message-reader.h
+++ b/src/http/message-reader.h
@@ -17,7 +17,7 @@
 struct GrowingBody {
     using value_type = std::string;
 
-    class reader {
+    class reader { // NOLINT(readability-identifier-naming): the name that Beast expects.
     public:
         template <bool isRequest, class Fields>
         reader(boost::beast::http::header<isRequest, Fields>&, value_type& body)
@@ -87,7 +87,7 @@
 
     explicit MessageReader(ReaderLimits limits)
         : m_limits(limits)
-        , m_buffer(limits.headerBytes + limits.framingBytes + smallBuffer)
+        , m_buffer(limits.headerBytes + limits.framingBytes + firstRead)
     {
     }
 
@@ -186,14 +186,13 @@
     }
 
 private:
-    static constexpr size_t smallBuffer = 4'096; ///< Kept by connections that wait for a message.
-    static constexpr size_t firstRead = 2'048; ///< Holds most requests with their header.
+    static constexpr size_t firstRead = 1'024; ///< What an idle connection keeps; holds most requests without a job.
     static constexpr size_t fieldOverhead = 20; ///< Memory of the shortest fields in relation to their bytes.
     static constexpr size_t largestRead = 16'384;
 
     void shrink()
     {
-        if (m_buffer.capacity() > smallBuffer && m_buffer.size() <= smallBuffer)
+        if (m_buffer.capacity() > firstRead && m_buffer.size() < firstRead)
             m_buffer.shrink_to_fit();
     }
 
--- a/test/cell-fake-world.h
+++ b/test/cell-fake-world.h
@@ -47,7 +47,7 @@
         createLeader();
     }
 
-    void createLeader()
+    void createLeader(const LeaderOptions& options = {})
     {
         LeaderHooks hooks;
         hooks.propose = [this](const record::CommandT& command, LeaderHooks::ProposeCallback done) {
@@ -74,7 +74,7 @@
         hooks.runAfter = [this](Duration delay, std::function<void()> function) {
             timers.emplace_back(clock.now() + delay, std::move(function));
         };
-        leader = std::make_unique<Leader>(LeaderOptions {}, std::move(hooks), state, clock, metrics);
+        leader = std::make_unique<Leader>(options, std::move(hooks), state, clock, metrics);
     }
 
     /// Commits proposals and runs due timers until there are none left.
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -3,8 +3,10 @@
 #include "free-address.h"
 #include "turmericpier/http/client.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <linux/sockios.h>
@@ -242,3 +244,139 @@
     CHECK(fixture.server->openConnections() == 1);
     CHECK(fixture.metrics.counter("http_connections_evicted_total").value() == 1);
 }
+
+namespace {
+
+/// Sends a text over a connection of its own.
+std::unique_ptr<tcp::socket> sendText(Fixture& fixture, const std::string& text)
+{
+    auto socket = std::make_unique<tcp::socket>(fixture.io);
+    socket->connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.port });
+    socket->send(boost::asio::buffer(text));
+    return socket;
+}
+
+/// Reads what the server sends until it closes the connection.
+std::string readToEnd(Fixture& fixture, tcp::socket& socket)
+{
+    std::string received;
+    bool ended = false;
+    boost::asio::async_read(
+        socket, boost::asio::dynamic_buffer(received), [&](const boost::system::error_code&, size_t) { ended = true; });
+    fixture.runUntil([&] { return ended; });
+    return received;
+}
+
+bool isRefusedWith(const std::string& response, int status)
+{
+    return response.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+} // namespace
+
+// Guards against a header whose lines arrive one by one, of which the parser limits only each part.
+TEST_CASE("a header over the limit is rejected however it arrives", "[http]")
+{
+    Fixture fixture(
+        [](const Request&, const Respond& respond) { respond(Response {}); }, {}, { .maxHeaderBytes = 1'000 });
+    const auto socket = sendText(fixture, "GET / HTTP/1.1\r\n");
+    std::string received;
+    bool ended = false;
+    boost::asio::async_read(*socket, boost::asio::dynamic_buffer(received),
+        [&](const boost::system::error_code&, size_t) { ended = true; });
+    for (int i = 0; i < 200 && !ended; ++i) {
+        boost::system::error_code ignored;
+        socket->send(boost::asio::buffer(std::string("a: b\r\n")), 0, ignored);
+        fixture.io.poll();
+    }
+    socket->shutdown(tcp::socket::shutdown_send);
+    fixture.runUntil([&] { return ended; });
+    CHECK(isRefusedWith(received, 431));
+}
+
+// Guards against the end of the process: with assertions, the parser aborts when the last chunk of an empty body
+// arrives in two parts.
+TEST_CASE("the last chunk may arrive in parts", "[http]")
+{
+    Fixture fixture([](const Request&, const Respond& respond) { respond(Response { .status = 204 }); });
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (size_t split = 1; split < 5; ++split) {
+        const std::string chunk = "0\r\n\r\n";
+        const auto socket = sendText(fixture, request + chunk.substr(0, split));
+        fixture.io.run_for(std::chrono::milliseconds(1));
+        for (const auto byte : chunk.substr(split)) {
+            socket->send(boost::asio::buffer(&byte, 1));
+            fixture.io.run_for(std::chrono::milliseconds(1));
+        }
+        CHECK(isRefusedWith(readToEnd(fixture, *socket), 204));
+    }
+}
+
+// Guards against trailers and chunk extensions without a limit.
+TEST_CASE("trailers and chunk extensions over the limit are rejected", "[http]")
+{
+    Fixture fixture(
+        [](const Request&, const Respond& respond) { respond(Response {}); }, {}, { .maxFramingBytes = 1'000 });
+    const std::string header = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto trailer = sendText(fixture, header + "0\r\nX: " + std::string(2'000, 'x'));
+    CHECK(isRefusedWith(readToEnd(fixture, *trailer), 431));
+    std::string chunks = header;
+    for (int i = 0; i < 200; ++i)
+        chunks += "1;extension\r\nx\r\n";
+    const auto extension = sendText(fixture, chunks);
+    CHECK(isRefusedWith(readToEnd(fixture, *extension), 431));
+    CHECK(fixture.metrics.counter("http_framing_refused_total").value() == 2);
+}
+
+// Guards against many requests at the limit of one, which exhaust the memory together.
+TEST_CASE("the largest unfinished request is refused for a new one", "[http]")
+{
+    Metrics metrics;
+    const auto memory = std::make_shared<MemoryShare>("requests", 100'000, metrics);
+    Fixture fixture([](const Request& request, const Respond& respond) { respond(Response { .body = request.body }); },
+        {}, { .memory = memory });
+    const std::string header = "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n";
+    const auto large = sendText(fixture, header + std::string(40'000, 'x'));
+    fixture.runUntil([&] { return memory->used() > 40'000; });
+    CHECK(fixture.call({ "PUT", "/", std::string(12'000, 'y'), {} }).body == std::string(12'000, 'y'));
+    const auto refusal = readToEnd(fixture, *large);
+    CHECK(isRefusedWith(refusal, 503));
+    CHECK(refusal.find("Retry-After: 1") != std::string::npos);
+    CHECK(metrics.counter("memory_requests_refused_total").value() >= 1);
+}
+
+// Guards against responses that pile up for callers that do not read.
+TEST_CASE("a response without memory is replaced by a refusal", "[http]")
+{
+    Metrics metrics;
+    const auto memory = std::make_shared<MemoryShare>("requests", 100'000, metrics);
+    Fixture fixture(
+        [](const Request&, const Respond& respond) { respond(Response { .body = std::string(60'000, 'x') }); }, {},
+        { .memory = memory });
+    const auto response = fixture.call({ "GET", "/", "", {} });
+    CHECK(response.status == 503);
+    CHECK(response.body.empty());
+}
+
+// Guards against bytes of a request that are taken for the next one.
+TEST_CASE("a request whose end is not clear is rejected", "[http]")
+{
+    std::vector<std::string> targets;
+    Fixture fixture([&](const Request& request, const Respond& respond) {
+        targets.push_back(request.target);
+        respond(Response {});
+    });
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const std::string fields :
+        { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+            "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+            "Content-Length: -1\r\n", "Content-Length: 99999999999999999999\r\n" }) {
+        const auto socket
+            = sendText(fixture, "POST /first HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n0\r\n\r\n" + smuggled);
+        const auto response = readToEnd(fixture, *socket);
+        CAPTURE(fields, response);
+        CHECK((isRefusedWith(response, 400) || isRefusedWith(response, 413)));
+    }
+    CHECK(targets.empty());
+}
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -214,3 +214,40 @@
     CHECK(advice.tickets.at("i-2") == "t2");
     CHECK_FALSE(decodeAdvice(makeResponse(429, "")).ok);
 }
+
+// Guards against small bodies that take much memory at each replica or while they are parsed.
+TEST_CASE("jobs of too many tasks and texts of too many values are rejected", "[platform]")
+{
+    CHECK(decodeJob(R"({"steps":[{"count":60000},{"count":40000}]})").ok());
+    CHECK_FALSE(decodeJob(R"({"steps":[{"count":60000},{"count":40001}]})").ok());
+    CHECK_FALSE(decodeJob(R"({"run-count":100,"steps":[{"count":1001}]})").ok());
+    const auto body = R"({"steps":[{"count":1}],"x":[)" + std::string(1'000, ' ') + R"(0,0,0,0,0,0]})";
+    CHECK(decodeJob(body).ok());
+    CHECK(isTooLarge(decodeJob(body, { .memory = 256 }).status()));
+}
+
+// Guards against a worker that makes the leader and the log hold long checkpoints.
+TEST_CASE("a checkpoint that is too long is dropped", "[platform]")
+{
+    const auto answer = [](size_t bytes) {
+        const std::string saved(bytes, 's');
+        return decodePoll({ http::CallFault::None, 200,
+            R"({"clock-ms":1,"running":[["5c0e7a21d94b36f8.0.1.17",2,")" + saved
+                + R"(",41]],"ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",")" + saved + R"("]]})" });
+    };
+    const auto allowed = answer(4'096);
+    CHECK(allowed.running.at(0).checkpoint.size() == 4'096);
+    CHECK(allowed.ended.at(0).checkpoint.size() == 4'096);
+    const auto dropped = answer(4'097);
+    CHECK(dropped.running.at(0).checkpoint.empty());
+    CHECK(dropped.ended.at(0).checkpoint.empty());
+}
+
+// Guards against numbers that no integer can hold.
+TEST_CASE("huge numbers in a row count as 0", "[platform]")
+{
+    const auto answer = decodePoll({ http::CallFault::None, 200,
+        R"({"clock-ms":1,"running":[["5c0e7a21d94b36f8.0.1.17",1e300,"",-1e300]],"ended":[]})" });
+    REQUIRE(answer.running.size() == 1);
+    CHECK(answer.running[0].run == 0);
+}
--- a/test/platform-interface-test.cc
+++ b/test/platform-interface-test.cc
@@ -153,3 +153,33 @@
     ready = false;
     CHECK(send(handler, "GET", "/turmericpier/ready").status == 503);
 }
+
+// Guards against a job that is passed on although there is no memory for it, and against a refusal that is not true.
+TEST_CASE("a job without memory is refused before it is passed on", "[platform]")
+{
+    RecordingCell recorder;
+    http::Request request { .method = "POST", .target = jobPath, .host = "a.example", .body = jobBody };
+    size_t asked = 0;
+    request.holdMemory = [&](size_t bytes) {
+        asked = bytes;
+        return false;
+    };
+    http::Response response;
+    clientHandler(recorder.callback())(
+        std::move(request), [&](std::optional<http::Response> result) { response = *std::move(result); });
+    CHECK(response.status == 503);
+    CHECK(response.headers.at("Retry-After") == "1");
+    CHECK(asked > jobBody.size());
+    CHECK(recorder.calls == 0);
+}
+
+// Guards against a body that takes much more memory than it has bytes.
+TEST_CASE("a body beyond the memory of a document is answered with 413", "[platform]")
+{
+    RecordingCell recorder;
+    CHECK(send(clientHandler(recorder.callback(), { .memory = 64 }), "POST", jobPath, jobBody).status == 413);
+    CHECK(send(controlHandler(recorder.callback(), { .memory = 64 }), "PUT", "/turmericpier/config", "[1,2,3,4,5,6,7]")
+              .status
+        == 413);
+    CHECK(recorder.calls == 0);
+}
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -21,6 +21,8 @@
 control = "10.1.0.16:8166"
 [limits]
 max-fds = 4324
+memory-mb = 384
+max-framing-bytes = 8192
 [fault-tolerance]
 machines = 2
 [bounds]
@@ -53,6 +55,8 @@
     CHECK(settings->internalPort == 7'720);
     CHECK(settings->seeds.size() == 2);
     CHECK(settings->maxDescriptors == 4'324);
+    CHECK(settings->memoryMb == 384);
+    CHECK(settings->maxFramingBytes == 8'192);
     CHECK(settings->firstStart);
     CHECK(settings->grace == std::chrono::seconds(6));
     CHECK(settings->maxLease == std::chrono::seconds(10));
@@ -83,3 +87,16 @@
     CHECK(errorOf(replaced(control, "bootstrap = true", "bootstrap = \"yes\"")).find("bootstrap") == 0);
     CHECK(errorOf("node = ").find("line 1") == 0);
 }
+
+// Guards against limits with which a process could not work or would accept anything.
+TEST_CASE("limits of memory out of range are rejected", "[platform]")
+{
+    CHECK(
+        errorOf(replaced(control, "memory-mb = 384", "memory-mb = 31")).find("limits.memory-mb") != std::string::npos);
+    CHECK(errorOf(replaced(control, "memory-mb = 384", "memory-mb = \"x\"")).find("limits.memory-mb")
+        != std::string::npos);
+    CHECK(errorOf(replaced(control, "max-framing-bytes = 8192", "max-framing-bytes = 65536"))
+              .find("limits.max-framing-bytes")
+        != std::string::npos);
+    CHECK(errorOf(replaced(control, "memory-mb = 384\n", "")).empty());
+}
