Free the memory of a JSON text without its size

Cause: clang has no sized, aligned operator delete by default, so the linter rejects it. Change: the unsized one. Measured: the linter is clean on the file.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -33,7 +33,7 @@
 
         void do_deallocate(void* memory, size_t bytes, size_t alignment) override
         {
-            ::operator delete (memory, bytes, std::align_val_t { alignment });
+            ::operator delete (memory, std::align_val_t { alignment });
             m_used -= bytes;
         }
 
