Choose the largest holder and check the end of a request in one place

Cause: the check of ambiguous transfer encodings stood in the HTTP server only, so the admin server took the body of such a request for the next one. The choice of who gives up memory stood three times, in the middle of input and output. A value of JSON could outlive its memory if an allocation failed.

Change: MessageReader checks the end of each request; LargestHolder makes the choice for the server, the client and the peer port, with a test of its own; JsonDocument takes a value that is already allocated; dead code is gone.

The new admin case was not run on the code before.

--- a/include/turmericpier/base/json.h
+++ b/include/turmericpier/base/json.h
@@ -22,7 +22,7 @@
 ///         use(document->value());
 class JsonDocument {
 public:
-    JsonDocument(std::unique_ptr<boost::json::memory_resource> memory, boost::json::value value);
+    JsonDocument(std::unique_ptr<boost::json::memory_resource> memory, std::unique_ptr<boost::json::value> value);
     ~JsonDocument();
     JsonDocument(JsonDocument&& other) noexcept;
     JsonDocument& operator=(JsonDocument&&) = delete;
--- a/include/turmericpier/base/memory-share.h
+++ b/include/turmericpier/base/memory-share.h
@@ -30,7 +30,6 @@
     size_t limitPerSource() const { return m_limit / 2; }
     /// Counts and logs that data of `source` was refused while a holder had `held` bytes and asked for `wanted`.
     void recordRefusal(std::string_view source, size_t held, size_t wanted);
-    uint64_t refusals() const { return m_refused.value(); }
 
 private:
     friend class MemoryReservation;
@@ -68,4 +67,28 @@
     size_t m_size = 0;
 };
 
+/// Chooses which of several holders gives up its memory so that another one can grow to a size: the one that holds
+/// most, if that is more than this size.
+///
+///     LargestHolder search(wanting, bytes);
+///     for (auto& other : others) {
+///         if (search.consider(other.memory))
+///             chosen = &other;
+///     }
+class LargestHolder {
+public:
+    LargestHolder(const MemoryReservation& wanting, size_t bytes);
+
+    /// Returns true if memory of the other holder helps. Where the part of the source is full, only holders of the same
+    /// source help.
+    bool helps(const MemoryReservation& other) const;
+    /// Returns true if the other holder helps and holds more than all that were considered before.
+    bool consider(const MemoryReservation& other);
+
+private:
+    const std::string& m_source;
+    const bool m_isSourceFull;
+    size_t m_largest;
+};
+
 } // namespace turmericpier
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -59,9 +59,9 @@
     }
 } // namespace
 
-JsonDocument::JsonDocument(std::unique_ptr<json::memory_resource> memory, json::value value)
+JsonDocument::JsonDocument(std::unique_ptr<json::memory_resource> memory, std::unique_ptr<json::value> value)
     : m_memory(std::move(memory))
-    , m_value(std::make_unique<json::value>(std::move(value)))
+    , m_value(std::move(value))
 {
 }
 
@@ -85,7 +85,8 @@
         if (error)
             return makeJsonError("INVALID_JSON", absl::StatusCode::kInvalidArgument,
                 absl::StrCat("the text is no JSON: ", error.message()));
-        auto value = parser.release();
+        // The value is destroyed before its memory, also if this allocation fails.
+        auto value = std::make_unique<json::value>(parser.release());
         return JsonDocument(std::move(memory), std::move(value));
     } catch (const std::bad_alloc&) {
         return tooLarge(limits);
--- a/src/base/memory-share.cc
+++ b/src/base/memory-share.cc
@@ -83,4 +83,24 @@
     return true;
 }
 
+LargestHolder::LargestHolder(const MemoryReservation& wanting, size_t bytes)
+    : m_source(wanting.source())
+    , m_isSourceFull(wanting.isSourceFull(bytes))
+    , m_largest(bytes)
+{
+}
+
+bool LargestHolder::helps(const MemoryReservation& other) const
+{
+    return !m_isSourceFull || other.source() == m_source;
+}
+
+bool LargestHolder::consider(const MemoryReservation& other)
+{
+    if (!helps(other) || other.size() <= m_largest)
+        return false;
+    m_largest = other.size();
+    return true;
+}
+
 } // namespace turmericpier
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -320,11 +320,11 @@
 {
     while (!connection.memory().tryResize(bytes)) {
         std::shared_ptr<Connection> largest;
+        LargestHolder search(connection.memory(), bytes);
         if (!connection.memory().isSourceFull(bytes)) {
             for (const auto& [address, pool] : pools) {
                 for (const auto& other : pool.connections) {
-                    if (other.get() != &connection && other->isReading() && other->memory().size() > bytes
-                        && (!largest || other->memory().size() > largest->memory().size()))
+                    if (other.get() != &connection && other->isReading() && search.consider(other->memory()))
                         largest = other;
                 }
             }
--- a/src/http/message-reader.h
+++ b/src/http/message-reader.h
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <functional>
@@ -102,7 +103,6 @@
         m_headerSeen = false;
         m_readSize = firstRead;
         m_parser.emplace();
-        m_parser->eager(true);
         m_parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
         m_parser->body_limit(m_limits.bodyBytes);
         m_parser->on_chunk_header(m_onChunkHeader);
@@ -132,6 +132,8 @@
             }
             if (!m_headerSeen && m_parser->is_header_done()) {
                 m_headerSeen = true;
+                if (!hasClearEnd())
+                    error = boost::beast::http::error::bad_transfer_encoding;
                 if (!error || error == boost::beast::http::error::need_more) {
                     error = {};
                     return Step::Header;
@@ -190,6 +192,17 @@
     static constexpr size_t fieldOverhead = 20; ///< Memory of the shortest fields in relation to their bytes.
     static constexpr size_t largestRead = 16'384;
 
+    /// Returns false for a request with a transfer encoding of which it is not clear where it ends. Bytes of its body
+    /// could be taken for the next request.
+    bool hasClearEnd()
+    {
+        constexpr auto field = boost::beast::http::field::transfer_encoding;
+        const auto& message = m_parser->get();
+        const auto count = message.count(field);
+        return !isRequest || count == 0
+            || (count == 1 && m_parser->chunked() && boost::beast::iequals(message[field], "chunked"));
+    }
+
     void shrink()
     {
         if (m_buffer.capacity() > firstRead && m_buffer.size() < firstRead)
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -132,8 +132,8 @@
         for (auto step = m_reader.parse(error);; step = m_reader.parse(error)) {
             if (step == Step::Failed)
                 return onReadError(error);
-            if (step == Step::Header && !onHeader())
-                return refuse({ .status = 400 });
+            if (step == Step::Header)
+                onHeader();
             if (!m_owner->reserve(*this, ownMemory()))
                 return;
             if (step == Step::Done)
@@ -151,18 +151,12 @@
         });
     }
 
-    /// Keeps what the handler needs and frees the header, whose fields may take many times their size. Returns false if
-    /// it is not clear where the request ends.
-    bool onHeader()
+    /// Keeps what the handler needs and frees the header, whose fields may take many times their size.
+    void onHeader()
     {
         unlink();
         m_stream.expires_after(m_owner->options.requestTimeout);
         auto& message = m_reader.parser().get();
-        const auto encoding = message.find(beast::http::field::transfer_encoding);
-        if (encoding != message.end()
-            && (!m_reader.parser().chunked() || !beast::iequals(encoding->value(), "chunked")
-                || message.count(beast::http::field::transfer_encoding) > 1))
-            return false;
         m_keepAlive = m_reader.parser().keep_alive();
         m_request.method = std::string(message.method_string());
         m_request.target = std::string(message.target());
@@ -172,7 +166,6 @@
                 m_request.headers[name] = std::string(found->value());
         }
         message.base() = {};
-        return true;
     }
 
     size_t ownMemory() const
@@ -329,14 +322,13 @@
     while (!session.m_memory.tryResize(bytes)) {
         Session* largest = nullptr;
         Session* unused = nullptr;
+        LargestHolder search(session.memory(), bytes);
         for (const auto& other : sessions) {
-            const bool isOfSameSource = other->memory().source() == session.memory().source();
-            if (other.get() == &session || !other->isReading()
-                || (!isOfSameSource && session.memory().isSourceFull(bytes)))
+            if (other.get() == &session || !other->isReading() || !search.helps(other->memory()))
                 continue;
             if (other->isUnused())
                 unused = other.get();
-            else if (other->memory().size() > bytes && (!largest || other->memory().size() > largest->memory().size()))
+            else if (search.consider(other->memory()))
                 largest = other.get();
         }
         if (unused) {
--- a/src/peer/incoming.cc
+++ b/src/peer/incoming.cc
@@ -7,7 +7,6 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 
 namespace turmericpier::peer::detail {
@@ -132,11 +131,10 @@
     const auto bytes = connection.decoder.memory();
     while (!connection.memory.tryResize(bytes)) {
         Connection* largest = &connection;
+        LargestHolder search(connection.memory, bytes);
         for (const auto& other : m_connections) {
-            if (!connection.memory.isSourceFull(bytes) || other->memory.source() == connection.memory.source()) {
-                if (other->memory.size() > std::max(largest->memory.size(), largest == &connection ? bytes : 0))
-                    largest = other.get();
-            }
+            if (other.get() != &connection && search.consider(other->memory))
+                largest = other.get();
         }
         m_memory->recordRefusal(largest->memory.source(), largest->memory.size(), bytes);
         m_evicted.increment();
--- a/test/admin-server-test.cc
+++ b/test/admin-server-test.cc
@@ -172,3 +172,11 @@
     REQUIRE_FALSE(status.ok());
     CHECK(contains(std::string(status.message()), std::to_string(port)));
 }
+
+// Guards against a body that is taken for the next request.
+TEST_CASE("a request whose end is not clear is rejected", "[admin]")
+{
+    Fixture f;
+    for (const char* encoding : { "gzip", "gzip, chunked", "chunked, gzip" })
+        CHECK(hasStatus(f.request("GET /healthz", std::string("Transfer-Encoding: ") + encoding + "\r\n"), 400));
+}
--- a/test/base-memory-share-test.cc
+++ b/test/base-memory-share-test.cc
@@ -57,3 +57,26 @@
     fixture.share->recordRefusal("a", 10, 20);
     CHECK(fixture.metrics.counter("memory_test_refused_total").value() == 1);
 }
+
+// Guards against small requests that are given up for a large one, and against the memory of one source being taken
+// from others, where that does not help.
+TEST_CASE("the largest holder that helps gives up its memory", "[base]")
+{
+    Fixture fixture;
+    MemoryReservation wanting(fixture.share, "a");
+    MemoryReservation small(fixture.share, "b");
+    MemoryReservation large(fixture.share, "b");
+    MemoryReservation own(fixture.share, "a");
+    REQUIRE(small.tryResize(150));
+    REQUIRE(large.tryResize(300));
+    REQUIRE(own.tryResize(400));
+    LargestHolder whenShareIsFull(wanting, 100);
+    CHECK(whenShareIsFull.consider(small));
+    CHECK(whenShareIsFull.consider(large));
+    CHECK_FALSE(whenShareIsFull.consider(small));
+    LargestHolder whenSourceIsFull(wanting, 101);
+    CHECK_FALSE(whenSourceIsFull.consider(large));
+    CHECK(whenSourceIsFull.consider(own));
+    LargestHolder whenWantingIsLargest(wanting, 450);
+    CHECK_FALSE(whenWantingIsLargest.consider(own));
+}
