--- a/src/consensus/group.cc
+++ b/src/consensus/group.cc
@@ -1,6 +1,7 @@
 #include "turmericpier/consensus/group.h"
 
 #include "consensus/core-options.h"
+#include "consensus/group-status.h"
 #include "consensus/quorum-log.h"
 #include "consensus/wal.h"
 #include "turmericpier/base/error.h"
@@ -9,7 +10,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <atomic>
-#include <boost/json.hpp>
 
 namespace turmericpier::consensus {
 
@@ -29,23 +29,6 @@
         TimePoint proposedAt;
         ProposalCallback done;
     };
-    /// State reported by dump() and voters(), updated after each batch of the event loop.
-    struct Status {
-        std::string role;
-        Term term;
-        InstanceId leader;
-        Index commit;
-        Index applied;
-        Index last;
-        Index snapshot;
-        std::vector<InstanceId> voters;
-        std::map<InstanceId, Index> matches;
-        std::map<InstanceId, TimePoint> signsOfLife; ///< Time of the last one of each peer of this leader.
-        size_t pending = 0;
-        bool recovering = false;
-        std::string failure;
-    };
-
     Impl(GroupOptions groupOptions, GroupHooks groupHooks, const Clock& groupClock, Metrics& groupMetrics)
         : options(std::move(groupOptions))
         , hooks(std::move(groupHooks))
@@ -228,14 +211,8 @@
         const auto previous = core->snapshot() ? core->snapshot()->index : Index {};
         if (result->ok() && snapshot->index <= previous) // a later one was received from the leader meanwhile
             return wal->discardSnapshot(snapshot->index);
-        if (!result->ok()) {
-            // The log still holds every entry, so the replica goes on and writes another snapshot later.
-            snapshotFailures.increment();
-            snapshotRetryAt = clock.now() + snapshotRetryDelay;
-            logError("consensus", "snapshot not written",
-                { { "group", options.group.str() }, { "message", std::string(result->message()) } });
-            return;
-        }
+        if (!result->ok())
+            return onSnapshotFailure(*result);
         auto status = wal->activateSnapshot(snapshot->index, snapshot->term, hardState, false);
         if (status.ok())
             status = wal->compact(previous, hardState);
@@ -245,6 +222,15 @@
         snapshots.increment();
     }
 
+    /// The log still holds every entry, so the replica goes on and writes another snapshot later.
+    void onSnapshotFailure(const absl::Status& status)
+    {
+        snapshotFailures.increment();
+        snapshotRetryAt = clock.now() + snapshotRetryDelay;
+        logError("consensus", "snapshot not written",
+            { { "group", options.group.str() }, { "message", std::string(status.message()) } });
+    }
+
     absl::Status error(Outcome outcome, const char* reason, std::string_view message) const
     {
         return makeError({ absl::StatusCode::kUnavailable, outcome, reason, "propose", options.self.str() }, message);
@@ -336,9 +322,14 @@
     void tryToRecover()
     {
         // The thread that writes a snapshot uses the log.
-        if (snapshotBeingWritten && !takeSnapshotResult())
-            return;
-        snapshotBeingWritten.reset();
+        if (snapshotBeingWritten) {
+            const auto result = takeSnapshotResult();
+            if (!result)
+                return;
+            if (!result->ok())
+                onSnapshotFailure(*result);
+            snapshotBeingWritten.reset();
+        }
         auto status = Wal::checkWritable(walOptions(), metrics);
         if (status.ok())
             status = recover();
@@ -448,7 +439,7 @@
     mutable std::mutex mutex;
     std::atomic<int64_t> leaseEnd { 0 }; ///< End of the leader lease on `clock` in ns; 0 without a lease.
     std::optional<absl::Status> snapshotWriteResult; ///< Guarded by `mutex`.
-    Status status; ///< Guarded by `mutex`.
+    GroupStatus status; ///< Guarded by `mutex`.
 };
 
 Group::Group(std::unique_ptr<Impl> impl)
@@ -572,29 +563,7 @@
 std::string Group::dump() const
 {
     std::lock_guard lock(m_impl->mutex);
-    const auto& status = m_impl->status;
-    boost::json::object matches;
-    for (const auto& [peer, match] : status.matches)
-        matches[peer.str()] = match.value;
-    boost::json::array voters;
-    for (const auto& voter : status.voters)
-        voters.emplace_back(voter.str());
-    return boost::json::serialize(boost::json::object {
-        { "group", m_impl->options.group.str() },
-        { "self", m_impl->options.self.str() },
-        { "role", status.role },
-        { "term", status.term.value },
-        { "leader", status.leader.str() },
-        { "commit", status.commit.value },
-        { "applied", status.applied.value },
-        { "last", status.last.value },
-        { "snapshot", status.snapshot.value },
-        { "voters", std::move(voters) },
-        { "matches", std::move(matches) },
-        { "pending", status.pending },
-        { "recovering", status.recovering },
-        { "failure", status.failure },
-    });
+    return describe(m_impl->options, m_impl->status);
 }
 
 } // namespace turmericpier::consensus
