--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -2,12 +2,14 @@
 
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/metrics.h"
+#include "turmericpier/cell/arrival-limiter.h"
 #include "turmericpier/cell/orders.h"
 #include "turmericpier/cell/planner.h"
 #include "turmericpier/cell/state.h"
 #include "turmericpier/cell/tickets.h"
 
 #include <absl/status/statusor.h>
+#include <boost/json/fwd.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -28,6 +30,8 @@
     std::chrono::milliseconds heartbeatInterval { 1'500 }; ///< Interval at which workers send heartbeats.
     /// How long ended jobs are kept; twice what callers are promised.
     std::chrono::milliseconds endedJobRetention { 240'000 };
+    /// Time whose jobs a tenant may send at once, at the rate of its weight.
+    std::chrono::milliseconds arrivalWindow { 5'000 };
     /// Memory of the state beyond which jobs and workers are refused; 0 for no limit. Only the leader checks it, so
     /// that replicas with other limits apply the same commands.
     size_t maxStateBytes = 0;
@@ -181,11 +185,30 @@
         uint64_t call = 0;
     };
 
+    /// The queue that a call names and the tenant to which its key belongs.
+    struct Caller {
+        const record::QueueT* queue = nullptr;
+        std::string tenant; ///< Empty if no tenants are configured, or for a public queue without a known key.
+    };
+    /// A job that waits for its commit.
+    struct PendingSubmit {
+        std::string tenant;
+        std::vector<Answer> answers;
+    };
+    /// Jobs of one tenant that this leader has accepted or refused.
+    struct TenantFigures {
+        uint64_t accepted = 0;
+        uint64_t limited = 0; ///< Refused because the tenant sent more than its weight allows.
+    };
+
     // Handling of calls (leader-calls.cc).
     void submit(std::unique_ptr<record::CallT> call, Answer answer);
     bool fitsState(size_t bytes, std::string_view id);
     Answer holdStateMemory(size_t bytes, Answer answer);
-    const record::QueueT* matchQueueOrAnswer(const record::CallT& call, const Answer& answer) const;
+    std::optional<Caller> identifyOrAnswer(const record::CallT& call, const Answer& answer) const;
+    bool mayAccess(const Caller& caller, const std::string& tenant) const;
+    bool isWithinRate(const std::string& tenant, const std::string& job, const Answer& answer);
+    void forgetOmittedTenants();
     void status(const record::CallT& call, const Answer& answer) const;
     void cancel(const record::CallT& call, Answer answer);
     void waiting(const record::CallT& call, const Answer& answer) const;
@@ -194,7 +217,8 @@
     void seen(const record::CallT& call, const Answer& answer);
     void leave(const record::CallT& call, const Answer& answer);
     void propose(const record::CommandT& command, LeaderHooks::ProposeCallback done);
-    void proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id);
+    void proposeFor(
+        const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs = {});
 
     // Orders to workers, their answers and leases (leader-workers.cc).
     void refreshSessions();
@@ -255,6 +279,7 @@
     void forgetOldJobs();
     void recordTick();
     void reportLoad();
+    boost::json::array describeTenants() const;
     void recordDecision(
         std::string_view what, std::string_view id, std::string_view outcome, std::string detail = "") const;
 
@@ -269,6 +294,8 @@
     Counter& m_plans;
     Counter& m_callsHandled;
     Counter& m_stateRefusals;
+    Counter& m_keyRefusals;
+    Counter& m_rateRefusals;
     Gauge& m_stateBytes;
     Latency& m_planLatency;
     Latency& m_tickGap;
@@ -295,8 +322,10 @@
     std::map<uint32_t, WorkerSession> m_sessions;
     std::map<std::string, LostWorker> m_lostWorkers; ///< By address.
     std::map<uint32_t, HeldHeartbeat> m_heldHeartbeats; ///< By the serial of the incarnation that was replaced.
-    /// Answers that wait for the commit of a job, by job id.
-    std::map<std::string, std::vector<Answer>> m_pendingSubmits;
+    std::map<std::string, PendingSubmit> m_pendingSubmits; ///< By job id.
+    ArrivalLimiter m_arrivals;
+    std::set<std::string> m_waitingTenants; ///< Tenants with tasks that the last plan left waiting.
+    std::map<std::string, TenantFigures> m_tenantFigures;
     /// Ended jobs, with the time at which this leader learned of their end.
     std::map<std::string, TimePoint> m_endedSince;
     int64_t m_nextDueMs = 0;
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -5,6 +5,8 @@
 #include "turmericpier/cell/tickets.h"
 
 #include <functional>
+#include <set>
+#include <string>
 #include <vector>
 
 /// Decides which waiting tasks start on which workers. The planner is a pure function of the state and of what the
@@ -30,6 +32,7 @@
     uint32_t awaitingAdvice = 0; ///< A question to the advisor is in flight or is part of the plan.
     uint32_t withoutWorker = 0; ///< No worker that may run the task has the capacity.
     uint32_t overLimit = 0; ///< The plan has reached its limit of starts.
+    uint32_t overCap = 0; ///< The tenant runs as much as it may.
 };
 
 /// The starts to commit and the questions to ask the advisor.
@@ -39,6 +42,7 @@
     /// Due time, in Unix milliseconds, of the earliest occurrence that is not due yet; 0 if there is none.
     int64_t nextDueMs = 0;
     UnplacedTasks unplaced;
+    std::set<std::string> waitingTenants; ///< Tenants with tasks that wait for room or for their cap.
 };
 
 /// Everything that a plan depends on.
@@ -53,7 +57,8 @@
     size_t maxStarts = 256; ///< Limit for one plan, which bounds the size of the log entry and the planning time.
 };
 
-/// Returns a plan for the waiting tasks that may start now, the most urgent queues first.
+/// Returns a plan for the waiting tasks that may start now, the most urgent queues first. Within one priority, the
+/// tenant that uses least relative to its weight comes first, and then the order of acceptance.
 Plan plan(const PlannerInput& input);
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -2,6 +2,7 @@
 
 #include "cell_generated.h"
 #include "turmericpier/base/units.h"
+#include "turmericpier/cell/tenants.h"
 
 #include <absl/status/status.h>
 #include <map>
@@ -89,6 +90,7 @@
     /// Returns the estimated memory of all jobs and workers.
     size_t memory() const { return m_memory; }
 
+    const Tenants& tenants() const { return m_tenants; }
     const record::ConfigT* config() const { return m_config.get(); }
     /// Returns the active queue with the longest prefix of `path`, or null.
     const record::QueueT* matchQueue(std::string_view host, std::string_view path) const;
@@ -131,6 +133,7 @@
 
     std::unique_ptr<record::ConfigT> m_config;
     std::map<std::string, record::QueueT> m_queues; ///< All queues that any configuration has contained, by key.
+    Tenants m_tenants;
     std::map<std::string, std::unique_ptr<record::JobT>> m_jobs;
     std::map<uint64_t, record::JobT*> m_openJobs;
     std::map<std::string, uint64_t> m_openJobOrder; ///< Keys of `m_openJobs` by job id.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds and plays the fault soak: the cell as processes on loopback, disturbed from outside. Arguments go to the soak, see
 # `build/soak --help`; without arguments it plays the lines of test/soak/seeds.txt: seed, seconds, group of disturbances,
-# and the number of control processes where it is not the usual one. A colon ends the last of them.
+# the number of control processes where it is not the usual one, and that of tenants. A colon ends the last of them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-packages.sh
@@ -10,9 +10,10 @@
     exec build/soak "$@"
 fi
 status=0
-while read -r seed seconds group controls _; do
+while read -r seed seconds group controls tenants _; do
     options=(--seeds="$seed" --seconds="$seconds" --faults="${group%:}")
     case "$group" in *:) ;; *) options+=(--controls="${controls%:}") ;; esac
+    case "$group$controls" in *:*) ;; *) options+=(--tenants="${tenants%:}") ;; esac
     build/soak "${options[@]}" < /dev/null || status=1
 done < test/soak/seeds.txt
 exit "$status"
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -87,16 +87,18 @@
     m_hooks.propose(command, std::move(done));
 }
 
-void Leader::proposeFor(const record::CommandT& command, Answer answer, std::string what, std::string id)
+void Leader::proposeFor(
+    const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs)
 {
     propose(command,
-        [this, answer = std::move(answer), what = std::move(what), id = std::move(id)](const absl::Status& status) {
+        [this, answer = std::move(answer), what = std::move(what), id = std::move(id), inputs = std::move(inputs)](
+            const absl::Status& status) {
             const auto verdict = verdictOf(status);
             recordDecision(what, id,
                 verdict == Verdict::Ok           ? "committed"
                     : verdict == Verdict::NotRun ? "refused"
                                                  : "unknown",
-                std::string(status.message()));
+                absl::StrCat(inputs, status.message()));
             answer(makeReply(verdict, std::string(status.message())));
         });
 }
@@ -124,28 +126,96 @@
     };
 }
 
+/// Returns the queue and the tenant of a call. If there is no such queue, or the key is not known, answers the call and
+/// returns nothing.
+std::optional<Leader::Caller> Leader::identifyOrAnswer(const record::CallT& call, const Answer& answer) const
+{
+    if (!m_state.config()) {
+        answer(makeReply(Verdict::NotRun, "there is no configuration yet"));
+        return std::nullopt;
+    }
+    Caller caller { m_state.matchQueue(call.host, call.path), "" };
+    if (!caller.queue) {
+        answer(makeReply(Verdict::NoSuchQueue, absl::StrCat("no queue at ", call.host, call.path)));
+        return std::nullopt;
+    }
+    if (!m_state.tenants().areConfigured())
+        return caller;
+    if (const auto* tenant = m_state.tenants().findByKey(call.key)) {
+        caller.tenant = tenant->name;
+    } else if (!caller.queue->is_public) {
+        m_keyRefusals.increment();
+        answer(makeReply(Verdict::Unauthorized, "the key of the call is not known"));
+        return std::nullopt;
+    }
+    return caller;
+}
+
+/// Returns true if the caller may see and cancel a job of the tenant. Job ids cannot be guessed, and a client of a
+/// public queue may have lost its key since it sent the job.
+bool Leader::mayAccess(const Caller& caller, const std::string& tenant) const
+{
+    return caller.tenant.empty() || tenant.empty() || caller.tenant == tenant;
+}
+
+/// Refuses a job beyond the weight of its tenant while tasks of the tenant wait, so that a queue that grows without end
+/// does not delay the jobs that can be served.
+bool Leader::isWithinRate(const std::string& tenant, const std::string& job, const Answer& answer)
+{
+    const auto* found = m_state.tenants().find(tenant);
+    if (!found)
+        return true;
+    auto& figures = m_tenantFigures[tenant];
+    const auto now = m_clock.now();
+    if (m_arrivals.take(tenant, found->weight, now) || !m_waitingTenants.contains(tenant)) {
+        ++figures.accepted;
+        return true;
+    }
+    ++figures.limited;
+    m_rateRefusals.increment();
+    auto reply = makeReply(Verdict::TooMany, "the tenant sends more jobs than its weight allows");
+    reply.retry_after_ms = static_cast<uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_arrivals.promise(tenant, found->weight, now)).count());
+    recordDecision("submit", job, "limited",
+        absl::StrCat("tenant=", tenant, " weight=", found->weight, " retry_after_ms=", reply.retry_after_ms));
+    answer(std::move(reply));
+    return false;
+}
+
+/// Bounds the figures by the number of tenants that have work or may send it.
+void Leader::forgetOmittedTenants()
+{
+    const auto isKnown = [this](const std::string& name) { return m_state.tenants().find(name) != nullptr; };
+    m_arrivals.removeUnless(isKnown);
+    std::erase_if(m_tenantFigures, [&](const auto& item) { return !isKnown(item.first); });
+}
+
 void Leader::submit(std::unique_ptr<record::CallT> call, Answer answer)
 {
-    if (!m_state.config())
-        return answer(makeReply(Verdict::NotRun, "there is no configuration yet"));
-    const auto* queue = m_state.matchQueue(call->host, call->path);
-    if (!queue)
-        return answer(makeReply(Verdict::NoSuchQueue, absl::StrCat("no queue at ", call->host, call->path)));
+    const auto caller = identifyOrAnswer(*call, answer);
+    if (!caller)
+        return;
     auto& job = *call->job;
-    job.id = call->path.substr(queue->prefix.size());
+    job.id = call->path.substr(caller->queue->prefix.size());
     if (!isJobId(job.id))
         return answer(makeReply(Verdict::NoSuchQueue, absl::StrCat("no job id follows the prefix of the queue")));
+    // Also a job of another tenant is acknowledged: a refusal would say that it does not run.
     if (m_state.findJob(job.id))
         return answer(makeReply(Verdict::Ok));
     if (const auto pending = m_pendingSubmits.find(job.id); pending != m_pendingSubmits.end()) {
-        pending->second.push_back(std::move(answer));
+        pending->second.answers.push_back(std::move(answer));
         return;
     }
+    job.tenant = caller->tenant;
+    if (!isWithinRate(job.tenant, job.id, answer))
+        return;
     const auto bytes = estimateMemory(job);
     if (!fitsState(bytes, job.id))
         return answer(makeStateFullReply());
-    m_pendingSubmits[job.id].push_back(holdStateMemory(bytes, std::move(answer)));
-    job.queue = queueKey(queue->host, queue->prefix);
+    auto& pending = m_pendingSubmits[job.id];
+    pending.tenant = job.tenant;
+    pending.answers.push_back(holdStateMemory(bytes, std::move(answer)));
+    job.queue = queueKey(caller->queue->host, caller->queue->prefix);
     job.accepted_ms = m_hooks.wallMs();
     const auto id = job.id;
     record::CommandT command;
@@ -155,32 +225,23 @@
         [this, id, generation = m_generation](const record::ReplyT& reply) {
             if (generation != m_generation)
                 return;
-            auto answers = m_pendingSubmits.extract(id);
-            if (answers.empty())
+            auto submitted = m_pendingSubmits.extract(id);
+            if (submitted.empty())
                 return;
-            for (const auto& waiter : answers.mapped())
+            for (const auto& waiter : submitted.mapped().answers)
                 waiter(reply);
         },
-        "submit", id);
-}
-
-/// Returns the queue of a call about an accepted job. If there is none, answers the call and returns null.
-const record::QueueT* Leader::matchQueueOrAnswer(const record::CallT& call, const Answer& answer) const
-{
-    const auto* queue = m_state.matchQueue(call.host, call.path);
-    if (!queue)
-        answer(makeReply(m_state.config() ? Verdict::NoSuchQueue : Verdict::NotRun));
-    return queue;
+        "submit", id, caller->tenant.empty() ? "" : absl::StrCat("tenant=", caller->tenant, " "));
 }
 
 void Leader::status(const record::CallT& call, const Answer& answer) const
 {
-    const auto* queue = matchQueueOrAnswer(call, answer);
-    if (!queue)
+    const auto caller = identifyOrAnswer(call, answer);
+    if (!caller)
         return;
-    const auto id = call.path.substr(queue->prefix.size());
+    const auto id = call.path.substr(caller->queue->prefix.size());
     const auto* job = m_state.findJob(id);
-    if (!job || job->queue != queueKey(queue->host, queue->prefix))
+    if (!job || job->queue != queueKey(caller->queue->host, caller->queue->prefix) || !mayAccess(*caller, job->tenant))
         return answer(makeReply(Verdict::NoSuchJob));
     auto reply = makeReply(Verdict::Ok);
     reply.state = job->state;
@@ -190,12 +251,15 @@
 
 void Leader::cancel(const record::CallT& call, Answer answer)
 {
-    const auto* queue = matchQueueOrAnswer(call, answer);
-    if (!queue)
+    const auto caller = identifyOrAnswer(call, answer);
+    if (!caller)
         return;
-    const auto id = call.path.substr(queue->prefix.size());
+    const auto id = call.path.substr(caller->queue->prefix.size());
     const auto* job = m_state.findJob(id);
-    if (!job && !m_pendingSubmits.contains(id))
+    const auto pending = m_pendingSubmits.find(id);
+    if (!job && pending == m_pendingSubmits.end())
+        return answer(makeReply(Verdict::NoSuchJob));
+    if (!mayAccess(*caller, job ? job->tenant : pending->second.tenant))
         return answer(makeReply(Verdict::NoSuchJob));
     if (job && job->state != record::JobState::Open)
         return answer(makeReply(Verdict::Ok));
@@ -206,11 +270,11 @@
 
 void Leader::waiting(const record::CallT& call, const Answer& answer) const
 {
-    const auto* queue = matchQueueOrAnswer(call, answer);
-    if (!queue)
+    const auto caller = identifyOrAnswer(call, answer);
+    if (!caller)
         return;
     auto reply = makeReply(Verdict::Ok);
-    reply.waiting = m_state.waitingJobs(queueKey(queue->host, queue->prefix));
+    reply.waiting = m_state.waitingJobs(queueKey(caller->queue->host, caller->queue->prefix));
     answer(std::move(reply));
 }
 
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -36,6 +36,12 @@
     int64_t meanOf(int64_t total, uint32_t count) { return count == 0 ? 0 : total / count; }
 
     int64_t meanMs(Duration total, uint32_t count) { return meanOf(toMs(total), count); }
+
+    boost::json::object describe(const Resources& resources)
+    {
+        return { { "cpu", resources.cpu.value }, { "memory", resources.memory.value },
+            { "accelerators", resources.accelerators.value } };
+    }
 } // namespace
 
 std::string_view toString(OrderResult result)
@@ -79,11 +85,14 @@
     , m_plans(metrics.counter("cell_plans_total"))
     , m_callsHandled(metrics.counter("cell_calls_total"))
     , m_stateRefusals(metrics.counter("memory_state_refused_total"))
+    , m_keyRefusals(metrics.counter("cell_keys_refused_total"))
+    , m_rateRefusals(metrics.counter("cell_jobs_limited_total"))
     , m_stateBytes(metrics.gauge("memory_state_bytes"))
     , m_planLatency(metrics.latency("cell_plan_seconds"))
     , m_tickGap(metrics.latency("cell_tick_gap_seconds"))
     , m_startLatency(metrics.latency("cell_start_order_seconds"))
     , m_adviceLatency(metrics.latency("cell_advice_seconds"))
+    , m_arrivals(m_options.arrivalWindow)
 {
 }
 
@@ -118,6 +127,9 @@
     m_endsCommand = {};
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
+    m_arrivals.clear();
+    m_waitingTenants.clear();
+    m_tenantFigures.clear();
     m_pendingStateBytes = 0;
     for (const auto& [serial, held] : std::exchange(m_heldHeartbeats, {}))
         held.answer(makeReply(Verdict::NotLeader, "this replica does not lead"));
@@ -139,6 +151,8 @@
         return;
     if (!command.workers.empty() || !command.gone.empty())
         refreshSessions();
+    if (command.config)
+        forgetOmittedTenants();
     for (const auto& end : command.ends) {
         const auto session = m_sessions.find(end->worker);
         if (session == m_sessions.end())
@@ -256,6 +270,8 @@
     m_load.unplaced.awaitingAdvice += result.unplaced.awaitingAdvice;
     m_load.unplaced.withoutWorker += result.unplaced.withoutWorker;
     m_load.unplaced.overLimit += result.unplaced.overLimit;
+    m_load.unplaced.overCap += result.unplaced.overCap;
+    m_waitingTenants = std::move(result.waitingTenants);
     m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
     m_nextDueMs = result.nextDueMs;
     askAdvisor(result.advice);
@@ -417,8 +433,8 @@
             " looks=", load.polls, " advice=", load.adviceCalls,
             " advice_ms=", meanMs(load.adviceTime, load.adviceAnswers), " open_jobs=", m_state.openJobs().size(),
             " unplaced_advice=", meanOf(load.unplaced.awaitingAdvice, load.plans),
-            " unplaced_room=", meanOf(load.unplaced.withoutWorker, load.plans),
-            " unplaced_limit=", meanOf(load.unplaced.overLimit, load.plans)));
+            " unplaced_room=", meanOf(load.unplaced.withoutWorker, load.plans), " unplaced_limit=",
+            meanOf(load.unplaced.overLimit, load.plans), " unplaced_cap=", meanOf(load.unplaced.overCap, load.plans)));
 }
 
 void Leader::tick()
@@ -453,6 +469,32 @@
     forgetOldJobs();
 }
 
+/// Describes each tenant, the first ones by name.
+boost::json::array Leader::describeTenants() const
+{
+    constexpr size_t maxTenants = 200;
+    const auto& tenants = m_state.tenants();
+    std::map<std::string, uint32_t> waiting;
+    for (const auto& [order, job] : m_state.openJobs())
+        waiting[job->tenant] += job->started ? 0 : 1;
+    boost::json::array described;
+    for (const auto& [name, tenant] : tenants.all()) {
+        if (described.size() == maxTenants)
+            break;
+        const auto used = tenants.usage(name);
+        const auto figures = m_tenantFigures.find(name);
+        const auto known = figures == m_tenantFigures.end() ? TenantFigures {} : figures->second;
+        described.push_back(
+            boost::json::object { { "name", name }, { "weight", tenant.weight }, { "used", describe(used) },
+                { "cap",
+                    describe({ MilliCpu { tenant.cap_cpu }, MemoryMib { tenant.cap_memory },
+                        Accelerators { tenant.cap_accelerators } }) },
+                { "waiting_jobs", waiting[name] }, { "has_waiting_tasks", m_waitingTenants.contains(name) },
+                { "accepted", known.accepted }, { "limited", known.limited } });
+    }
+    return described;
+}
+
 std::string Leader::dump() const
 {
     boost::json::array workers;
@@ -466,7 +508,8 @@
     return boost::json::serialize(boost::json::object { { "active", m_active }, { "term", m_term },
         { "open_jobs", m_state.openJobs().size() }, { "jobs", m_state.jobs().size() },
         { "state_bytes", m_state.memory() }, { "max_state_bytes", m_options.maxStateBytes },
-        { "config_version", m_state.config() ? m_state.config()->version : 0 }, { "workers", std::move(workers) } });
+        { "config_version", m_state.config() ? m_state.config()->version : 0 }, { "tenants", describeTenants() },
+        { "tenant_count", m_state.tenants().all().size() }, { "workers", std::move(workers) } });
 }
 
 } // namespace turmericpier::cell
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -1,6 +1,9 @@
 #include "turmericpier/cell/planner.h"
 
+#include "turmericpier/decision/fair-share.h"
+
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <string_view>
 #include <tuple>
@@ -74,6 +77,7 @@
     public:
         explicit PlanningRound(const PlannerInput& input)
             : m_input(input)
+            , m_tenants(input.state.tenants())
         {
         }
 
@@ -89,16 +93,90 @@
             std::ranges::sort(m_pendingSteps, [](const PendingStep& a, const PendingStep& b) {
                 return std::tie(a.queue->priority, a.order) < std::tie(b.queue->priority, b.order);
             });
-            for (const auto& pending : m_pendingSteps) {
-                if (m_plan.starts.size() >= m_input.maxStarts)
-                    m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waiting.size());
-                else
+            if (m_tenants.all().empty()) {
+                for (auto& pending : m_pendingSteps)
                     placeStep(pending);
+                return std::move(m_plan);
+            }
+            prepareShares();
+            for (auto first = m_pendingSteps.begin(); first != m_pendingSteps.end();) {
+                const auto last = std::find_if(first, m_pendingSteps.end(),
+                    [first](const PendingStep& pending) { return pending.queue->priority != first->queue->priority; });
+                placeInShares(first, last);
+                first = last;
             }
             return std::move(m_plan);
         }
 
     private:
+        using PendingSteps = std::vector<PendingStep>;
+
+        /// Sets the quota of each tenant to its part of the capacity by weight. Jobs without a tenant count as one
+        /// more tenant.
+        void prepareShares()
+        {
+            constexpr double weightWithoutTenant = 1;
+            Resources capacity;
+            for (const auto& candidate : m_candidates) {
+                const auto& worker = candidate.record->worker;
+                capacity
+                    += { MilliCpu { worker.cpu }, MemoryMib { worker.memory }, Accelerators { worker.accelerators } };
+            }
+            double weights = weightWithoutTenant;
+            for (const auto& [name, tenant] : m_tenants.all())
+                weights += tenant.weight;
+            const auto add = [&](const std::string& name, double weight) {
+                const auto part = [&](int64_t amount) {
+                    return static_cast<int64_t>(static_cast<double>(amount) * weight / weights);
+                };
+                const TeamId id(name);
+                m_shares.setTeam({ id,
+                    { MilliCpu { part(capacity.cpu.value) }, MemoryMib { part(capacity.memory.value) },
+                        Accelerators { part(capacity.accelerators.value) } } });
+                m_shares.addUsage(id, m_tenants.usage(name));
+            };
+            m_shares.setCapacity(capacity);
+            add("", weightWithoutTenant);
+            for (const auto& [name, tenant] : m_tenants.all())
+                add(name, tenant.weight);
+        }
+
+        /// Places the steps of one priority: the next one is the earliest of the tenant that uses least relative to its
+        /// weight.
+        void placeInShares(PendingSteps::iterator first, PendingSteps::iterator last)
+        {
+            std::map<TeamId, std::deque<PendingStep*>> waiting;
+            for (auto it = first; it != last; ++it)
+                waiting[TeamId(it->job->tenant)].push_back(&*it);
+            for (const auto& [tenant, steps] : waiting)
+                m_shares.setWaiting(tenant, true);
+            while (const auto tenant = m_shares.next()) {
+                auto& steps = waiting.at(*tenant);
+                auto& pending = *steps.front();
+                steps.pop_front();
+                m_shares.setWaiting(*tenant, !steps.empty());
+                const auto placed = m_plan.starts.size();
+                keepWithinCap(pending, m_shares.usage(*tenant));
+                placeStep(pending);
+                for (auto i = placed; i < m_plan.starts.size(); ++i)
+                    m_shares.addUsage(*tenant, resourcesOf(*pending.step));
+            }
+        }
+
+        /// Removes the waiting tasks that the tenant's cap does not allow for, all of them for a gang.
+        void keepWithinCap(PendingStep& pending, const Resources& used)
+        {
+            const auto count = pending.waiting.size();
+            auto allowed = m_tenants.tasksWithinCap(pending.job->tenant, used, resourcesOf(*pending.step), count);
+            if (allowed == count)
+                return;
+            if (pending.step->gang)
+                allowed = 0;
+            pending.waiting.resize(allowed);
+            m_plan.unplaced.overCap += static_cast<uint32_t>(count - allowed);
+            m_plan.waitingTenants.insert(pending.job->tenant);
+        }
+
         void addCandidate(const WorkerRecord& worker)
         {
             const auto health = m_input.health(worker.worker.serial);
@@ -307,18 +385,24 @@
 
         void placeStep(const PendingStep& pending)
         {
-            if (pending.step->gang) {
+            if (pending.waiting.empty())
+                return;
+            if (m_plan.starts.size() >= m_input.maxStarts) {
+                m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waiting.size());
+            } else if (pending.step->gang) {
                 if (!placeGang(pending))
-                    countUnplaced(pending.waiting.size(), requestAdvice(pending, 0));
+                    countUnplaced(pending, pending.waiting.size(), requestAdvice(pending, 0));
             } else {
                 placeTasks(pending);
             }
         }
 
-        void countUnplaced(size_t tasks, bool awaitingAdvice)
+        void countUnplaced(const PendingStep& pending, size_t tasks, bool awaitingAdvice)
         {
             auto& counter = awaitingAdvice ? m_plan.unplaced.awaitingAdvice : m_plan.unplaced.withoutWorker;
             counter += static_cast<uint32_t>(tasks);
+            if (tasks > 0 && !awaitingAdvice && !pending.job->tenant.empty())
+                m_plan.waitingTenants.insert(pending.job->tenant);
         }
 
         void placeTasks(const PendingStep& pending)
@@ -348,7 +432,7 @@
             if (unplaced.empty())
                 return;
             if (requestAdvice(pending, avoidedByAll))
-                return countUnplaced(unplaced.size(), true);
+                return countUnplaced(pending, unplaced.size(), true);
             // No other worker may run the task: a second run on the worker where it failed is better than none.
             size_t placed = 0;
             while (placed < unplaced.size()) {
@@ -357,7 +441,7 @@
                     break;
                 place(pending, unplaced[placed++], *candidate);
             }
-            countUnplaced(unplaced.size() - placed, false);
+            countUnplaced(pending, unplaced.size() - placed, false);
         }
 
         void place(const PendingStep& pending, uint32_t index, Candidate& candidate)
@@ -468,8 +552,10 @@
         }
 
         const PlannerInput& m_input;
+        const Tenants& m_tenants;
         std::vector<Candidate> m_candidates;
-        std::vector<PendingStep> m_pendingSteps;
+        PendingSteps m_pendingSteps;
+        decision::FairShare m_shares; ///< Used only if there are tenants.
         Plan m_plan;
     };
 } // namespace
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -64,7 +64,7 @@
 
     size_t stringBytes(const record::JobT& job)
     {
-        size_t bytes = job.id.size() + job.queue.size() + job.spec.size();
+        size_t bytes = job.id.size() + job.queue.size() + job.tenant.size() + job.spec.size();
         for (const auto& step : job.steps)
             bytes += step->needs.size() + step->data_rack.size() + step->image.size();
         return bytes;
@@ -164,6 +164,7 @@
         queue->active = true;
         m_queues[queueKey(queue->host, queue->prefix)] = *queue;
     }
+    m_tenants.assign(m_config->tenants);
 }
 
 /// Stores a worker under its serial and its id, which no other worker has, and under its address.
@@ -234,6 +235,7 @@
     added->occurrences.clear();
     auto& stored = *added;
     m_memory += estimateMemory(stored);
+    m_tenants.addJob(job.tenant);
     m_jobs.emplace(job.id, std::move(added));
     indexJob(stored);
 }
@@ -271,6 +273,7 @@
     worker.tasksWithTarget += step.target_ms > 0 ? 1 : 0;
     worker.fillingTasks += step.fills ? 1 : 0;
     worker.suspectedTasks += task.suspicions > 0 ? 1 : 0;
+    m_tenants.addUsage(m_jobs.at(key.job)->tenant, resourcesOf(step));
 }
 
 void State::applyStart(const record::StartT& start)
@@ -297,6 +300,7 @@
         worker->second.tasksWithTarget -= step.target_ms > 0 ? 1 : 0;
         worker->second.fillingTasks -= step.fills ? 1 : 0;
         worker->second.suspectedTasks -= task.suspicions > 0 ? 1 : 0;
+        m_tenants.removeUsage(m_jobs.at(key.job)->tenant, resourcesOf(step));
     }
     task.worker = 0;
     task.state = TaskState::Waiting;
@@ -399,6 +403,7 @@
             return;
     }
     m_memory -= estimateMemory(*found->second);
+    m_tenants.removeJob(found->second->tenant);
     m_jobs.erase(found);
 }
 
@@ -492,8 +497,11 @@
         if (job->state != JobState::Open)
             jobs.push_back(record::Job::Pack(builder, job.get()));
     }
+    std::vector<flatbuffers::Offset<record::Tenant>> tenants;
+    for (const auto& [name, tenant] : m_tenants.all())
+        tenants.push_back(record::Tenant::Pack(builder, &tenant));
     const auto config = m_config ? record::Config::Pack(builder, m_config.get()) : 0;
-    builder.Finish(record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial));
+    builder.Finish(record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial, &tenants));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -515,6 +523,7 @@
     for (auto& job : in.jobs) {
         auto& stored = *(m_jobs[job->id] = std::move(job));
         m_memory += estimateMemory(stored);
+        m_tenants.addJob(stored.tenant);
         indexJob(stored);
         for (const auto& occurrence : stored.occurrences) {
             for (uint32_t step = 0; step < occurrence->steps.size(); ++step) {
@@ -526,6 +535,10 @@
             }
         }
     }
+    for (const auto& tenant : in.tenants)
+        m_tenants.restore(*tenant);
+    if (m_config)
+        m_tenants.assign(m_config->tenants);
     return absl::OkStatus();
 }
 
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -73,6 +73,50 @@
     CHECK(errorOf(replaced(configBody, route, route + "," + route)).find("share") != std::string::npos);
 }
 
+// Guards against tenants that reach the scheduler changed, against two that share a key, and against keys in errors.
+TEST_CASE("tenants are decoded or rejected without naming a key", "[platform]")
+{
+    const auto withTenants = [](const std::string& tenants) {
+        return replaced(replaced(configBody, R"("limits")", R"("tenants":[)" + tenants + R"(],"limits")"),
+            R"("stretch":1.5)", R"("stretch":1.5,"public":true)");
+    };
+    const std::string first = R"({"name":"a","api-keys":["secret-1","secret-2"],"priority":1,"weight":31,)"
+                              R"("cap":{"cpu":13959176,"mem-mb":19204765,"gpu":0}})";
+    const auto config = decodeConfig(withTenants(first + R"(,{"name":"b","api-keys":["secret-3"]})"));
+    REQUIRE(config.ok());
+    CHECK((*config)->queues.front()->is_public);
+    REQUIRE((*config)->tenants.size() == 2);
+    const auto& tenant = *(*config)->tenants.front();
+    CHECK(tenant.name == "a");
+    CHECK(tenant.keys == std::vector<std::string> { "secret-1", "secret-2" });
+    CHECK(tenant.priority == 1);
+    CHECK(tenant.weight == 31);
+    CHECK(tenant.cap_cpu == 13'959'176);
+    CHECK(tenant.cap_memory == 19'204'765);
+    CHECK(tenant.cap_accelerators == 0);
+    const auto& plain = *(*config)->tenants.back();
+    CHECK(plain.weight == 1);
+    CHECK(plain.cap_cpu == 0);
+    const std::vector<std::pair<std::string, std::string>> invalid {
+        { R"({"name":"b","api-keys":["secret-2"]})", "tenants[0] and tenants[1] share a key" },
+        { R"({"name":"a","api-keys":["secret-3"]})", "named twice" },
+        { R"({"name":"","api-keys":["secret-3"]})", "tenants[1].name" },
+        { R"({"name":"b","api-keys":["secret-3",""]})", "tenants[1].api-keys" },
+        { R"({"name":"b","api-keys":["secret-3",7]})", "tenants[1].api-keys" },
+        { R"({"name":"b","api-keys":"secret-3"})", "tenants[1].api-keys" },
+        { R"({"name":"b","api-keys":["secret-3"],"weight":-1})", "tenants[1].weight" },
+        { R"({"name":"b","api-keys":["secret-3"],"cap":{"cpu":-1}})", "tenants[1].cap.cpu" },
+        { R"("secret-3")", "tenants[1]" },
+    };
+    for (const auto& [second, error] : invalid) {
+        const auto rejected = decodeConfig(withTenants(first + "," + second));
+        INFO(second);
+        REQUIRE_FALSE(rejected.ok());
+        CHECK(rejected.status().message().find(error) != std::string::npos);
+        CHECK(rejected.status().message().find("secret") == std::string::npos);
+    }
+}
+
 // Guards against accepting an invalid job and against dropping members of a valid one.
 TEST_CASE("a job is decoded", "[platform]")
 {
--- a/test/platform-interface-test.cc
+++ b/test/platform-interface-test.cc
@@ -59,6 +59,8 @@
         { Verdict::NoSuchJob, 410, 410, 410 },
         { Verdict::NotRun, 503, 503, 503 },
         { Verdict::Unknown, 504, 503, 504 },
+        { Verdict::Unauthorized, 401, 401, 401 },
+        { Verdict::TooMany, 429, 429, 429 },
     };
     for (const auto& [verdict, post, get, remove] : codes) {
         recorder.reply.verdict = verdict;
@@ -71,13 +73,30 @@
     CHECK(send(handler, "PATCH", jobPath).status == 405);
 }
 
-// Guards against a 503 response without a retry time.
+// Guards against a key that does not reach the leader.
+TEST_CASE("the key of a call is passed on", "[platform]")
+{
+    RecordingCell recorder;
+    const auto handler = clientHandler(recorder.callback());
+    for (const auto* method : { "POST", "GET", "DELETE" }) {
+        http::Request request { .method = method, .target = jobPath, .host = "a.example", .body = jobBody };
+        request.headers[keyHeader] = "key of a tenant";
+        handler(request, [](const auto&) {});
+        CHECK(recorder.call.key == "key of a tenant");
+        send(handler, method, jobPath, jobBody);
+        CHECK(recorder.call.key.empty());
+    }
+}
+
+// Guards against a 503 or 429 response without a retry time.
 TEST_CASE("a refused call has a Retry-After header", "[platform]")
 {
     RecordingCell recorder;
     recorder.reply.verdict = Verdict::NotRun;
     recorder.reply.retry_after_ms = 1'200;
     CHECK(send(clientHandler(recorder.callback()), "POST", jobPath, jobBody).headers.at("Retry-After") == "2");
+    recorder.reply.verdict = Verdict::TooMany;
+    CHECK(send(clientHandler(recorder.callback()), "POST", jobPath, jobBody).headers.at("Retry-After") == "2");
 }
 
 // Guards against forwarding a malformed job to the leader.
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -29,6 +29,7 @@
 grace-s = 6
 max-hold-ms = 10000
 status_s = 120
+quota-window-s = 4
 )";
 
 std::string replaced(std::string text, const std::string& from, const std::string& to)
@@ -62,6 +63,7 @@
     CHECK(settings->maxLease == std::chrono::seconds(10));
     CHECK(settings->maxLostDisks == 2);
     CHECK(settings->statusRetention == std::chrono::seconds(120));
+    CHECK(settings->quotaWindow == std::chrono::seconds(4));
     CHECK(internalAddress(*settings, "10.2.0.32:8166") == "10.2.0.32:7720");
     CHECK(settings->peerListenAddress.empty());
     const auto proxied = parseNodeSettings("internal-listen = \"10.1.0.17:7800\"\n" + control, "node.toml");
--- a/test/soak/client.cc
+++ b/test/soak/client.cc
@@ -23,11 +23,12 @@
     constexpr double lostAnswerShare = 0.03; // Answers that are treated as lost.
 } // namespace
 
-Client::Client(World& world, Cluster& cluster, Operator& configuration, Jobs& jobs)
+Client::Client(World& world, Cluster& cluster, Operator& configuration, Jobs& jobs, int tenant)
     : m_world(world)
     , m_cluster(cluster)
     , m_operator(configuration)
     , m_jobs(jobs)
+    , m_tenant(tenant)
     , m_stream(world.io)
 {
 }
@@ -42,7 +43,7 @@
     constexpr size_t clientCount = 20;
     const auto accepted = jobs.open();
     for (size_t i = 0; i < clientCount; ++i) {
-        auto client = std::make_shared<Client>(world, cluster, configuration, jobs);
+        auto client = std::make_shared<Client>(world, cluster, configuration, jobs, 0);
         client->m_asksForJobs = true;
         client->m_until = until;
         for (size_t j = i; j < accepted.size(); j += clientCount)
@@ -79,7 +80,8 @@
         exchange->path = exchange->route + exchange->job;
         if (choice < 55) {
             exchange->method = "DELETE";
-            m_jobs.at(exchange->job).cancelled = true;
+            if (!isForeign(exchange->job))
+                m_jobs.at(exchange->job).cancelled = true;
         }
     } else {
         exchange->route = exchange->path = m_operator.anyRoute();
@@ -87,19 +89,25 @@
     send(exchange);
 }
 
+bool Client::isForeign(const std::string& job)
+{
+    return m_operator.tenants().count() > 0 && m_jobs.at(job).tenant != m_tenant;
+}
+
 void Client::submitJob()
 {
     const auto count = m_world.random(1, 3);
     const auto workMs = m_world.random(50, 1'500);
+    std::vector<int64_t> cpu { m_world.random(100, 1'500), 200 };
     json::array steps { json::object {
-        { "count", count }, { "cpu", m_world.random(100, 1'500) }, { "mem-mb", 100 }, { "est-ms", workMs } } };
+        { "count", count }, { "cpu", cpu.front() }, { "mem-mb", 100 }, { "est-ms", workMs } } };
     const bool hasSecond = m_world.chance(0.3);
     if (hasSecond)
-        steps.push_back(json::object {
-            { "count", 1 }, { "cpu", 200 }, { "mem-mb", 100 }, { "est-ms", workMs }, { "after", json::array { 0 } } });
+        steps.push_back(json::object { { "count", 1 }, { "cpu", cpu.back() }, { "mem-mb", 100 }, { "est-ms", workMs },
+            { "after", json::array { 0 } } });
     auto exchange = std::make_shared<Exchange>();
     exchange->method = "POST";
-    exchange->job = m_jobs.add(static_cast<int>(count) + (hasSecond ? 1 : 0));
+    exchange->job = m_jobs.add(static_cast<int>(count) + (hasSecond ? 1 : 0), m_tenant, std::move(cpu));
     exchange->route = m_operator.baseRoute();
     exchange->path = exchange->route + exchange->job;
     exchange->body
@@ -130,6 +138,10 @@
     ++exchange->attempts;
     m_request = absl::StrCat(exchange->method, " ", exchange->path, " HTTP/1.1\r\nHost: ", Operator::host,
         "\r\nX-Turmericpier-Deadline-Ms: ", clientDeadline.count(), "\r\n");
+    if (auto& tenants = m_operator.tenants(); tenants.count() > 0) {
+        exchange->key = m_asksForJobs ? tenants.newestKey(m_jobs.at(exchange->job).tenant) : tenants.anyKey(m_tenant);
+        absl::StrAppend(&m_request, "X-Api-Key: ", exchange->key, "\r\n");
+    }
     if (!exchange->body.empty())
         absl::StrAppend(
             &m_request, "Content-Type: application/json\r\nContent-Length: ", exchange->body.size(), "\r\n");
@@ -231,6 +243,13 @@
 {
     if (exchange->status == 200 || exchange->status == 404)
         m_operator.onRouteAnswer(exchange->route, exchange->startedAt, exchange->status);
+    if (!exchange->key.empty())
+        m_operator.onKeyAnswer(exchange->key, exchange->startedAt, exchange->status);
+    if (!exchange->job.empty() && exchange->method != "POST" && !m_asksForJobs && isForeign(exchange->job)) {
+        if (exchange->status == 200)
+            m_world.report("TENANT", absl::StrCat(exchange->method, " of the job of another tenant: ", exchange->job));
+        return finish();
+    }
     if (exchange->method == "POST")
         return onSubmitAnswer(exchange);
     if (!exchange->job.empty() && exchange->method == "GET") {
@@ -260,7 +279,8 @@
     } else if (exchange->status == 502 || exchange->status == 504) {
         job.maybeAccepted = true;
         return retry(exchange);
-    } else if (exchange->status == 429 || exchange->status == 503) {
+    } else if (exchange->status == 429 || exchange->status == 503
+        || (exchange->status == 401 && !exchange->key.empty())) {
         // The refused attempt has not run, and what is known of the earlier ones stays.
         if (m_world.chance(0.5))
             return retry(exchange);
--- a/test/soak/client.h
+++ b/test/soak/client.h
@@ -13,7 +13,8 @@
 
 class Client : public std::enable_shared_from_this<Client> {
 public:
-    Client(World& world, Cluster& cluster, Operator& configuration, Jobs& jobs);
+    /// Sends the keys of the tenant with this number, if there are tenants.
+    Client(World& world, Cluster& cluster, Operator& configuration, Jobs& jobs, int tenant);
 
     /// Sends requests one after the other until stop().
     void start();
@@ -28,6 +29,7 @@
         std::string body;
         std::string route; ///< Prefix of the route that the path names.
         std::string job; ///< Id of a job that the request is about; may be empty.
+        std::string key; ///< Of the last attempt.
         int attempts = 0;
         Time startedAt { 0 };
         Time sentAt { 0 }; ///< Time at which the last byte was sent.
@@ -38,6 +40,7 @@
 
     void next();
     void submitJob();
+    bool isForeign(const std::string& job);
     void send(const std::shared_ptr<Exchange>& exchange);
     void connect(const std::shared_ptr<Exchange>& exchange);
     void write(const std::shared_ptr<Exchange>& exchange, size_t offset);
@@ -54,6 +57,7 @@
     Cluster& m_cluster;
     Operator& m_operator;
     Jobs& m_jobs;
+    const int m_tenant;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
--- a/test/soak/jobs.cc
+++ b/test/soak/jobs.cc
@@ -1,7 +1,9 @@
 #include "soak/jobs.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
 
 namespace turmericpier::soak {
 
@@ -9,10 +11,12 @@
     bool hasEnded(const Job& job) { return job.state == "done" || job.state == "failed" || job.state == "cancelled"; }
 } // namespace
 
-std::string Jobs::add(int tasks)
+std::string Jobs::add(int tasks, int tenant, std::vector<int64_t> cpu)
 {
     auto id = absl::StrFormat("%016x", m_world.random(0, INT64_MAX));
     m_jobs[id].tasks = tasks;
+    m_jobs[id].tenant = tenant;
+    m_jobs[id].cpu = std::move(cpu);
     return id;
 }
 
@@ -43,6 +47,17 @@
     m_world.report(rule, seen);
 }
 
+/// Returns the processors of the task if it belongs to the first tenant.
+int64_t Jobs::cpuOfFirstTenant(const std::string& task) const
+{
+    const std::vector<std::string> parts = absl::StrSplit(task, '.'); // Job, occurrence, step and index.
+    const auto job = m_jobs.find(parts[0]);
+    size_t step = 0;
+    if (!m_highestCap || job == m_jobs.end() || job->second.tenant != 0 || !absl::SimpleAtoi(parts[2], &step))
+        return 0;
+    return job->second.cpu.at(step);
+}
+
 size_t Jobs::onStart(const std::string& task, Run run)
 {
     auto& runs = m_runs[task];
@@ -55,11 +70,19 @@
     }
     if (!m_jobs.contains(task.substr(0, task.find('.'))))
         reportRuns("UNASKED", task, "belongs to no job");
+    if (const auto cpu = cpuOfFirstTenant(task); cpu > 0) {
+        constexpr double overage = 0.1;
+        m_cpuOfFirstTenant += cpu;
+        const auto cap = m_highestCap(m_world.now());
+        if (m_cpuOfFirstTenant > cap + static_cast<int64_t>(overage * static_cast<double>(cap)) + cpu)
+            reportRuns("QUOTA", task, absl::StrCat("brings its tenant to ", m_cpuOfFirstTenant, " of ", cap));
+    }
     return runs.size() - 1;
 }
 
 void Jobs::onEnd(const std::string& task, size_t run, const std::string& how)
 {
+    m_cpuOfFirstTenant -= cpuOfFirstTenant(task);
     auto& ended = m_runs[task][run];
     ended.endedAt = m_world.now();
     ended.how = how;
--- a/test/soak/jobs.h
+++ b/test/soak/jobs.h
@@ -2,6 +2,7 @@
 
 #include "soak/world.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -22,6 +23,8 @@
 /// A job as its client has seen it.
 struct Job {
     int tasks = 0;
+    int tenant = 0; ///< Number of the tenant, if there are tenants.
+    std::vector<int64_t> cpu; ///< Of each task, by step.
     bool maybeAccepted = false; ///< An attempt got no clear answer.
     std::optional<Time> acceptedAt;
     bool cancelled = false; ///< A cancellation was sent.
@@ -35,7 +38,9 @@
     {
     }
 
-    std::string add(int tasks);
+    std::string add(int tasks, int tenant, std::vector<int64_t> cpu);
+    /// Sets a bound on what the first tenant has running; `highest` is its cap at a time.
+    void boundFirstTenant(std::function<int64_t(Time)> highest) { m_highestCap = std::move(highest); }
     Job& at(const std::string& id) { return m_jobs.at(id); }
     std::vector<std::string> accepted() const;
     /// Returns the accepted jobs of which no end is known.
@@ -53,10 +58,13 @@
 private:
     void reportRuns(const std::string& rule, const std::string& task, const std::string& what);
     int doneTasks(const std::string& id) const;
+    int64_t cpuOfFirstTenant(const std::string& task) const;
 
     World& m_world;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, std::vector<Run>> m_runs; ///< By task, in the order of their starts.
+    std::function<int64_t(Time)> m_highestCap; ///< Empty if there are no tenants.
+    int64_t m_cpuOfFirstTenant = 0; ///< Of its runs that have not ended.
 };
 
 } // namespace turmericpier::soak
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -27,6 +27,7 @@
 DEFINE_int32(entries, 7, "entries");
 DEFINE_int32(workers, 24, "workers");
 DEFINE_int32(clients, 40, "clients");
+DEFINE_int32(tenants, 0, "tenants of the configuration, whose keys and caps change; without them calls need no key");
 DEFINE_int32(network, 0, "second number of the loopback addresses, 1 to 254; chosen by the process id if 0");
 DEFINE_bool(verbose, false, "write a line for each disturbance and each change");
 DEFINE_bool(keep, false, "keep the folder with the logs; it is always kept after a broken promise");
@@ -47,7 +48,7 @@
         , m_cluster(m_world, { FLAGS_program, FLAGS_disk_library, folder, network(), FLAGS_controls, FLAGS_entries })
         , m_http(m_world.io, { .connectionsPerAddress = 64 }, m_world.clock, m_world.metrics)
         , m_links(m_world)
-        , m_operator(m_world, m_cluster, m_http)
+        , m_operator(m_world, m_cluster, m_http, FLAGS_tenants)
         , m_jobs(m_world)
         , m_faults(m_world, m_cluster, m_links, m_workers, group)
     {
@@ -56,6 +57,8 @@
     /// Returns the number of broken promises.
     size_t run()
     {
+        if (FLAGS_tenants > 0)
+            m_jobs.boundFirstTenant([this](Time time) { return m_operator.maxCapAt(time); });
         m_cluster.start();
         for (const auto& processes : { m_cluster.controls(), m_cluster.entries() }) {
             for (const auto* process : processes)
@@ -105,7 +108,8 @@
     void startTraffic()
     {
         for (int i = 0; i < FLAGS_clients; ++i) {
-            m_clients.push_back(std::make_shared<Client>(m_world, m_cluster, m_operator, m_jobs));
+            const auto tenant = FLAGS_tenants > 0 ? i % FLAGS_tenants : 0;
+            m_clients.push_back(std::make_shared<Client>(m_world, m_cluster, m_operator, m_jobs, tenant));
             m_clients.back()->start();
         }
         m_operator.start();
--- a/test/soak/operator.cc
+++ b/test/soak/operator.cc
@@ -23,18 +23,21 @@
             { "service", "svc" }, { "attempts", 3 }, { "stretch", 1.5 } };
     }
 
-    json::object documentOf(int64_t version, const std::set<std::string>& prefixes)
+    json::object documentOf(int64_t version, const std::set<std::string>& prefixes, const Tenants& tenants)
     {
         json::array routes;
         for (const auto& prefix : prefixes)
             routes.push_back(routeOf(prefix));
-        return { { "version", version }, { "routes", std::move(routes) },
+        json::object document { { "version", version }, { "routes", std::move(routes) },
             { "services",
                 json::array { json::object { { "name", "svc" }, { "health-path", "/health" }, { "max-conns", 64 },
                     { "protocol", "h1" }, { "tls", false }, { "admission-check", false }, { "spare", false } } } },
             { "limits",
                 json::object { { "max-header-bytes", 16'384 }, { "max-body-bytes", 262'144 },
                     { "header-timeout-ms", 3'000 }, { "idle-timeout-ms", 15'000 } } } };
+        if (tenants.count() > 0)
+            document["tenants"] = tenants.describe();
+        return document;
     }
 
     bool endsCall(unsigned status)
@@ -43,10 +46,11 @@
     }
 } // namespace
 
-Operator::Operator(World& world, Cluster& cluster, http::Client& client)
+Operator::Operator(World& world, Cluster& cluster, http::Client& client, int tenants)
     : m_world(world)
     , m_cluster(cluster)
     , m_client(client)
+    , m_tenants(world, tenants)
 {
     m_routes.insert(baseRoute());
 }
@@ -56,7 +60,8 @@
     const auto number = (m_versions.empty() ? 0 : m_versions.rbegin()->first) + m_world.random(1, 9);
     auto& version = m_versions[number];
     version.routes = m_routes;
-    version.document = json::serialize(documentOf(number, m_routes));
+    version.tenants = m_tenants.settings();
+    version.document = json::serialize(documentOf(number, m_routes, m_tenants));
     return number;
 }
 
@@ -96,6 +101,7 @@
             m_knownRoutes.push_back(absl::StrCat("/route-", m_nextRoute++, "/"));
             m_routes.insert(m_knownRoutes.back());
         }
+        m_tenants.change();
         put(addVersion(), Resend::UntilAcknowledged);
     }
     m_world.after(m_world.randomTime(20, 1'200), [this] { change(); });
@@ -104,7 +110,7 @@
 std::string Operator::makeInvalidDocument()
 {
     // A version far above all others would stay in force, and the next valid one is lower.
-    auto document = documentOf(m_versions.rbegin()->first + 1'000'000, m_routes);
+    auto document = documentOf(m_versions.rbegin()->first + 1'000'000, m_routes, m_tenants);
     auto& routes = document["routes"].get_array();
     switch (m_world.random(0, 4)) {
     case 0:
@@ -237,20 +243,51 @@
     return m_world.pick(m_knownRoutes);
 }
 
-void Operator::onRouteAnswer(const std::string& route, Time sentAt, unsigned status)
+std::vector<const Operator::Version*> Operator::versionsFor(Time sentAt) const
 {
-    // The versions that may be in force: the newest that must be, and all later ones that were sent.
     const auto first = m_versions.find(acknowledgedBy(sentAt - configApplyTime));
-    bool mayExist = false;
-    bool mayBeMissing = first == m_versions.end();
+    std::vector<const Version*> versions;
+    if (first == m_versions.end())
+        versions.push_back(nullptr);
     for (auto it = first == m_versions.end() ? m_versions.begin() : first; it != m_versions.end(); ++it) {
         if (it->second.sentAt)
-            (it->second.routes.contains(route) ? mayExist : mayBeMissing) = true;
+            versions.push_back(&it->second);
     }
+    return versions;
+}
+
+void Operator::onRouteAnswer(const std::string& route, Time sentAt, unsigned status)
+{
+    bool mayExist = false;
+    bool mayBeMissing = false;
+    for (const auto* version : versionsFor(sentAt))
+        (version && version->routes.contains(route) ? mayExist : mayBeMissing) = true;
     if ((status == 200 && !mayExist) || (status == 404 && !mayBeMissing))
         m_world.report("CONFIG",
             absl::StrCat("route ", route, ", asked at ", sentAt.count(), ", is answered with ", status,
-                " from version ", first == m_versions.end() ? 0 : first->first, " on"));
+                " from version ", acknowledgedBy(sentAt - configApplyTime), " on"));
+}
+
+void Operator::onKeyAnswer(const std::string& key, Time sentAt, unsigned status)
+{
+    bool mayExist = false;
+    bool mayBeMissing = false;
+    for (const auto* version : versionsFor(sentAt))
+        (version && version->tenants.keys.contains(key) ? mayExist : mayBeMissing) = true;
+    const bool wasKnown = status == 200 || status == 410 || status == 429;
+    if ((wasKnown && !mayExist) || (status == 401 && !mayBeMissing))
+        m_world.report("CONFIG",
+            absl::StrCat("key ", key, ", sent at ", sentAt.count(), ", is answered with ", status, " from version ",
+                acknowledgedBy(sentAt - configApplyTime), " on"));
+}
+
+int64_t Operator::maxCapAt(Time time) const
+{
+    int64_t cap = 0;
+    // An order may reach its worker some time after the start was committed.
+    for (const auto* version : versionsFor(time - contactTime))
+        cap = std::max(cap, version ? version->tenants.cap : INT64_MAX / 2);
+    return cap;
 }
 
 } // namespace turmericpier::soak
