Treat a full list of ended runs as incomplete

A worker lists at most 500 ended runs at a time. A new leader took each run that a worker lists neither as running nor as ended for one that never started, also when the list was full, so that tasks whose ends did not fit into the list ran again.

Change: the answer to a poll says whether its list of ends is as long as it may be; then unlisted runs wait for the next list, which begins after the ends that are acknowledged by then. The flag also passes through order proxies. A worker that has restarted is settled as before, because its ends are not acknowledged one by one.

--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -87,6 +87,7 @@
     std::optional<int64_t> startedAtMs; ///< Start of the incarnation that answered, in Unix milliseconds.
     std::vector<ActiveRun> running;
     std::vector<EndedRun> ended;
+    bool mayHaveMoreEnds = false; ///< The list of ended runs is as long as it may be, so that others may be missing.
 };
 
 /// Functions that send orders to workers. Each calls `done` exactly once.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -252,7 +252,9 @@
         if (found != session.runs.end() && found->second.number == reported.run)
             listed.insert(reported.task);
     }
-    resolveUnlistedRuns(session, listed, sentAt);
+    // A run that is not listed may have ended. The next list begins after the ends that are acknowledged by then.
+    if (!answer.mayHaveMoreEnds)
+        resolveUnlistedRuns(session, listed, sentAt);
 }
 
 /// Handles runs that a poll listed neither as active nor as ended.
--- a/src/cell/order-records.cc
+++ b/src/cell/order-records.cc
@@ -89,6 +89,7 @@
         row.how = end.how;
         row.saved = end.checkpoint;
     }
+    made->may_have_more_ends = answer.mayHaveMoreEnds;
     return made;
 }
 
@@ -119,6 +120,7 @@
         made.running.push_back({ taskOf(*row), row->run, row->saved, row->progress, row->load });
     for (const auto& row : answer.ended)
         made.ended.push_back({ row->number, taskOf(*row), row->run, row->how, row->saved });
+    made.mayHaveMoreEnds = answer.may_have_more_ends;
     return made;
 }
 
--- a/test/cell-leader-test.cc
+++ b/test/cell-leader-test.cc
@@ -132,6 +132,27 @@
     CHECK(fixture.starts.front().order.run == 2);
 }
 
+// Guards against tasks that a former leader has started and that run again after the leader changes, because their ends
+// did not fit into the worker's list.
+TEST_CASE("a run that a full list of ends omits is not taken for one that never started", "[cell]")
+{
+    SentStartFixture fixture;
+    fixture.acceptStart();
+    fixture.polls.clear();
+    fixture.activate(2);
+    PollAnswer full;
+    full.result = OrderResult::Accepted;
+    full.clockMs = fixture.workerClock();
+    full.mayHaveMoreEnds = true;
+    REQUIRE(fixture.answerPollWith("w1", full));
+    CHECK(fixture.stateOf(task) == TaskState::Placed);
+    fixture.advanceTime(milliseconds(500));
+    REQUIRE(fixture.answerPoll("w1", {}, { ended(501, EndKind::Done) }));
+    CHECK(fixture.stateOf(task) == TaskState::Done);
+    CHECK(fixture.starts.empty());
+    CHECK(fixture.stops.empty());
+}
+
 // Guards against tasks that wait for seconds because the answer to their start order was lost.
 TEST_CASE("an unanswered start is sent again with the same run number and lease", "[cell]")
 {
--- a/test/cell-order-dispatcher-test.cc
+++ b/test/cell-order-dispatcher-test.cc
@@ -151,6 +151,7 @@
     answer.startedAtMs = 99;
     answer.running.push_back({ { jobId(1), 0, 1, 4 }, 3, "later", 55, 12 });
     answer.ended.push_back({ 6, { jobId(2), 1, 0, 2 }, 1, record::EndKind::Done, "last" });
+    answer.mayHaveMoreEnds = true;
     poll.answerPoll(answer);
     fixture.deliver();
     CHECK(fixture.startResults == std::vector { OrderResult::NoRoom });
@@ -166,6 +167,7 @@
     CHECK(got.ended[0].number == 6);
     CHECK(got.ended[0].task == TaskKey { jobId(2), 1, 0, 2 });
     CHECK(got.ended[0].how == record::EndKind::Done);
+    CHECK(got.mayHaveMoreEnds);
 }
 
 // Guards against a longer way to the workers of a small cell, and against orders that nobody sends.
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -207,6 +207,14 @@
     CHECK(poll.ended[0].task.occurrence == 3);
     CHECK(poll.ended[1].how == EndKind::Lapsed);
     CHECK(poll.ended[1].checkpoint == "s");
+    CHECK_FALSE(poll.mayHaveMoreEnds);
+    // A list of 500 ends may be incomplete.
+    std::string ends = R"([1,"5c0e7a21d94b36f8.0.0.0",1,"done",""])";
+    for (int i = 2; i < 500; ++i)
+        ends += R"(,[1,"5c0e7a21d94b36f8.0.0.0",1,"done",""])";
+    CHECK_FALSE(decodePoll(makeResponse(200, R"({"running":[],"ended":[)" + ends + "]}")).mayHaveMoreEnds);
+    ends += R"(,["malformed"])";
+    CHECK(decodePoll(makeResponse(200, R"({"running":[],"ended":[)" + ends + "]}")).mayHaveMoreEnds);
     CHECK(decodePoll(makeResponse(200, "{}")).result == OrderResult::NoAnswer);
 }
 
