--- a/include/turmericpier/base/units.h
+++ b/include/turmericpier/base/units.h
@@ -54,6 +54,19 @@
     return request.cpu <= free.cpu && request.memory <= free.memory && request.accelerators <= free.accelerators;
 }
 
+/// Returns how many requests of the size `each` fit into `free`; at most `most`.
+inline uint64_t countThatFit(const Resources& each, const Resources& free, uint64_t most)
+{
+    const auto limit = [&most](int64_t amount, int64_t need) {
+        if (need > 0)
+            most = std::min<uint64_t>(most, static_cast<uint64_t>(std::max<int64_t>(0, amount) / need));
+    };
+    limit(free.cpu.value, each.cpu.value);
+    limit(free.memory.value, each.memory.value);
+    limit(free.accelerators.value, each.accelerators.value);
+    return most;
+}
+
 /// Returns by how much `amount` exceeds `limit` in each dimension, and zero where it does not.
 inline Resources excessOver(const Resources& amount, const Resources& limit)
 {
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -192,6 +192,7 @@
     };
     /// A job that waits for its commit.
     struct PendingSubmit {
+        std::string queue; ///< Key of the queue.
         std::string tenant;
         std::vector<Answer> answers;
     };
@@ -206,7 +207,7 @@
     bool fitsState(size_t bytes, std::string_view id);
     Answer holdStateMemory(size_t bytes, Answer answer);
     std::optional<Caller> identifyOrAnswer(const record::CallT& call, const Answer& answer) const;
-    bool mayAccess(const Caller& caller, const std::string& tenant) const;
+    bool mayAccess(const Caller& caller, const std::string& queue, const std::string& tenant) const;
     bool isWithinRate(const std::string& tenant, const std::string& job, const Answer& answer);
     void forgetOmittedTenants();
     void status(const record::CallT& call, const Answer& answer) const;
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -123,13 +123,13 @@
     void applyStart(const record::StartT& start);
     void applyEnd(const record::EndT& end);
     void applyForget(const std::string& id);
-    void release(const TaskKey& key, const record::StepT& step, record::TaskT& task);
+    void release(const record::JobT& job, const TaskKey& key, record::TaskT& task);
     void endTask(record::JobT& job, const TaskKey& key, record::EndKind how, const std::string& saved, uint32_t worker);
     void countCrash(record::JobT& job, record::TaskT& task, const record::EndT& end);
     void closeJob(record::JobT& job, record::JobState state);
     bool allDone(const record::JobT& job) const;
     void indexJob(record::JobT& job);
-    void place(const TaskKey& key, const record::StepT& step, const record::TaskT& task);
+    void place(const record::JobT& job, const TaskKey& key, const record::TaskT& task);
 
     std::unique_ptr<record::ConfigT> m_config;
     std::map<std::string, record::QueueT> m_queues; ///< All queues that any configuration has contained, by key.
@@ -146,6 +146,8 @@
     size_t m_memory = 0;
 };
 
+Resources capacityOf(const record::WorkerT& worker);
+
 /// Returns the capacity that a task of the step occupies on its worker.
 Resources occupancyOf(const record::StepT& step);
 
--- a/include/turmericpier/cell/tenants.h
+++ b/include/turmericpier/cell/tenants.h
@@ -31,8 +31,8 @@
     /// Replaces the tenants by those of a new configuration. Those that it omits lose their keys, and are kept with
     /// their weight and cap while they have jobs.
     void assign(const std::vector<std::unique_ptr<record::TenantT>>& configured);
-    /// Adds a tenant from a snapshot that the configuration, which is assigned afterwards, may omit.
-    void restore(const record::TenantT& tenant) { m_tenants[tenant.name] = tenant; }
+    /// Adds a tenant from a snapshot unless it is one of the configuration, which is assigned before.
+    void restore(const record::TenantT& tenant) { m_tenants.try_emplace(tenant.name, tenant); }
 
     /// Returns true if calls need a key.
     bool areConfigured() const { return m_areConfigured; }
@@ -50,8 +50,9 @@
     void addUsage(const std::string& name, const Resources& resources) { m_usage[name] += resources; }
     void removeUsage(const std::string& name, const Resources& resources);
     Resources usage(const std::string& name) const;
-    /// Returns how many more tasks of this size the tenant may run; at most `count`. A tenant that uses nothing may run
-    /// one task that exceeds its cap, because it would otherwise wait for ever.
+    /// Returns how many more tasks of this size a tenant that uses `used` may run; at most `count`. A tenant below half
+    /// of its cap may run one task that exceeds it, because smaller tasks would otherwise delay a large one without
+    /// end.
     uint64_t tasksWithinCap(
         const std::string& name, const Resources& used, const Resources& each, uint64_t count) const;
 
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -151,10 +151,12 @@
     return caller;
 }
 
-/// Returns true if the caller may see and cancel a job of the tenant. Job ids cannot be guessed, and a client of a
-/// public queue may have lost its key since it sent the job.
-bool Leader::mayAccess(const Caller& caller, const std::string& tenant) const
+/// Returns true if the caller may see and cancel a job of this queue and tenant. Job ids cannot be guessed, and a
+/// client of a public queue may have lost its key since it sent the job.
+bool Leader::mayAccess(const Caller& caller, const std::string& queue, const std::string& tenant) const
 {
+    if (queue != queueKey(caller.queue->host, caller.queue->prefix))
+        return false;
     return caller.tenant.empty() || tenant.empty() || caller.tenant == tenant;
 }
 
@@ -176,7 +178,8 @@
     auto reply = makeReply(Verdict::TooMany, "the tenant sends more jobs than its weight allows");
     reply.retry_after_ms = static_cast<uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(m_arrivals.promise(tenant, found->weight, now)).count());
-    recordDecision("submit", job, "limited",
+    // A kind of its own, because the number of lines of a kind is limited.
+    recordDecision("limit", job, "refused",
         absl::StrCat("tenant=", tenant, " weight=", found->weight, " retry_after_ms=", reply.retry_after_ms));
     answer(std::move(reply));
     return false;
@@ -206,16 +209,14 @@
         pending->second.answers.push_back(std::move(answer));
         return;
     }
+    job.queue = queueKey(caller->queue->host, caller->queue->prefix);
     job.tenant = caller->tenant;
-    if (!isWithinRate(job.tenant, job.id, answer))
-        return;
     const auto bytes = estimateMemory(job);
     if (!fitsState(bytes, job.id))
         return answer(makeStateFullReply());
-    auto& pending = m_pendingSubmits[job.id];
-    pending.tenant = job.tenant;
-    pending.answers.push_back(holdStateMemory(bytes, std::move(answer)));
-    job.queue = queueKey(caller->queue->host, caller->queue->prefix);
+    if (!isWithinRate(job.tenant, job.id, answer))
+        return;
+    m_pendingSubmits[job.id] = { job.queue, job.tenant, { holdStateMemory(bytes, std::move(answer)) } };
     job.accepted_ms = m_hooks.wallMs();
     const auto id = job.id;
     record::CommandT command;
@@ -241,7 +242,7 @@
         return;
     const auto id = call.path.substr(caller->queue->prefix.size());
     const auto* job = m_state.findJob(id);
-    if (!job || job->queue != queueKey(caller->queue->host, caller->queue->prefix) || !mayAccess(*caller, job->tenant))
+    if (!job || !mayAccess(*caller, job->queue, job->tenant))
         return answer(makeReply(Verdict::NoSuchJob));
     auto reply = makeReply(Verdict::Ok);
     reply.state = job->state;
@@ -259,7 +260,7 @@
     const auto pending = m_pendingSubmits.find(id);
     if (!job && pending == m_pendingSubmits.end())
         return answer(makeReply(Verdict::NoSuchJob));
-    if (!mayAccess(*caller, job ? job->tenant : pending->second.tenant))
+    if (!mayAccess(*caller, job ? job->queue : pending->second.queue, job ? job->tenant : pending->second.tenant))
         return answer(makeReply(Verdict::NoSuchJob));
     if (job && job->state != record::JobState::Open)
         return answer(makeReply(Verdict::Ok));
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -474,6 +474,8 @@
 {
     constexpr size_t maxTenants = 200;
     const auto& tenants = m_state.tenants();
+    if (tenants.all().empty())
+        return {};
     std::map<std::string, uint32_t> waiting;
     for (const auto& [order, job] : m_state.openJobs())
         waiting[job->tenant] += job->started ? 0 : 1;
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -117,11 +117,8 @@
         {
             constexpr double weightWithoutTenant = 1;
             Resources capacity;
-            for (const auto& candidate : m_candidates) {
-                const auto& worker = candidate.record->worker;
-                capacity
-                    += { MilliCpu { worker.cpu }, MemoryMib { worker.memory }, Accelerators { worker.accelerators } };
-            }
+            for (const auto& candidate : m_candidates)
+                capacity += capacityOf(candidate.record->worker);
             double weights = weightWithoutTenant;
             for (const auto& [name, tenant] : m_tenants.all())
                 weights += tenant.weight;
@@ -185,9 +182,7 @@
             Candidate candidate {
                 .record = &worker, .penalty = health.penalty, .recentlySuccessful = health.recentlySuccessful
             };
-            candidate.free = Resources { MilliCpu { worker.worker.cpu }, MemoryMib { worker.worker.memory },
-                Accelerators { worker.worker.accelerators } }
-                - worker.used;
+            candidate.free = capacityOf(worker.worker) - worker.used;
             candidate.hasLatencyTarget = worker.tasksWithTarget > 0;
             candidate.hasFillingTask = worker.fillingTasks > 0;
             candidate.hasSuspectedTask = worker.suspectedTasks > 0;
@@ -288,15 +283,7 @@
         /// Returns how many tasks of the step the worker can take, up to `count`.
         static uint64_t taskCapacity(const PendingStep& pending, const Candidate& candidate, uint64_t count)
         {
-            const auto need = occupancyOf(*pending.step);
-            auto capacity = count;
-            const auto limit = [&capacity](auto free, auto each) {
-                if (each.value > 0)
-                    capacity = std::min<uint64_t>(capacity, std::max<int64_t>(0, free.value) / each.value);
-            };
-            limit(candidate.free.cpu, need.cpu);
-            limit(candidate.free.memory, need.memory);
-            limit(candidate.free.accelerators, need.accelerators);
+            auto capacity = countThatFit(occupancyOf(*pending.step), candidate.free, count);
             if (pending.step->max_per_worker > 0)
                 capacity = std::min<uint64_t>(capacity, pending.step->max_per_worker);
             return capacity;
@@ -401,8 +388,12 @@
         {
             auto& counter = awaitingAdvice ? m_plan.unplaced.awaitingAdvice : m_plan.unplaced.withoutWorker;
             counter += static_cast<uint32_t>(tasks);
-            if (tasks > 0 && !awaitingAdvice && !pending.job->tenant.empty())
-                m_plan.waitingTenants.insert(pending.job->tenant);
+            const auto& tenant = pending.job->tenant;
+            // A task that none of the workers can run does not wait for room.
+            const auto mayRun = [&](const Candidate& candidate) { return isCompatible(pending, candidate); };
+            if (tasks > 0 && !awaitingAdvice && !tenant.empty() && !m_plan.waitingTenants.contains(tenant)
+                && (m_candidates.empty() || std::ranges::any_of(m_candidates, mayRun)))
+                m_plan.waitingTenants.insert(tenant);
         }
 
         void placeTasks(const PendingStep& pending)
--- a/src/cell/relay.cc
+++ b/src/cell/relay.cc
@@ -199,6 +199,12 @@
     }
     if (m_leader == leader)
         m_leaderLastContact = m_clock.now();
+    const auto kind = pending->call->kind;
+    const bool mayChangeState = kind == record::CallKind::Submit || kind == record::CallKind::Cancel;
+    // An earlier attempt may have taken effect before the key was removed, or before the tenant had sent too much.
+    if (pending->inDoubt && mayChangeState
+        && (answer->verdict == Verdict::Unauthorized || answer->verdict == Verdict::TooMany))
+        answer = makeReply(Verdict::Unknown, "an earlier attempt got no answer, and a later one was refused");
     finish(pending, *std::move(answer));
 }
 
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -87,6 +87,11 @@
     return key;
 }
 
+Resources capacityOf(const record::WorkerT& worker)
+{
+    return { MilliCpu { worker.cpu }, MemoryMib { worker.memory }, Accelerators { worker.accelerators } };
+}
+
 Resources occupancyOf(const record::StepT& step)
 {
     return { MilliCpu { step.fills ? 0 : step.cpu }, MemoryMib { step.memory }, Accelerators { step.accelerators } };
@@ -217,7 +222,7 @@
     for (const auto& key : placed) {
         auto& job = *m_jobs.at(key.job);
         auto* task = taskIn(findMutableOccurrence(job, key.occurrence), key.step, key.index);
-        release(key, *job.steps[key.step], *task);
+        release(job, key, *task);
         endTask(job, key, EndKind::Lapsed, "", serial);
     }
     removeAddress(found->second.worker);
@@ -265,15 +270,16 @@
     m_openJobOrder.erase(found);
 }
 
-void State::place(const TaskKey& key, const record::StepT& step, const record::TaskT& task)
+void State::place(const record::JobT& job, const TaskKey& key, const record::TaskT& task)
 {
+    const auto& step = *job.steps[key.step];
     auto& worker = m_workers.at(task.worker);
     worker.placed.insert(key);
     worker.used += occupancyOf(step);
     worker.tasksWithTarget += step.target_ms > 0 ? 1 : 0;
     worker.fillingTasks += step.fills ? 1 : 0;
     worker.suspectedTasks += task.suspicions > 0 ? 1 : 0;
-    m_tenants.addUsage(m_jobs.at(key.job)->tenant, resourcesOf(step));
+    m_tenants.addUsage(job.tenant, resourcesOf(step));
 }
 
 void State::applyStart(const record::StartT& start)
@@ -289,18 +295,19 @@
     task->run = start.run;
     task->worker = start.worker;
     job.started = true;
-    place(taskOf(start), *job.steps[start.step], *task);
+    place(job, taskOf(start), *task);
 }
 
-void State::release(const TaskKey& key, const record::StepT& step, record::TaskT& task)
+void State::release(const record::JobT& job, const TaskKey& key, record::TaskT& task)
 {
+    const auto& step = *job.steps[key.step];
     const auto worker = m_workers.find(task.worker);
     if (worker != m_workers.end() && worker->second.placed.erase(key) > 0) {
         worker->second.used -= occupancyOf(step);
         worker->second.tasksWithTarget -= step.target_ms > 0 ? 1 : 0;
         worker->second.fillingTasks -= step.fills ? 1 : 0;
         worker->second.suspectedTasks -= task.suspicions > 0 ? 1 : 0;
-        m_tenants.removeUsage(m_jobs.at(key.job)->tenant, resourcesOf(step));
+        m_tenants.removeUsage(job.tenant, resourcesOf(step));
     }
     task.worker = 0;
     task.state = TaskState::Waiting;
@@ -318,7 +325,7 @@
     if (!task || task->state != TaskState::Placed || task->run != end.run || task->worker != end.worker)
         return;
     const auto key = taskOf(end);
-    release(key, *job.steps[end.step], *task);
+    release(job, key, *task);
     endTask(job, key, end.how, end.saved, end.worker);
     if (end.how == EndKind::Crashed)
         countCrash(job, *task, end);
@@ -361,7 +368,7 @@
             for (uint32_t i = 0; i < tasks.size(); ++i) {
                 const TaskKey member { key.job, key.occurrence, key.step, i };
                 if (tasks[i]->worker != 0) {
-                    release(member, step, *tasks[i]);
+                    release(job, member, *tasks[i]);
                     tasks[i]->state = TaskState::Done;
                 }
             }
@@ -530,15 +537,15 @@
                 for (uint32_t i = 0; i < occurrence->steps[step]->tasks.size(); ++i) {
                     const auto& task = *occurrence->steps[step]->tasks[i];
                     if (task.state == TaskState::Placed && m_workers.contains(task.worker))
-                        place({ stored.id, occurrence->number, step, i }, *stored.steps[step], task);
+                        place(stored, { stored.id, occurrence->number, step, i }, task);
                 }
             }
         }
     }
-    for (const auto& tenant : in.tenants)
-        m_tenants.restore(*tenant);
     if (m_config)
         m_tenants.assign(m_config->tenants);
+    for (const auto& tenant : in.tenants)
+        m_tenants.restore(*tenant);
     return absl::OkStatus();
 }
 
--- a/src/cell/tenants.cc
+++ b/src/cell/tenants.cc
@@ -100,15 +100,12 @@
     const auto* tenant = find(name);
     if (!tenant)
         return count;
-    auto tasks = count;
-    const auto limit = [&tasks](int64_t cap, int64_t inUse, int64_t need) {
-        if (cap > 0 && need > 0)
-            tasks = std::min<uint64_t>(tasks, std::max<int64_t>(0, cap - inUse) / need);
-    };
-    limit(tenant->cap_cpu, used.cpu.value, each.cpu.value);
-    limit(tenant->cap_memory, used.memory.value, each.memory.value);
-    limit(tenant->cap_accelerators, used.accelerators.value, each.accelerators.value);
-    return tasks == 0 && used == Resources {} ? std::min<uint64_t>(count, 1) : tasks;
+    const auto orUnlimited = [](int64_t cap) { return cap > 0 ? cap : INT64_MAX; };
+    const Resources cap { MilliCpu { orUnlimited(tenant->cap_cpu) }, MemoryMib { orUnlimited(tenant->cap_memory) },
+        Accelerators { orUnlimited(tenant->cap_accelerators) } };
+    const auto tasks = countThatFit(each, cap - used, count);
+    const bool isBelowHalf = fits(used, cap - used);
+    return tasks == 0 && isBelowHalf ? std::min<uint64_t>(count, 1) : tasks;
 }
 
 } // namespace turmericpier::cell
--- a/test/cell-leader-tenants-test.cc
+++ b/test/cell-leader-tenants-test.cc
@@ -90,6 +90,10 @@
     waiting->job = job("", step(1));
     CHECK_FALSE(fixture.call(std::move(waiting)));
     CHECK(fixture.cancel(jobId(2), "key-of-b") == Verdict::NoSuchJob);
+    // A public queue gives no access to the jobs of other queues.
+    CHECK(fixture.send(CallKind::Cancel, "/open/" + jobId(1), "").verdict == Verdict::NoSuchJob);
+    CHECK(fixture.send(CallKind::Cancel, "/open/" + jobId(2), "").verdict == Verdict::NoSuchJob);
+    CHECK(fixture.send(CallKind::Status, "/open/" + jobId(1), "").verdict == Verdict::NoSuchJob);
     fixture.commits = true;
     CHECK(fixture.cancel(jobId(1), "key-of-a") == Verdict::Ok);
     CHECK(fixture.state.findJob(jobId(1))->state == record::JobState::Cancelled);
@@ -136,6 +140,27 @@
     CHECK(fixture.submit(jobId(202), "key-of-a") == Verdict::TooMany);
 }
 
+// Guards against refusals because of a task that no worker can run.
+TEST_CASE("a task that no worker can run does not limit its tenant", "[cell]")
+{
+    TenantFixture fixture;
+    fixture.addReadyWorker("w1");
+    auto made = LeaderFixture::callFor(CallKind::Submit, prefix + jobId(100));
+    made->key = "key-of-a";
+    auto needy = step(1);
+    needy->needs = "a label that no worker has";
+    made->job = job("", std::move(needy));
+    CHECK(fixture.call(std::move(made))->verdict == Verdict::Ok);
+    auto empty = step(1, 0);
+    empty->memory = 0;
+    for (unsigned next = 0; next < 50; ++next) {
+        auto call = LeaderFixture::callFor(CallKind::Submit, prefix + jobId(next));
+        call->key = "key-of-a";
+        call->job = job("", std::make_unique<record::StepT>(*empty));
+        CHECK(fixture.call(std::move(call))->verdict == Verdict::Ok);
+    }
+}
+
 // Guards against a refusal while there is room.
 TEST_CASE("a tenant may exceed its weight while all its tasks are placed", "[cell]")
 {
@@ -164,10 +189,38 @@
     while (!fixture.starts.empty())
         CHECK(fixture.answerStart(OrderResult::NoAnswer).run == 1);
     CHECK(fixture.state.tenants().usage("a").cpu == MilliCpu { 1'000 });
+    fixture.polls.clear();
     fixture.activate(2);
+    REQUIRE(fixture.answerPoll("w1", { activeRun({ jobId(1), 0, 0, 0 }, 1) }));
     fixture.advanceTime(milliseconds(500));
     CHECK(fixture.starts.empty());
     CHECK(fixture.state.tenants().usage("a").cpu == MilliCpu { 1'000 });
+    auto raised = LeaderFixture::callFor(CallKind::PutConfig, "");
+    raised->config = configWithTenants(2, tenant("a", { "key-of-a" }, 1, 2'000));
+    CHECK(fixture.call(std::move(raised))->verdict == Verdict::Ok);
+    fixture.advanceTime(milliseconds(50));
+    CHECK(fixture.starts.size() == 1); // The worker had room all the time.
+}
+
+// Guards against a tenant that starts with the figures and the empty bucket of a removed one.
+TEST_CASE("a tenant that was removed and added again starts anew", "[cell]")
+{
+    TenantFixture fixture;
+    const auto put = [&](std::unique_ptr<record::ConfigT> made) {
+        auto call = LeaderFixture::callFor(CallKind::PutConfig, "");
+        call->config = std::move(made);
+        CHECK(fixture.call(std::move(call))->verdict == Verdict::Ok);
+    };
+    CHECK(fixture.submit(jobId(1), "key-of-a") == Verdict::Ok);
+    put(configWithTenants(2, tenant("b", { "key-of-b" })));
+    CHECK(fixture.leader->dump().find("\"accepted\":1") != std::string::npos); // The tenant still has a job.
+    record::CommandT command;
+    command.cancel.push_back(jobId(1));
+    command.forget.push_back(jobId(1));
+    fixture.state.apply(command);
+    put(configWithTenants(3, tenant("b", { "key-of-b" })));
+    put(twoTenants(4));
+    CHECK(fixture.leader->dump().find("\"accepted\":1") == std::string::npos);
 }
 
 // Guards against keys in the dump.
--- a/test/cell-relay-test.cc
+++ b/test/cell-relay-test.cc
@@ -118,6 +118,21 @@
     CHECK(fixture.call().verdict == Verdict::Unknown);
 }
 
+// Guards against a refusal of a call that may have taken effect before its key was removed.
+TEST_CASE("a refusal by the tenant's rules is in doubt if an earlier attempt is", "[cell]")
+{
+    for (const auto verdict : { Verdict::Unauthorized, Verdict::TooMany }) {
+        RelayFixture fixture;
+        fixture.onCall = [&](const Links::Answer& answer) { answer(replyOf(verdict)); };
+        CHECK(fixture.call().verdict == verdict);
+        fixture.onCall = [&](const Links::Answer& answer) {
+            if (fixture.calls > 2)
+                answer(replyOf(verdict));
+        };
+        CHECK(fixture.call().verdict == Verdict::Unknown);
+    }
+}
+
 // Guards against a refusal that does not tell when to try again.
 TEST_CASE("a call that no leader has taken is refused with a retry time", "[cell]")
 {
--- a/test/cell-tenants-test.cc
+++ b/test/cell-tenants-test.cc
@@ -119,6 +119,11 @@
     command.cancel.push_back(jobId(1));
     command.forget.push_back(jobId(1));
     restored.apply(command);
+    // A tenant without jobs is kept until the next configuration, also by a replica that is restored before it.
+    State again;
+    REQUIRE(again.restore(restored.snapshot()).ok());
+    CHECK(again.snapshot() == restored.snapshot());
+    CHECK(again.tenants().find("a"));
     configure(restored, configWithTenants(3, tenant("b", { "k4" })));
     CHECK_FALSE(restored.tenants().find("a"));
 }
@@ -141,15 +146,24 @@
     cell.endOldest(1);
     cell.startPlanned();
     CHECK(cell.cpuOf("a") == 2'000);
-    // A tenant without running work may start one task that exceeds its cap, but no gang.
+    // A tenant below half of its cap may start one task that exceeds it, but no gang.
     configure(cell.state, configWithTenants(3, tenant("a", { "k1" }, 1, 500)));
-    cell.endOldest(2);
+    cell.endOldest(1);
     cell.startPlanned();
     CHECK(cell.cpuOf("a") == 1'000);
     cell.endOldest(1);
+    cell.startPlanned();
+    CHECK(cell.cpuOf("a") == 1'000);
     record::CommandT command;
     command.cancel.push_back(jobId(1));
     cell.state.apply(command);
+    configure(cell.state, configWithTenants(4, tenant("a", { "k1" }, 1, 2'100)));
+    cell.submitTasks("a", 1, 2'000);
+    cell.startPlanned();
+    CHECK(cell.cpuOf("a") == 3'000);
+    configure(cell.state, configWithTenants(5, tenant("a", { "k1" }, 1, 500)));
+    cell.endOldest(2);
+    CHECK(cell.cpuOf("a") == 0);
     auto gang = step(2);
     gang->gang = true;
     submit(cell.state, jobOf("a", jobId(9), std::move(gang)));
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -105,6 +105,7 @@
         { R"({"name":"b","api-keys":["secret-3",7]})", "tenants[1].api-keys" },
         { R"({"name":"b","api-keys":"secret-3"})", "tenants[1].api-keys" },
         { R"({"name":"b","api-keys":["secret-3"],"weight":-1})", "tenants[1].weight" },
+        { R"({"name":"b","api-keys":["secret-3"],"weight":1e305})", "tenants[1].weight" },
         { R"({"name":"b","api-keys":["secret-3"],"cap":{"cpu":-1}})", "tenants[1].cap.cpu" },
         { R"("secret-3")", "tenants[1]" },
     };
