--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -221,7 +221,7 @@
     void proposeFor(
         const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs = {});
 
-    // Orders to workers, their answers and leases (leader-workers.cc).
+    // Orders to workers and their answers (leader-workers.cc).
     void refreshSessions();
     void adoptRuns(WorkerSession& session, const WorkerRecord& worker);
     void poll(WorkerSession& session);
@@ -241,7 +241,6 @@
     void flushEnds();
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
-    void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
     void markReplaced(WorkerSession& session);
     bool mayHoldRunsOf(const WorkerRecord& earlier, const record::WorkerT& later) const;
     void holdHeartbeat(WorkerSession& session, std::unique_ptr<record::CallT> call, Answer answer);
@@ -256,8 +255,6 @@
     void appendLateCrashes(record::CommandT& command, const record::WorkerT& worker);
     void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
-    void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
-    std::optional<int64_t> leaseUntil(WorkerSession& session);
     double decayedFailures(const WorkerSession& session) const;
     void recordFailure(WorkerSession& session, double weight);
     void recordSuccess(WorkerSession& session);
@@ -268,6 +265,11 @@
     record::EndT makeEnd(
         const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
 
+    // Clocks and leases of workers (leader-leases.cc).
+    void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
+    void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
+    std::optional<int64_t> leaseUntil(WorkerSession& session);
+
     // Planning (leader.cc).
     void requestPlan();
     void runPlan();
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -6,14 +6,13 @@
 #include <algorithm>
 #include <cmath>
 
-/// Orders to workers, their answers, and leases.
+/// Orders to workers and their answers.
 namespace turmericpier::cell {
 
 using record::EndKind;
 using std::chrono::milliseconds;
 
 namespace {
-    constexpr double maxClockDrift = 0.02; // Fraction by which a worker's clock may be slow.
     // Longest wait of a poll; workers accept up to 2,000 ms. An unanswered poll hides the ends on the worker for this
     // long plus a timeout, while the shortest jobs have about two seconds.
     constexpr uint32_t maxPollWaitMs = 500;
@@ -97,38 +96,6 @@
     }
 }
 
-/// Assumes that a lease of the longest duration may be granted until `grantedUntil` from now.
-void Leader::assumeLongestLease(WorkerSession& session, Duration grantedUntil)
-{
-    const auto longest = std::chrono::duration<double>(m_options.maxLease) / (1 - maxClockDrift);
-    session.leaseEnd
-        = std::max(session.leaseEnd, m_clock.now() + std::chrono::duration_cast<Duration>(longest) + grantedUntil);
-}
-
-std::optional<int64_t> Leader::leaseUntil(WorkerSession& session)
-{
-    const auto now = m_clock.now();
-    if (!session.clock || session.leaving || session.replaced || session.removalProposed)
-        return std::nullopt;
-    // The reading was taken between sending and receiving, so counting from the receipt never gives too long a lease.
-    const auto sinceReading = std::chrono::duration_cast<milliseconds>(now - session.clock->receivedAt).count();
-    const auto until = session.clock->clockMs + sinceReading + m_options.lease.count();
-    const auto longest
-        = std::chrono::duration<double>(milliseconds(until - session.clock->clockMs)) / (1 - maxClockDrift);
-    session.leaseEnd
-        = std::max(session.leaseEnd, session.clock->receivedAt + std::chrono::duration_cast<Duration>(longest));
-    return until;
-}
-
-void Leader::recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt)
-{
-    // A clock that has gone back is that of a later incarnation, which takes the lease of an order for its longest one.
-    if (session.clock && sentAt >= session.clock->receivedAt && clockMs < session.clock->clockMs)
-        assumeLongestLease(session, Duration::zero());
-    if (!session.clock || sentAt >= session.clock->sentAt)
-        session.clock = ClockReading { clockMs, sentAt, m_clock.now() };
-}
-
 void Leader::poll(WorkerSession& session)
 {
     if (session.pollInFlight || m_fenced || !m_hooks.holdsLease()) {
