Log the incarnations behind runs that the log does not know

A run that a worker lists and the log does not place there gets a line with the place of the task, and a counter. Each session has a line that joins its serial to an incarnation, a refused start names the serial, the line of a lost worker says whether a later incarnation has answered, and a clock that has gone back is logged. No decision changes.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -229,6 +229,7 @@
     void onPollFailed(WorkerSession& session, const PollAnswer& answer);
     void processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows);
     void processActiveRuns(WorkerSession& session, const PollAnswer& answer, TimePoint sentAt);
+    void recordUnknownRun(const WorkerSession& session, const ActiveRun& reported);
     void resolveUnlistedRuns(WorkerSession& session, const std::set<TaskKey>& listed, TimePoint sentAt);
     void sendStart(WorkerSession& session, const TaskKey& task, Run& run);
     bool trySendStart(WorkerSession& session, const TaskKey& task, Run& run);
@@ -292,6 +293,7 @@
     const Clock& m_clock;
     Counter& m_starts;
     Counter& m_startsRefused;
+    Counter& m_unknownRuns;
     Counter& m_polls;
     Counter& m_adviceCalls;
     Counter& m_plans;
--- a/src/cell/leader-leases.cc
+++ b/src/cell/leader-leases.cc
@@ -38,8 +38,11 @@
 void Leader::recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt)
 {
     // A clock that has gone back is that of a later incarnation, which takes the lease of an order for its longest one.
-    if (session.clock && sentAt >= session.clock->receivedAt && clockMs < session.clock->clockMs)
+    if (session.clock && sentAt >= session.clock->receivedAt && clockMs < session.clock->clockMs) {
+        recordDecision("worker", addressOf(session).id, "clock has gone back",
+            absl::StrCat("serial=", session.serial, " clock_ms=", clockMs, " before=", session.clock->clockMs));
         assumeLongestLease(session, Duration::zero());
+    }
     if (!session.clock || sentAt >= session.clock->sentAt)
         session.clock = ClockReading { clockMs, sentAt, m_clock.now() };
 }
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -120,7 +120,10 @@
     else if (mayHaveCrashed && session.refusesConnections)
         rememberSuspects(session);
     command.gone.push_back(session.serial);
-    recordDecision("worker", worker.id, "gone", absl::StrCat("runs=", session.runs.size()));
+    const auto sinceContact = std::chrono::duration_cast<milliseconds>(m_clock.now() - session.lastContactAt);
+    recordDecision("worker", worker.id, "gone",
+        absl::StrCat("runs=", session.runs.size(), " serial=", session.serial, " born=", worker.born_ms,
+            " other_answers=", hasCrashed, " since_contact_ms=", sinceContact.count()));
     propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
         const auto found = m_sessions.find(serial);
         if (!status.ok() && generation == m_generation && found != m_sessions.end())
@@ -134,7 +137,8 @@
     assumeLongestLease(session, Duration::zero());
     if (std::exchange(session.replaced, true))
         return;
-    recordDecision("worker", addressOf(session).id, "replaced", absl::StrCat("runs=", session.runs.size()));
+    recordDecision("worker", addressOf(session).id, "replaced",
+        absl::StrCat("runs=", session.runs.size(), " serial=", session.serial));
 }
 
 /// Returns true if a start order for `earlier` may have been accepted by `later`, an incarnation with the same id and
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -76,6 +76,8 @@
         session.serial = serial;
         session.lastContactAt = m_clock.now();
         session.pollDueAt = m_clock.now();
+        recordDecision("worker", worker.worker.id, "session",
+            absl::StrCat("serial=", serial, " born=", worker.worker.born_ms, " runs=", worker.placed.size()));
         // A former leader may have given the longest lease at the last moment of its leadership.
         if (!worker.placed.empty())
             assumeLongestLease(session, leadershipOverlap);
@@ -199,6 +201,7 @@
         if (found == session.runs.end() || found->second.number != reported.run) {
             // According to the log this incarnation does not hold the run, for example because its end was committed or
             // its job was already removed.
+            recordUnknownRun(session, reported);
             sendStop(session, reported.task, reported.run);
             continue;
         }
@@ -247,6 +250,18 @@
     }
 }
 
+/// Records a run that the log does not place on this worker. If the log places the task elsewhere, it runs twice.
+void Leader::recordUnknownRun(const WorkerSession& session, const ActiveRun& reported)
+{
+    m_unknownRuns.increment();
+    const auto& worker = m_state.findWorker(session.serial)->worker;
+    const auto* task = m_state.findTask(reported.task);
+    const auto* placed = task ? m_state.findWorker(task->worker) : nullptr;
+    recordDecision("unknown run", taskName(reported.task), "stop",
+        absl::StrCat("run=", reported.run, " worker=", worker.id, " serial=", session.serial, " born=", worker.born_ms,
+            " placed_run=", task ? task->run : 0, " placed_on=", placed ? placed->worker.id : "none"));
+}
+
 void Leader::proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run)
 {
     if (std::exchange(run.endProposed, true))
@@ -404,7 +419,7 @@
     if (answer.result != OrderResult::Accepted) {
         m_startsRefused.increment();
         recordDecision("start", taskName(task), toString(answer.result),
-            absl::StrCat("run=", number, " worker=", addressOf(session).id));
+            absl::StrCat("run=", number, " worker=", addressOf(session).id, " serial=", serial));
     }
     // The refusal of a repeated order says nothing about the orders before it, which may be carried out late or may
     // have run already.
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -80,6 +80,7 @@
     , m_clock(clock)
     , m_starts(metrics.counter("cell_starts_total"))
     , m_startsRefused(metrics.counter("cell_starts_refused_total"))
+    , m_unknownRuns(metrics.counter("cell_unknown_runs_total"))
     , m_polls(metrics.counter("cell_looks_total"))
     , m_adviceCalls(metrics.counter("cell_advice_calls_total"))
     , m_plans(metrics.counter("cell_plans_total"))
