Send an order only to the incarnation of the worker that it is for

A worker that starts again under its id at its address receives, accepts and answers orders for the incarnation before it, because they name the id alone. Whatever the leader concludes from an order (the lease, whether its run can still begin, which ends are read) then holds for another process: a start that waits in the log or for a connection, a lease on the former clock, a copy whose answer is lost, an acknowledgement of ends.

A connection ends with its process. The HTTP client therefore binds a request to a process: it sends it only on a connection whose server has shown the identity required, and asks first on a new one, with a poll that changes nothing. Starts and polls name the incarnation, also through order proxies.

--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -16,6 +16,8 @@
     std::string id;
     std::string address; ///< IP address and port.
     std::string zone;
+    /// Start of the incarnation in Unix milliseconds. Starts and polls reach no other one; 0 if it is not known.
+    int64_t startedAtMs = 0;
 };
 
 /// Result of an order.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -42,7 +42,7 @@
 WorkerAddress Leader::addressOf(const WorkerSession& session) const
 {
     const auto& worker = m_state.findWorker(session.serial)->worker;
-    return { worker.id, worker.address, worker.zone };
+    return { worker.id, worker.address, worker.zone, worker.born_ms };
 }
 
 record::EndT Leader::makeEnd(
--- a/src/cell/order-records.cc
+++ b/src/cell/order-records.cc
@@ -11,6 +11,7 @@
         made->kind = kind;
         made->worker = worker.id;
         made->address = worker.address;
+        made->started_at_ms = worker.startedAtMs;
         return made;
     }
 
@@ -93,7 +94,7 @@
     return made;
 }
 
-WorkerAddress addressOf(const record::OrderT& order) { return { order.worker, order.address, {} }; }
+WorkerAddress addressOf(const record::OrderT& order) { return { order.worker, order.address, {}, order.started_at_ms }; }
 
 StartOrder startOrderOf(const record::OrderT& order, uint64_t fencingToken)
 {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -37,6 +37,11 @@
         ClientRequest request;
         std::chrono::milliseconds timeout;
         Done done;
+        std::optional<PeerBinding> binding;
+        TimePoint sendBy;
+
+        /// Returns true if the request must not be sent before the server has answered a question.
+        bool asksFirst() const { return binding && binding->makeQuestion; }
     };
     class Connection;
     struct Pool {
@@ -52,6 +57,9 @@
         , calls(metrics.counter("http_client_calls_total"))
         , connects(metrics.counter("http_client_connects_total"))
         , faults(metrics.counter("http_client_faults_total"))
+        , questions(metrics.counter("http_client_questions_total"))
+        , otherPeers(metrics.counter("http_client_other_peers_total"))
+        , expiries(metrics.counter("http_client_expired_total"))
         , evictions(metrics.counter("http_client_evictions_total"))
         , starvations(metrics.counter("http_client_starved_total"))
         , interimRefused(metrics.counter("http_client_interim_refused_total"))
@@ -62,6 +70,9 @@
 
     void dispatch(const std::string& address);
     void dispatchStarved();
+    static std::shared_ptr<Connection> findIdle(Pool& pool, const PendingRequest& pending);
+    void failLater(PendingRequest pending, CallFault fault);
+    void failWaiting(const std::string& address, const std::string& identity);
     void removeConnection(const std::string& address, const std::shared_ptr<Connection>& connection);
     void closeIdleConnections();
     void scheduleIdleCheck();
@@ -73,6 +84,9 @@
     Counter& calls;
     Counter& connects;
     Counter& faults;
+    Counter& questions;
+    Counter& otherPeers;
+    Counter& expiries;
     Counter& evictions;
     Counter& starvations;
     Counter& interimRefused;
@@ -99,6 +113,8 @@
     }
 
     TimePoint idleSince() const { return m_idleSince; }
+    /// Identity that the server has shown; empty if none.
+    const std::string& identity() const { return m_identity; }
 
     void open(PendingRequest pending)
     {
@@ -155,18 +171,31 @@
 
 private:
     void send()
+    {
+        if (m_owner->clock.now() > m_pending->sendBy) {
+            m_owner->expiries.increment();
+            return fail(CallFault::Unreachable);
+        }
+        m_isAsking = m_pending->asksFirst() && m_identity.empty();
+        if (!m_isAsking)
+            return write(std::move(m_pending->request), m_pending->timeout);
+        m_owner->questions.increment();
+        write(m_pending->binding->makeQuestion(), m_pending->binding->timeout);
+    }
+
+    void write(ClientRequest request, std::chrono::milliseconds timeout)
     {
         m_message = {};
-        m_message.method_string(m_pending->request.method);
-        m_message.target(m_pending->request.target);
+        m_message.method_string(request.method);
+        m_message.target(request.target);
         m_message.set(beast::http::field::host, m_address);
-        if (!m_pending->request.body.empty())
+        if (!request.body.empty())
             m_message.set(beast::http::field::content_type, "application/json");
-        for (const auto& [name, value] : m_pending->request.headers)
+        for (const auto& [name, value] : request.headers)
             m_message.set(name, value);
-        m_message.body() = std::move(m_pending->request.body);
+        m_message.body() = std::move(request.body);
         m_message.prepare_payload();
-        m_stream.expires_after(m_pending->timeout);
+        m_stream.expires_after(timeout);
         beast::http::async_write(m_stream, m_message, [self = shared_from_this()](error_code error, size_t) {
             if (error)
                 return self->fail(CallFault::NoAnswer);
@@ -256,9 +285,17 @@
         ClientResponse response { CallFault::None, parser.get().result_int(), std::move(parser.get().body()) };
         m_reader.reset();
         m_memory.tryResize(m_reader.memory());
-        auto pending = std::exchange(m_pending, std::nullopt);
         // Bytes behind the response belong to no request.
-        if (keepAlive && m_reader.unparsedBytes() == 0)
+        const bool isReusable = keepAlive && m_reader.unparsedBytes() == 0;
+        if (m_pending->binding && m_identity.empty())
+            m_identity = m_pending->binding->identify(response);
+        if (std::exchange(m_isAsking, false)) {
+            if (m_identity == m_pending->binding->identity && isReusable)
+                return send();
+            refuse(response);
+        }
+        auto pending = std::exchange(m_pending, std::nullopt);
+        if (isReusable)
             awaitReuse();
         else
             discard();
@@ -267,6 +304,21 @@
         m_owner->dispatchStarved();
     }
 
+    /// Sets the fault of a request that is not sent because of the response to its question.
+    void refuse(ClientResponse& response)
+    {
+        const auto& wanted = m_pending->binding->identity;
+        if (m_identity.empty() || m_identity == wanted) {
+            constexpr unsigned firstError = 300;
+            if (response.status < firstError)
+                response.fault = CallFault::Unreachable;
+            return;
+        }
+        m_owner->otherPeers.increment();
+        response.fault = CallFault::OtherPeer;
+        m_owner->failWaiting(m_address, wanted);
+    }
+
     /// Keeps the connection for the next request and discards it when the server closes it.
     void awaitReuse()
     {
@@ -286,6 +338,8 @@
     {
         m_owner->faults.increment();
         m_isReading = false;
+        if (std::exchange(m_isAsking, false) && fault == CallFault::NoAnswer)
+            fault = CallFault::Unreachable; // Only the question was sent.
         auto pending = std::exchange(m_pending, std::nullopt);
         discard();
         m_reader.clear();
@@ -310,6 +364,8 @@
     bool m_isReading = false;
     uint32_t m_informationalCount = 0; ///< Informational responses to the current request.
     std::optional<PendingRequest> m_pending;
+    bool m_isAsking = false; ///< The question of the pending request was sent in its place.
+    std::string m_identity;
     uint64_t m_useCount = 0;
     TimePoint m_idleSince;
 };
@@ -338,22 +394,71 @@
     return true;
 }
 
+/// Returns an idle connection on which the request or its question may be sent, or null.
+std::shared_ptr<Client::Impl::Connection> Client::Impl::findIdle(Pool& pool, const PendingRequest& pending)
+{
+    std::shared_ptr<Connection> unknown;
+    for (const auto& connection : pool.connections) {
+        if (!connection->isIdle())
+            continue;
+        if (!pending.asksFirst() || connection->identity() == pending.binding->identity)
+            return connection;
+        if (connection->identity().empty())
+            unknown = connection;
+    }
+    return unknown;
+}
+
+/// Fails a request that was not sent, once the caller has returned.
+void Client::Impl::failLater(PendingRequest pending, CallFault fault)
+{
+    faults.increment();
+    asio::post(io, [self = shared_from_this(), done = std::move(pending.done), fault] {
+        if (!self->closed)
+            done({ fault, 0, {} });
+    });
+}
+
+/// Fails the requests that wait for a connection to a process that serves the address no longer.
+void Client::Impl::failWaiting(const std::string& address, const std::string& identity)
+{
+    auto& queue = pools[address].queue;
+    std::erase_if(queue, [&](PendingRequest& pending) {
+        if (!pending.asksFirst() || pending.binding->identity != identity)
+            return false;
+        failLater(std::move(pending), CallFault::OtherPeer);
+        return true;
+    });
+}
+
 void Client::Impl::dispatch(const std::string& address)
 {
     if (closed)
         return;
     auto& pool = pools[address];
     while (!pool.queue.empty()) {
-        auto reusable = std::ranges::find_if(pool.connections, [](const auto& c) { return c->isIdle(); });
-        if (reusable != pool.connections.end() && !(*reusable)->isClean()) {
-            const auto stale = *reusable; // Its bytes would be taken for the next response.
-            stale->discard();
+        const auto& next = pool.queue.front();
+        if (clock.now() > next.sendBy) {
+            expiries.increment();
+            failLater(std::move(pool.queue.front()), CallFault::Unreachable);
+            pool.queue.pop_front();
+            continue;
+        }
+        const auto reusable = findIdle(pool, next);
+        if (reusable && !reusable->isClean()) {
+            reusable->discard(); // Its bytes would be taken for the next response.
             continue;
         }
         const bool isFull = pool.connections.size() >= options.connectionsPerAddress;
-        if (reusable == pool.connections.end()) {
-            if (isFull)
-                return;
+        if (!reusable) {
+            if (isFull) {
+                // Idle connections are of no use to a request for another process than theirs.
+                const auto other = std::ranges::find_if(pool.connections, [](const auto& c) { return c->isIdle(); });
+                if (other == pool.connections.end())
+                    return;
+                std::shared_ptr(*other)->discard();
+                continue;
+            }
             if (openCount >= options.maxConnections && !evictLongestIdle(idle, evictions)) {
                 if (pool.connections.empty() && !std::exchange(pool.starved, true)) {
                     starvations.increment();
@@ -364,8 +469,8 @@
         }
         auto pending = std::move(pool.queue.front());
         pool.queue.pop_front();
-        if (reusable != pool.connections.end()) {
-            (*reusable)->reuse(std::move(pending));
+        if (reusable) {
+            reusable->reuse(std::move(pending));
         } else {
             auto connection = std::make_shared<Connection>(shared_from_this(), address);
             pool.connections.push_back(connection);
@@ -438,7 +543,8 @@
     }
 }
 
-void Client::call(const std::string& address, ClientRequest request, std::chrono::milliseconds timeout, Done done)
+void Client::call(const std::string& address, ClientRequest request, std::chrono::milliseconds timeout, Done done,
+    std::optional<PeerBinding> binding)
 {
     m_impl->calls.increment();
     auto& pool = m_impl->pools[address];
@@ -446,7 +552,8 @@
         m_impl->faults.increment();
         return done({ CallFault::Unreachable, 0, {} });
     }
-    pool.queue.push_back({ std::move(request), timeout, std::move(done) });
+    const auto sendBy = m_impl->clock.now() + m_impl->options.sendTimeout;
+    pool.queue.push_back({ std::move(request), timeout, std::move(done), std::move(binding), sendBy });
     m_impl->dispatch(address);
 }
 
--- a/test/cell-order-dispatcher-test.cc
+++ b/test/cell-order-dispatcher-test.cc
@@ -21,6 +21,7 @@
     struct Sent {
         std::string by; ///< Identity of the process that sent the order to the worker; empty for the leader.
         std::string worker;
+        int64_t startedAtMs = 0;
         StartOrder start;
         PollOrder poll;
         std::function<void(OrderAnswer)> answerStart;
@@ -50,11 +51,11 @@
     {
         OrderHooks hooks;
         hooks.start = [this, by](const WorkerAddress& to, const StartOrder& order, auto done) {
-            sent.push_back({ by, to.id, order, {}, std::move(done), {} });
+            sent.push_back({ by, to.id, to.startedAtMs, order, {}, std::move(done), {} });
         };
         hooks.stop = [](const WorkerAddress&, const StopOrder&, const std::function<void(OrderAnswer)>&) {};
         hooks.poll = [this, by](const WorkerAddress& to, const PollOrder& order, auto done) {
-            sent.push_back({ by, to.id, {}, order, {}, std::move(done) });
+            sent.push_back({ by, to.id, to.startedAtMs, {}, order, {}, std::move(done) });
         };
         return hooks;
     }
@@ -101,12 +102,12 @@
         order.fencingToken = 7;
         order.checkpoint = "saved";
         order.ticket = "ticket";
-        dispatcher.orderHooks().start({ worker, worker + ":80", zone }, order,
+        dispatcher.orderHooks().start({ worker, worker + ":80", zone, 77 }, order,
             [this](const OrderAnswer& answer) { startResults.push_back(answer.result); });
     }
     void poll(const std::string& worker, uint32_t waitMs)
     {
-        dispatcher.orderHooks().poll({ worker, worker + ":80", "z1" }, { 7, 5, 8'000, waitMs },
+        dispatcher.orderHooks().poll({ worker, worker + ":80", "z1", 77 }, { 7, 5, 8'000, waitMs },
             [this](const PollAnswer& answer) { pollAnswers.push_back(answer); });
     }
     void advance(milliseconds time)
@@ -132,6 +133,7 @@
     const auto& start = fixture.sent.front();
     CHECK(start.by == "p1");
     CHECK(start.worker == "w1");
+    CHECK(start.startedAtMs == 77);
     CHECK(start.start.task == TaskKey { jobId(1), 0, 1, 4 });
     CHECK(start.start.run == 3);
     CHECK(start.start.spec == "spec");
@@ -140,6 +142,7 @@
     CHECK(start.start.checkpoint == "saved");
     CHECK(start.start.ticket == "ticket");
     const auto& poll = fixture.sent.back();
+    CHECK(poll.startedAtMs == 77);
     CHECK(poll.poll.fencingToken == 7);
     CHECK(poll.poll.ackCursor == 5);
     CHECK(poll.poll.leaseUntilMs == 8'000);
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -189,6 +189,21 @@
     CHECK(decodeOrder({ http::CallFault::NoAnswer, 0, "" }).result == OrderResult::NoAnswer);
 }
 
+// Guards against the clock of another incarnation in the place of that of the worker, and against the list of a later
+// incarnation that is not read.
+TEST_CASE("the answer of another incarnation is told apart", "[platform]")
+{
+    const std::string body = R"({"clock-ms":12,"born":9,"running":[],"ended":[]})";
+    const auto order = decodeOrder({ http::CallFault::OtherPeer, 200, body });
+    CHECK(order.result == OrderResult::OtherIncarnation);
+    CHECK_FALSE(order.clockMs);
+    CHECK_FALSE(decodeOrder(makeResponse(421, R"({"clock-ms":12})")).clockMs);
+    const auto poll = decodePoll({ http::CallFault::OtherPeer, 200, body });
+    CHECK(poll.result == OrderResult::Accepted);
+    CHECK(poll.startedAtMs == 9);
+    CHECK(decodePoll({ http::CallFault::OtherPeer, 0, "" }).result == OrderResult::NoAnswer);
+}
+
 // Guards against reading rows of a poll response with shifted or missing columns.
 TEST_CASE("a poll response is decoded", "[platform]")
 {
