Mend what the review of the order binding found

The expiry is checked after connecting and after the check only, outside of dispatch(). A response says whether its request was sent. A server that cannot be verified gets a line `identity`.

--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -16,7 +16,8 @@
     std::string id;
     std::string address; ///< IP address and port.
     std::string zone;
-    /// Start of the incarnation in Unix milliseconds. Starts and polls reach no other one; 0 if it is not known.
+    /// Start of the incarnation in Unix milliseconds; 0 if it is not known. Starts, and polls that give a lease or
+    /// acknowledge ends, reach no other one; stops and other polls may.
     int64_t startedAtMs = 0;
 };
 
--- a/include/turmericpier/http/client.h
+++ b/include/turmericpier/http/client.h
@@ -36,18 +36,19 @@
     CallFault fault = CallFault::NoAnswer;
     unsigned status = 0; ///< HTTP status code; 0 if there is a fault.
     std::string body;
+    bool isRequestSent = true; ///< False if this is the response to the identity check of a request that was not sent.
 };
 
 /// Binds a request to one of the processes that serve its address one after the other. A connection ends with its
 /// process, so the request is sent only on a connection whose server has shown that it is the one required:
 ///
-///     client.call(address, order, timeout, done, PeerBinding { "i-7/17965", makeQuestion, timeout, identify });
+///     client.call(address, order, timeout, done, PeerBinding { "i-7/17965", makeIdentityCheck, timeout, identify });
 struct PeerBinding {
     std::string identity; ///< Identity that the server must have.
     /// Returns the request that is sent first on a connection whose server has not shown its identity yet. If null, the
     /// request itself asks for the identity and is sent on any connection.
-    std::function<ClientRequest()> makeQuestion;
-    std::chrono::milliseconds timeout { 0 }; ///< For the response to the question.
+    std::function<ClientRequest()> makeIdentityCheck;
+    std::chrono::milliseconds timeout { 0 }; ///< For the response to the identity check.
     /// Returns the identity that a response shows; empty if it shows none.
     std::function<std::string(const ClientResponse&)> identify;
 };
@@ -79,8 +80,7 @@
 
     /// Sends a request to an "IP:PORT". `timeout` starts once there is a connection; `done` is called exactly once, and
     /// may be called before this function returns. If the server is another one than `binding` requires, the response
-    /// to the question is passed on with OtherPeer. If the server refuses the question, its response is passed on as
-    /// that to the request, which was not sent.
+    /// to the identity check is passed on with OtherPeer. If the server refuses the check, its response is passed on.
     void call(const std::string& address, ClientRequest request, std::chrono::milliseconds timeout, Done done,
         std::optional<PeerBinding> binding = std::nullopt);
     /// Closes the connections that have been idle for the idle timeout. The client does so by itself four times during
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -2,6 +2,7 @@
 
 #include "http/idle-list.h"
 #include "http/message-reader.h"
+#include "turmericpier/base/log.h"
 #include "turmericpier/peer/address.h"
 
 #include <algorithm>
@@ -40,8 +41,8 @@
         std::optional<PeerBinding> binding;
         TimePoint sendBy;
 
-        /// Returns true if the request must not be sent before the server has answered a question.
-        bool asksFirst() const { return binding && binding->makeQuestion; }
+        /// Returns true if the request must not be sent before the server has shown its identity.
+        bool needsIdentityCheck() const { return binding && binding->makeIdentityCheck; }
     };
     class Connection;
     struct Pool {
@@ -57,7 +58,7 @@
         , calls(metrics.counter("http_client_calls_total"))
         , connects(metrics.counter("http_client_connects_total"))
         , faults(metrics.counter("http_client_faults_total"))
-        , questions(metrics.counter("http_client_questions_total"))
+        , identityChecks(metrics.counter("http_client_identity_checks_total"))
         , otherPeers(metrics.counter("http_client_other_peers_total"))
         , expiries(metrics.counter("http_client_expired_total"))
         , evictions(metrics.counter("http_client_evictions_total"))
@@ -84,7 +85,7 @@
     Counter& calls;
     Counter& connects;
     Counter& faults;
-    Counter& questions;
+    Counter& identityChecks;
     Counter& otherPeers;
     Counter& expiries;
     Counter& evictions;
@@ -132,7 +133,7 @@
                     error == asio::error::connection_refused ? CallFault::Refused : CallFault::Unreachable);
             error_code ignored;
             self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
-            self->send();
+            self->sendInTime();
         });
     }
 
@@ -170,17 +171,24 @@
     }
 
 private:
-    void send()
+    /// Sends the request unless it has waited too long for the connection. Must not be called by dispatch(), because a
+    /// failure removes the connection and dispatches again.
+    void sendInTime()
     {
         if (m_owner->clock.now() > m_pending->sendBy) {
             m_owner->expiries.increment();
             return fail(CallFault::Unreachable);
         }
-        m_isAsking = m_pending->asksFirst() && m_identity.empty();
-        if (!m_isAsking)
+        send();
+    }
+
+    void send()
+    {
+        m_isChecking = m_pending->needsIdentityCheck() && m_identity.empty();
+        if (!m_isChecking)
             return write(std::move(m_pending->request), m_pending->timeout);
-        m_owner->questions.increment();
-        write(m_pending->binding->makeQuestion(), m_pending->binding->timeout);
+        m_owner->identityChecks.increment();
+        write(m_pending->binding->makeIdentityCheck(), m_pending->binding->timeout);
     }
 
     void write(ClientRequest request, std::chrono::milliseconds timeout)
@@ -286,12 +294,12 @@
         m_reader.reset();
         m_memory.tryResize(m_reader.memory());
         // Bytes behind the response belong to no request.
-        const bool isReusable = keepAlive && m_reader.unparsedBytes() == 0;
+        const bool isReusable = keepAlive && m_reader.unparsedBytes() == 0 && isClean();
         if (m_pending->binding && m_identity.empty())
             m_identity = m_pending->binding->identify(response);
-        if (std::exchange(m_isAsking, false)) {
+        if (std::exchange(m_isChecking, false)) {
             if (m_identity == m_pending->binding->identity && isReusable)
-                return send();
+                return sendInTime();
             refuse(response);
         }
         auto pending = std::exchange(m_pending, std::nullopt);
@@ -304,19 +312,26 @@
         m_owner->dispatchStarved();
     }
 
-    /// Sets the fault of a request that is not sent because of the response to its question.
+    /// Turns the response to the identity check into that to the request, which is not sent.
     void refuse(ClientResponse& response)
     {
-        const auto& wanted = m_pending->binding->identity;
-        if (m_identity.empty() || m_identity == wanted) {
-            constexpr unsigned firstError = 300;
-            if (response.status < firstError)
-                response.fault = CallFault::Unreachable;
+        constexpr unsigned firstError = 300;
+        response.isRequestSent = false;
+        const auto& expected = m_pending->binding->identity;
+        if (m_identity.empty() || m_identity == expected) {
+            if (response.status >= firstError)
+                return;
+            // Such a server gets no bound requests at all.
+            logDecision("http", "identity", m_address, "not verified",
+                { { "expected", expected },
+                    { "reason",
+                        m_identity.empty() ? "the response shows no identity" : "the connection ends with it" } });
+            response.fault = CallFault::Unreachable;
             return;
         }
         m_owner->otherPeers.increment();
         response.fault = CallFault::OtherPeer;
-        m_owner->failWaiting(m_address, wanted);
+        m_owner->failWaiting(m_address, expected);
     }
 
     /// Keeps the connection for the next request and discards it when the server closes it.
@@ -338,8 +353,8 @@
     {
         m_owner->faults.increment();
         m_isReading = false;
-        if (std::exchange(m_isAsking, false) && fault == CallFault::NoAnswer)
-            fault = CallFault::Unreachable; // Only the question was sent.
+        if (std::exchange(m_isChecking, false) && fault == CallFault::NoAnswer)
+            fault = CallFault::Unreachable; // Only the identity check was sent.
         auto pending = std::exchange(m_pending, std::nullopt);
         discard();
         m_reader.clear();
@@ -364,7 +379,7 @@
     bool m_isReading = false;
     uint32_t m_informationalCount = 0; ///< Informational responses to the current request.
     std::optional<PendingRequest> m_pending;
-    bool m_isAsking = false; ///< The question of the pending request was sent in its place.
+    bool m_isChecking = false; ///< The identity check of the pending request was sent in its place.
     std::string m_identity;
     uint64_t m_useCount = 0;
     TimePoint m_idleSince;
@@ -394,14 +409,14 @@
     return true;
 }
 
-/// Returns an idle connection on which the request or its question may be sent, or null.
+/// Returns an idle connection on which the request or its identity check may be sent, or null.
 std::shared_ptr<Client::Impl::Connection> Client::Impl::findIdle(Pool& pool, const PendingRequest& pending)
 {
     std::shared_ptr<Connection> unknown;
     for (const auto& connection : pool.connections) {
         if (!connection->isIdle())
             continue;
-        if (!pending.asksFirst() || connection->identity() == pending.binding->identity)
+        if (!pending.needsIdentityCheck() || connection->identity() == pending.binding->identity)
             return connection;
         if (connection->identity().empty())
             unknown = connection;
@@ -422,13 +437,12 @@
 /// Fails the requests that wait for a connection to a process that serves the address no longer.
 void Client::Impl::failWaiting(const std::string& address, const std::string& identity)
 {
-    auto& queue = pools[address].queue;
-    std::erase_if(queue, [&](PendingRequest& pending) {
-        if (!pending.asksFirst() || pending.binding->identity != identity)
-            return false;
-        failLater(std::move(pending), CallFault::OtherPeer);
-        return true;
-    });
+    for (auto& pending : std::exchange(pools[address].queue, {})) {
+        if (pending.needsIdentityCheck() && pending.binding->identity == identity)
+            failLater(std::move(pending), CallFault::OtherPeer);
+        else
+            pools[address].queue.push_back(std::move(pending));
+    }
 }
 
 void Client::Impl::dispatch(const std::string& address)
--- a/test/http-client-test.cc
+++ b/test/http-client-test.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// A client, and a server that answers questions with its name and can be replaced by another one at its address.
+/// A client, and a server that answers identity checks with its name and can be replaced by another one at its address.
 struct BindingFixture {
     boost::asio::io_context io;
     Metrics metrics;
@@ -24,7 +24,7 @@
     std::vector<std::string> received; ///< Name of the server and target of each request.
     std::vector<Respond> held;
     bool holdsAnswers = false;
-    unsigned status = 200; ///< Of the answers to questions.
+    unsigned status = 200; ///< Of the answers to identity checks.
     std::unique_ptr<Server> server;
     Client client { io, { .connectionsPerAddress = 2 }, clock, metrics };
     size_t unanswered = 0;
@@ -93,7 +93,7 @@
 
 } // namespace
 
-// Guards against a question for each request, which would double the load of the server.
+// Guards against an identity check for each request, which would double the load of the server.
 TEST_CASE("a connection is asked once for its server", "[http]")
 {
     BindingFixture fixture;
@@ -117,7 +117,7 @@
     CHECK(fixture.count("second /who") == 1);
 }
 
-// Guards against a question on a new connection for each request that waits for a process that is gone.
+// Guards against an identity check on a new connection for each request that waits for a process that is gone.
 TEST_CASE("requests that wait for another server fail with the first one", "[http]")
 {
     BindingFixture fixture;
@@ -132,19 +132,20 @@
     CHECK(fixture.count("second /order") == 0);
 }
 
-// Guards against a request that is sent although the server refused the question, and counts as in doubt or as lost.
-TEST_CASE("the refusal of a question is the response to its request", "[http]")
+// Guards against a request that is sent although the server refused the check, and counts as in doubt or as lost.
+TEST_CASE("the refusal of an identity check is the response to its request", "[http]")
 {
     BindingFixture fixture;
     fixture.status = 409;
     const auto response = fixture.call("/order", fixture.bindTo("first"));
     CHECK(response.fault == CallFault::None);
     CHECK(response.status == 409);
+    CHECK_FALSE(response.isRequestSent);
     CHECK(fixture.count("first /order") == 0);
 }
 
-// Guards against a request that counts as in doubt although only its question was sent.
-TEST_CASE("a request whose question gets no answer was not sent", "[http]")
+// Guards against a request that counts as in doubt although only its identity check was sent.
+TEST_CASE("a request whose identity check gets no answer was not sent", "[http]")
 {
     BindingFixture fixture;
     fixture.holdsAnswers = true;
@@ -160,13 +161,44 @@
 TEST_CASE("idle connections to another server make room for a bound request", "[http]")
 {
     BindingFixture fixture;
-    fixture.send("/plain", std::nullopt);
-    fixture.send("/plain", std::nullopt);
+    fixture.holdsAnswers = true;
+    fixture.send("/order", fixture.bindTo("first"));
+    fixture.send("/order", fixture.bindTo("first"));
+    fixture.runUntil([&] { return fixture.held.size() == 2; });
+    for (const auto& respond : std::exchange(fixture.held, {}))
+        respond(Response { .body = "first" });
+    fixture.runUntil([&] { return fixture.held.size() == 2; });
+    for (const auto& respond : std::exchange(fixture.held, {}))
+        respond(Response {});
     fixture.runUntil([&] { return fixture.unanswered == 0; });
-    CHECK(fixture.call("/order", fixture.bindTo("first")).fault == CallFault::None);
-    // Both connections belong to the first server, one of them without being asked.
+    fixture.holdsAnswers = false;
     CHECK(fixture.call("/order", fixture.bindTo("later")).fault == CallFault::OtherPeer);
-    CHECK(fixture.count("first /order") == 1);
+    CHECK(fixture.count("first /who") == 3);
+    CHECK(fixture.count("first /order") == 2);
+}
+
+// Guards against an order that is sent on another connection than the one whose server was verified.
+TEST_CASE("a bound request is not sent if the connection ends with the identity check", "[http]")
+{
+    BindingFixture fixture;
+    fixture.call("/plain", std::nullopt);
+    fixture.server->drain(); // Closes the connection after the next response.
+    CHECK(fixture.call("/order", fixture.bindTo("first")).fault == CallFault::Unreachable);
+    CHECK(fixture.received == std::vector<std::string> { "first /plain", "first /who" });
+}
+
+// Guards against a request that is sent late because its identity check has taken long.
+TEST_CASE("a request is not sent if its identity check ends too late", "[http]")
+{
+    BindingFixture fixture;
+    fixture.holdsAnswers = true;
+    const auto response = fixture.send("/order", fixture.bindTo("first"));
+    fixture.runUntil([&] { return fixture.held.size() == 1; });
+    fixture.clock.advance(milliseconds(1'001));
+    fixture.held.front()(Response { .body = "first" });
+    fixture.runUntil([&] { return response->has_value(); });
+    CHECK((*response)->fault == CallFault::Unreachable);
+    CHECK(fixture.count("first /order") == 0);
 }
 
 // Guards against orders that are sent long after they were given, when their sender may believe otherwise.
@@ -174,8 +206,9 @@
 {
     BindingFixture fixture;
     fixture.holdsAnswers = true;
-    for (int i = 0; i < 3; ++i)
-        fixture.send("/order", std::nullopt);
+    fixture.send("/order", std::nullopt);
+    fixture.send("/order", std::nullopt);
+    const auto expired = fixture.send("/order", std::nullopt);
     fixture.runUntil([&] { return fixture.held.size() == 2; });
     fixture.clock.advance(milliseconds(1'001));
     const auto late = fixture.send("/later", std::nullopt);
@@ -186,4 +219,6 @@
     fixture.held.front()(Response {});
     fixture.runUntil([&] { return late->has_value(); });
     CHECK((*late)->fault == CallFault::None);
+    REQUIRE(expired->has_value());
+    CHECK((*expired)->fault == CallFault::Unreachable);
 }
--- a/test/incarnation-orders-test.cc
+++ b/test/incarnation-orders-test.cc
@@ -196,7 +196,11 @@
     fixture.pass();
     REQUIRE(fixture.state.findWorkerById("w1")->worker.born_ms == 2);
     fixture.deliver();
-    CHECK(fixture.worker.count(2, startTarget) == 1); // The second start, after the registration.
+    REQUIRE(fixture.worker.count(2, startTarget) == 1);
+    for (const auto& order : fixture.worker.received) {
+        if (order.born == 2 && order.target == startTarget)
+            CHECK(order.body.at("run").to_number<int64_t>() == 2);
+    }
 }
 
 // Guards against a lease of the longest duration, which a later incarnation takes from a time on the clock of the
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -198,6 +198,7 @@
     CHECK(order.result == OrderResult::OtherIncarnation);
     CHECK_FALSE(order.clockMs);
     CHECK_FALSE(decodeOrder(makeResponse(421, R"({"clock-ms":12})")).clockMs);
+    CHECK_FALSE(decodeOrder({ http::CallFault::None, 503, R"({"clock-ms":12})", false }).clockMs);
     const auto poll = decodePoll({ http::CallFault::OtherPeer, 200, body });
     CHECK(poll.result == OrderResult::Accepted);
     CHECK(poll.startedAtMs == 9);
