Do not suspect a start that another incarnation has refused

A job is failed by crashes of workers under its tasks. A start that a later incarnation has refused, or for which it was not meant, went on as in doubt, so that it could count as the crash of the earlier one although it had never begun, and its task waited for a stop at the later one.

The refusal of the only copy proves that the run never starts, as other refusals do. The worker gets no starts until a poll has shown which incarnation serves it.

--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -448,7 +448,11 @@
             return;
         return markStartInDoubt(session, run);
     case OrderResult::OtherIncarnation:
-        return markStartInDoubt(session, run);
+        session.backoffUntil = m_clock.now() + unhealthyBackoff;
+        proposeNeverStarted(session, task, run);
+        if (!session.pollInFlight)
+            poll(session); // Shows the later incarnation.
+        return;
     case OrderResult::Unhealthy:
         recordFailure(session, 1);
         session.backoffUntil = m_clock.now() + unhealthyBackoff;
--- a/test/cell-successor-test.cc
+++ b/test/cell-successor-test.cc
@@ -146,6 +146,19 @@
     CHECK(reply->has_value());
 }
 
+// Guards against a job that fails because a start which never began counts as the crash of its worker.
+TEST_CASE("a start that another incarnation has refused is no suspect of a crash", "[cell]")
+{
+    SuccessorFixture fixture;
+    fixture.answerStart(OrderResult::OtherIncarnation);
+    REQUIRE(fixture.starts.size() == 1);
+    CHECK(fixture.starts.front().to.id == "w2");
+    CHECK(fixture.state.findTask(fixture.task)->suspicions == 0);
+    REQUIRE(fixture.answerPollAsSuccessor({}));
+    CHECK_FALSE(fixture.state.findWorkerById("w1"));
+    CHECK(fixture.state.findTask(fixture.task)->suspicions == 0);
+}
+
 // Guards against a poll that was answered before the order arrived and is taken for proof that the run is lost.
 TEST_CASE("a poll sent before a start was accepted proves nothing about the run", "[cell]")
 {
