Disturb the workers in the fault soak

A group `workers` plays that as a whole, with the bounds of the deployments: cuts either way behind a proxy whose connections end with the incarnation, restarts of idle and busy workers, of several at once (silent or refusing) and behind a cut, workers that hang or carry orders out late, and kills, pauses, stops and slow disks of the process that leads, over two regions. The judge names the token of each run and the time of its stop. An end counts as noted only if the lease of the worker has not lapsed before, in the words of the rule ("unless the worker's lease lapsed between the two").

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -10,8 +10,10 @@
     exec build/soak "$@"
 fi
 status=0
+# A fault of one group that KNOWN-RED.txt lists, as "soak: GROUP "TEXT" ...": its broken promises are printed and passed over.
+known_of() { sed -n "s/^soak: $1 \"\([^\"]*\)\".*/\1/p" KNOWN-RED.txt | head -n 1; }
 while read -r seed seconds group controls tenants _; do
-    options=(--seeds="$seed" --seconds="$seconds" --faults="${group%:}")
+    options=(--seeds="$seed" --seconds="$seconds" --faults="${group%:}" --known_fault="$(known_of "${group%:}")")
     case "$group" in *:) ;; *) options+=(--controls="${controls%:}") ;; esac
     case "$group$controls" in *:*) ;; *) options+=(--tenants="${tenants%:}") ;; esac
     build/soak "${options[@]}" < /dev/null || status=1
--- a/test/soak/client.h
+++ b/test/soak/client.h
@@ -65,6 +65,7 @@
     Process* m_entry = nullptr;
     bool m_connected = false;
     bool m_stopped = false;
+    bool m_hasPaused = false;
     bool m_asksForJobs = false; ///< Only reads the states of `m_openJobs`.
     std::vector<std::string> m_openJobs;
     Time m_until { 0 };
--- a/test/soak/cluster.h
+++ b/test/soak/cluster.h
@@ -22,6 +22,7 @@
     int network = 0; ///< Second number of all addresses, which are loopback addresses.
     int controls = 5;
     int entries = 7;
+    milliseconds longestLease { 10'000 }; ///< Longest lease that workers accept.
 };
 
 /// A process and what its supervisor knows about it.
@@ -73,7 +74,10 @@
     /// Address at which other processes reach this one, and the address on which it listens for them.
     std::string peerAddress(const Process& process) const;
     std::string peerListenAddress(const Process& process) const;
+    std::string metricsAddress(const Process& process) const;
     std::string workerAddress(int number) const;
+    /// Address on which a worker listens behind a proxy.
+    std::string workerListenAddress(int number) const;
     std::string advisorAddress() const;
 
 private:
--- a/test/soak/jobs.h
+++ b/test/soak/jobs.h
@@ -14,7 +14,9 @@
 struct Run {
     int64_t number = 0;
     std::string worker; ///< Id and incarnation.
+    int64_t fence = 0; ///< Highest fencing token that the worker had seen at the start.
     Time startedAt { 0 };
+    std::optional<Time> stoppedAt; ///< Time of the first stop order.
     std::optional<Time> endedAt;
     std::string how; ///< As the worker lists it; "crash" if the worker has crashed.
     bool noted = false; ///< The end was acknowledged to the worker.
@@ -31,6 +33,15 @@
     std::string state; ///< State in the last answer.
 };
 
+/// What jobs ask for beside the usual.
+struct JobLoad {
+    double longShare = 0; ///< Share of the jobs whose tasks work for seconds.
+    double needsShare = 0; ///< Share of the jobs that need one of the labels.
+    milliseconds longestPause { 0 }; ///< Longest time from an answer to the next request of a client.
+    int labels = 0; ///< Number of labels that few workers have each; see labelName().
+};
+std::string labelName(int64_t number);
+
 class Jobs {
 public:
     explicit Jobs(World& world)
@@ -39,6 +50,8 @@
     }
 
     std::string add(int tasks, int tenant, std::vector<int64_t> cpu);
+    void setLoad(const JobLoad& load) { m_load = load; }
+    const JobLoad& load() const { return m_load; }
     /// Sets a bound on what the first tenant has running; `highest` is its cap at a time.
     void boundFirstTenant(std::function<int64_t(Time)> highest) { m_highestCap = std::move(highest); }
     Job& at(const std::string& id) { return m_jobs.at(id); }
@@ -48,6 +61,7 @@
 
     /// Records the start of a run and returns its place in the history of the task.
     size_t onStart(const std::string& task, Run run);
+    void onStop(const std::string& task, size_t run) { m_runs[task][run].stoppedAt = m_world.now(); }
     void onEnd(const std::string& task, size_t run, const std::string& how);
     void onNoted(const std::string& task, size_t run);
     /// Records the answer of a read of the job that was sent at `sentAt`.
@@ -63,6 +77,7 @@
     World& m_world;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, std::vector<Run>> m_runs; ///< By task, in the order of their starts.
+    JobLoad m_load;
     std::function<int64_t(Time)> m_highestCap; ///< Empty if there are no tenants.
     int64_t m_cpuOfFirstTenant = 0; ///< Of its runs that have not ended.
 };
--- a/test/soak/worker.h
+++ b/test/soak/worker.h
@@ -15,7 +15,12 @@
 struct WorkerOptions {
     std::string id;
     std::string address;
+    std::string listen; ///< Address of the server if it is behind a proxy; empty if it is `address`.
     std::string rack;
+    milliseconds stopTime { 100 }; ///< Time that a stop takes.
+    milliseconds longestLease { 10'000 };
+    milliseconds firstHeartbeatDelay { 250 }; ///< Longest time from a restart to the first heartbeat.
+    std::string label; ///< Empty for none beside the usual ones.
     /// Returns the addresses to which heartbeats can be sent.
     std::function<std::vector<std::string>()> controls;
 };
@@ -28,6 +33,15 @@
     /// Ends at once, and starts again under the same id and address after `downTime`. The next incarnation serves
     /// before it sends its first heartbeat.
     void crash(milliseconds downTime);
+    /// Carries the orders that come until `end` out then, and ends runs meanwhile. Its answers may find no one.
+    void hang(Time end);
+    /// Leaves some of the orders that come until `end` unanswered and carries them out seconds later.
+    void actLate(Time end) { m_lateUntil = std::max(m_lateUntil, end); }
+    /// Loses the heartbeats until `end`.
+    void loseHeartbeats(Time end) { m_heartbeatsLostUntil = std::max(m_heartbeatsLostUntil, end); }
+    bool isUp() const { return m_server != nullptr; }
+    bool isIdle() const { return m_running.empty(); }
+    const std::string& address() const { return m_options.address; }
     /// Sends no more heartbeats.
     void stop() { m_stopped = true; }
 
@@ -43,6 +57,7 @@
         int64_t run = 0;
         std::string how;
         size_t history = 0;
+        bool lapsed = false; ///< The lease of the worker has lapsed since, so that the end is never noted.
     };
     struct Wait {
         Time until;
@@ -50,6 +65,8 @@
     };
 
     void handle(const http::Request& request, const http::Respond& respond);
+    void receive(const http::Request& request, const http::Respond& respond);
+    void forgetUnnotedEnds();
     http::Response startRun(const boost::json::object& body);
     http::Response stopRun(const boost::json::object& body);
     void poll(const boost::json::object& body, const http::Respond& respond);
@@ -60,6 +77,7 @@
     void end(const std::string& task, const std::string& how);
     void check(uint64_t incarnation);
     void sendHeartbeat(uint64_t incarnation, size_t attempts);
+    bool isHanging() const { return m_world.now() < m_hangsUntil; }
     int64_t clockMs() const { return (m_world.now() - m_startedAt).count() + 1; }
 
     World& m_world;
@@ -80,6 +98,9 @@
     std::map<std::string, int64_t> m_highestEnded; ///< Highest run of each task that was stopped or has ended here.
     std::vector<End> m_ends;
     std::vector<Wait> m_waits;
+    Time m_hangsUntil { 0 };
+    Time m_lateUntil { 0 };
+    Time m_heartbeatsLostUntil { 0 };
 };
 
 } // namespace turmericpier::soak
