--- a/src/cell/order-records.cc
+++ b/src/cell/order-records.cc
@@ -94,7 +94,10 @@
     return made;
 }
 
-WorkerAddress addressOf(const record::OrderT& order) { return { order.worker, order.address, {}, order.started_at_ms }; }
+WorkerAddress addressOf(const record::OrderT& order)
+{
+    return { order.worker, order.address, {}, order.started_at_ms };
+}
 
 StartOrder startOrderOf(const record::OrderT& order, uint64_t fencingToken)
 {
