--- a/test/soak/worker.cc
+++ b/test/soak/worker.cc
@@ -279,14 +279,16 @@
     auto controls = m_options.controls();
     if (m_heartbeatAddress.empty())
         m_heartbeatAddress = m_world.pick(controls);
+    json::array labels { "a", m_options.rack };
+    if (!m_options.label.empty())
+        labels.emplace_back(m_options.label);
     http::ClientRequest request;
     request.method = "PUT";
     request.target = "/turmericpier/instances/" + m_options.id;
     request.body = json::serialize(json::object { { "service", "svc" }, { "addr", m_options.address },
         { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold-left-ms", 0 },
         { "capacity", json::object { { "cpu", 16'000 }, { "mem-mb", 32'768 }, { "gpu", 0 } } },
-        { "labels", json::array { "a", m_options.rack, m_options.label } }, { "clock-ms", clockMs() },
-        { "seq", m_heartbeats }, { "born", m_born } });
+        { "labels", std::move(labels) }, { "clock-ms", clockMs() }, { "seq", m_heartbeats }, { "born", m_born } });
     m_client.call(m_heartbeatAddress, std::move(request), heartbeatTimeout,
         [this, incarnation, attempts](const http::ClientResponse& response) {
             if (response.status / 100 == 2) {
