Drop connections that a destroyed HTTP server still accepts

In the processes a server lives until the end; a test that restarts a worker shows it.

The handler of accepts does nothing once the server is destroyed.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -63,6 +63,7 @@
     IdleList idle;
     size_t inFlight = 0;
     bool draining = false;
+    bool closed = false; ///< The server was destroyed; its handler must not be called any more.
     std::array<char, 4'096> dropped {}; ///< Where input that nobody needs is read to.
 };
 
@@ -352,7 +353,7 @@
 void Server::Impl::accept()
 {
     acceptor.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted || self->closed)
             return;
         if (error) {
             self->acceptRetry.expires_after(acceptRetryDelay);
@@ -411,6 +412,7 @@
 
 Server::~Server()
 {
+    m_impl->closed = true;
     error_code ignored;
     m_impl->acceptor.close(ignored);
     m_impl->acceptRetry.cancel();
