--- a/include/turmericpier/base/units.h
+++ b/include/turmericpier/base/units.h
@@ -46,6 +46,11 @@
     }
     friend Resources operator+(Resources a, const Resources& b) { return a += b; }
     friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+    friend Resources operator*(const Resources& each, int64_t count)
+    {
+        return { MilliCpu { each.cpu.value * count }, MemoryMib { each.memory.value * count },
+            Accelerators { each.accelerators.value * count } };
+    }
 };
 
 /// Returns true if `request` fits into `free` in every dimension.
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -272,6 +272,7 @@
     std::optional<int64_t> leaseUntil(WorkerSession& session);
 
     // Planning (leader.cc).
+    void orderStarts(const record::StartT& start);
     void requestPlan();
     void runPlan();
     void askAdvisor(const std::vector<struct AdviceRequest>& requests);
@@ -279,7 +280,8 @@
     void logEnd(const record::EndT& end) const;
     void stopClosedJobs(const record::CommandT& command);
     void stopJob(const record::JobT& job);
-    void stopGangMembers(const record::EndT& end);
+    void stopGangs(const record::CommandT& command);
+    void stopGang(const StepKey& step, uint32_t run);
     void forgetOldJobs();
     void recordTick();
     void reportLoad();
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -18,6 +18,7 @@
     bool usable = false; ///< The worker answers, has seen this leader's fencing token and is not about to leave.
     double penalty = 0; ///< Recent failures; workers with a lower penalty are preferred.
     bool recentlySuccessful = false; ///< The last run to end on the worker succeeded, and did so recently.
+    uint32_t startRoom = UINT32_MAX; ///< Starts that may be added to those that wait to be sent to the worker.
 };
 
 /// A question to the advisor: which of the workers may run the step?
@@ -54,7 +55,12 @@
     std::function<bool(const StepKey&)> isAdvicePending;
     TimePoint now; ///< Time at which tickets must be valid.
     int64_t wallMs = 0; ///< Unix time in milliseconds; determines only which occurrences are due.
-    size_t maxStarts = 256; ///< Limit for one plan, which bounds the size of the log entry and the planning time.
+    /// Limit for one plan, which bounds the size of the log entry and the planning time. One large gang may be added to
+    /// it; it is recorded by workers and not by tasks.
+    size_t maxStarts = 256;
+    bool mayStartLargeGang = true; ///< No orders of another large gang wait to be sent.
+    std::function<bool(const StepKey&)>
+        isDeferred {}; ///< Returns true for a gang that must not start yet; may be null.
 };
 
 /// Returns a plan for the waiting tasks that may start now, the most urgent queues first. Within one priority, the
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -2,6 +2,7 @@
 
 #include "cell_generated.h"
 #include "turmericpier/base/units.h"
+#include "turmericpier/cell/step-progress.h"
 #include "turmericpier/cell/tenants.h"
 
 #include <absl/status/status.h>
@@ -32,6 +33,16 @@
     friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
 };
 
+/// Identifies a step of one occurrence of a job; `index` of the key is 0.
+using StepKey = TaskKey;
+
+inline StepKey stepOf(const TaskKey& task) { return { task.job, task.occurrence, task.step, 0 }; }
+
+inline bool isTaskOf(const TaskKey& task, const StepKey& step)
+{
+    return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
+}
+
 /// Returns the key of the task that a start or an end refers to.
 template <typename RunRecord> TaskKey taskOf(const RunRecord& run)
 {
@@ -69,6 +80,7 @@
     uint32_t tasksWithTarget = 0; ///< Number of placed tasks with a bound on their tail latency.
     uint32_t suspectedTasks = 0; ///< Number of placed tasks that are suspected of the crash of another worker.
     uint32_t fillingTasks = 0; ///< Number of placed tasks that fill unused capacity.
+    std::map<TaskKey, uint32_t> tasksOfStep; ///< Number of placed tasks of each step with a limit per worker.
 };
 
 /// Returns the key of a queue, which consists of its host and path prefix.
@@ -100,6 +112,14 @@
 
     const record::JobT* findJob(const std::string& id) const;
     const record::TaskT* findTask(const TaskKey& key) const;
+    /// Returns the checkpoint from which the next run of a task resumes; empty for none.
+    const std::string& checkpointOf(const TaskKey& key) const;
+    /// Returns the progress of a step of an occurrence that findOccurrence() returns.
+    const StepProgress& progressOf(const record::StepTasksT& step) const { return m_progress.at(&step); }
+    /// Returns the number of the first occurrence of an open job that has not ended.
+    uint32_t firstOpenOccurrence(const record::JobT& job) const { return m_jobProgress.at(&job).firstOpen; }
+    /// Returns true if all tasks of the steps that `step` depends on have succeeded.
+    bool isReady(const record::JobT& job, uint32_t occurrence, uint32_t step) const;
     const std::map<std::string, std::unique_ptr<record::JobT>>& jobs() const { return m_jobs; }
     /// Jobs that have not ended, in the order in which they were accepted.
     const std::map<uint64_t, record::JobT*>& openJobs() const { return m_openJobs; }
@@ -113,6 +133,11 @@
     const WorkerRecord* findWorkerAt(const std::string& address) const;
 
 private:
+    struct JobProgress {
+        uint64_t doneTasks = 0;
+        uint32_t firstOpen = 0; ///< All occurrences before this one have ended.
+    };
+
     void applyConfig(const record::ConfigT& config);
     void applyWorker(const record::WorkerT& worker);
     void storeWorker(const record::WorkerT& worker, uint32_t serial);
@@ -123,12 +148,16 @@
     void applyStart(const record::StartT& start);
     void applyEnd(const record::EndT& end);
     void applyForget(const std::string& id);
-    void release(const record::JobT& job, const TaskKey& key, record::TaskT& task);
+    void release(record::JobT& job, const TaskKey& key, record::TaskT& task);
     void endTask(record::JobT& job, const TaskKey& key, record::EndKind how, const std::string& saved, uint32_t worker);
     void countCrash(record::JobT& job, record::TaskT& task, const record::EndT& end);
     void closeJob(record::JobT& job, record::JobState state);
-    bool allDone(const record::JobT& job) const;
     void indexJob(record::JobT& job);
+    record::OccurrenceT& findOrCreateOccurrence(record::JobT& job, uint32_t number);
+    void setTaskState(record::JobT& job, const TaskKey& key, record::TaskT& task, record::TaskState state);
+    void countDoneTask(record::JobT& job, const TaskKey& key);
+    void skipEndedOccurrences(const record::JobT& job, JobProgress& progress) const;
+    void startTask(record::JobT& job, const TaskKey& key, const record::StartT& start);
     void place(const record::JobT& job, const TaskKey& key, const record::TaskT& task);
 
     std::unique_ptr<record::ConfigT> m_config;
@@ -144,6 +173,8 @@
     std::unordered_map<std::string, std::set<uint32_t>> m_workersByAddress; ///< Serials of the workers by address.
     uint32_t m_nextSerial = 1;
     size_t m_memory = 0;
+    std::unordered_map<const record::StepTasksT*, StepProgress> m_progress;
+    std::unordered_map<const record::JobT*, JobProgress> m_jobProgress; ///< Of all jobs.
 };
 
 Resources capacityOf(const record::WorkerT& worker);
@@ -151,13 +182,13 @@
 /// Returns the capacity that a task of the step occupies on its worker.
 Resources occupancyOf(const record::StepT& step);
 
-/// Returns the occurrence of a job, or null if nothing of it has started yet.
+/// Returns the occurrence of a job in a state, which orders them by number, or null if nothing of it has started yet.
 const record::OccurrenceT* findOccurrence(const record::JobT& job, uint32_t number);
 
 /// Returns the number of occurrences of a job; 1 for a job without a schedule.
 uint32_t occurrenceCount(const record::JobT& job);
 
-/// Returns true if all tasks of the steps that `step` depends on have succeeded.
-bool isReady(const record::JobT& job, uint32_t occurrence, uint32_t step);
+/// Largest gang of which each task is recorded by itself. Replicas of earlier versions can read only such records.
+inline constexpr uint32_t maxListedGang = 256;
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/tickets.h
+++ b/include/turmericpier/cell/tickets.h
@@ -11,11 +11,6 @@
 /// Answers of the advisor about the steps of queues whose policy allows only some workers.
 namespace turmericpier::cell {
 
-/// Identifies a step of one occurrence of a job; `index` of the key is 0.
-using StepKey = TaskKey;
-
-inline StepKey stepOf(const TaskKey& task) { return { task.job, task.occurrence, task.step, 0 }; }
-
 /// What is known about whether a worker may run a step.
 enum class Fitness {
     Unknown, ///< The advisor was not asked.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -91,7 +91,7 @@
     for (const auto& key : worker.placed) {
         const auto* task = m_state.findTask(key);
         Run run { .number = task->run, .phase = RunPhase::Inherited, .phaseSince = m_clock.now() };
-        run.checkpoint = task->saved;
+        run.checkpoint = m_state.checkpointOf(key);
         run.startedAt = run.progressSince = m_clock.now();
         run.stopWanted = m_state.findJob(key.job)->state != record::JobState::Open;
         session.runs.emplace(key, std::move(run));
@@ -377,7 +377,7 @@
     const auto now = m_clock.now();
     StartOrder order { .task = task, .run = run.number, .spec = job.spec, .leaseUntilMs = run.leaseUntilMs };
     order.fencingToken = m_term;
-    order.checkpoint = m_state.findTask(task)->saved;
+    order.checkpoint = m_state.checkpointOf(task);
     if (ticket)
         order.ticket = *ticket;
     m_hooks.start(addressOf(session), order,
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -166,25 +166,34 @@
         else if (end->how == EndKind::Done)
             recordSuccess(session->second);
     }
-    for (const auto& end : command.ends) {
+    for (const auto& end : command.ends)
         logEnd(*end);
-        stopGangMembers(*end);
-    }
+    stopGangs(command);
     stopClosedJobs(command);
-    for (const auto& start : command.starts) {
-        const auto session = m_sessions.find(start->worker);
-        const auto key = taskOf(*start);
+    for (const auto& start : command.starts)
+        orderStarts(*start);
+    requestPlan();
+}
+
+/// Orders the starts of the tasks that a record of the log places on a worker.
+void Leader::orderStarts(const record::StartT& start)
+{
+    const auto session = m_sessions.find(start.worker);
+    if (session == m_sessions.end())
+        return;
+    auto key = taskOf(start);
+    for (uint32_t i = 0; i < start.count; ++i, ++key.index) {
         const auto* task = m_state.findTask(key);
-        if (session == m_sessions.end() || !task || task->state != record::TaskState::Placed || task->run != start->run
-            || task->worker != start->worker)
+        if (!task)
+            break;
+        if (task->state != record::TaskState::Placed || task->run != start.run || task->worker != start.worker)
             continue;
         auto& run = session->second.runs[key];
-        run = { .number = start->run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
+        run = { .number = start.run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
         run.startedAt = run.progressSince = m_clock.now();
-        run.checkpoint = task->saved;
+        run.checkpoint = m_state.checkpointOf(key);
         sendStart(session->second, key, run);
     }
-    requestPlan();
 }
 
 void Leader::stopJob(const record::JobT& job)
@@ -217,15 +226,24 @@
 
 /// Stops the other members of a gang when one has ended without success, because they only work together. The gang can
 /// then start again under one run number.
-void Leader::stopGangMembers(const record::EndT& end)
+void Leader::stopGangs(const record::CommandT& command)
+{
+    std::set<std::pair<StepKey, uint32_t>> broken;
+    for (const auto& end : command.ends) {
+        const auto* job = m_state.findJob(end->job);
+        if (end->how == EndKind::Done || !job || !job->steps[end->step]->gang)
+            continue;
+        broken.emplace(stepOf(taskOf(*end)), end->run);
+    }
+    for (const auto& [step, run] : broken)
+        stopGang(step, run);
+}
+
+void Leader::stopGang(const StepKey& step, uint32_t run)
 {
-    const auto* job = m_state.findJob(end.job);
-    if (end.how == EndKind::Done || !job || !job->steps[end.step]->gang)
-        return;
     for (auto& [serial, session] : m_sessions) {
-        const auto first = stepOf(taskOf(end));
-        for (auto it = session.runs.lower_bound(first); it != session.runs.end() && stepOf(it->first) == first; ++it) {
-            if (it->second.number == end.run)
+        for (auto it = session.runs.lower_bound(step); it != session.runs.end() && isTaskOf(it->first, step); ++it) {
+            if (it->second.number == run && !it->second.stopWanted)
                 stopRun(session, it->first, it->second);
         }
     }
@@ -294,20 +312,31 @@
     });
 }
 
-/// Logs one line for the tasks of a step that start together.
+/// Logs one line for the tasks of a step that start together, with the number of tasks by worker.
 void Leader::logStarts(const std::vector<record::StartT>& starts) const
 {
+    constexpr size_t maxWorkers = 50; // In one line.
     for (size_t first = 0; first < starts.size();) {
-        const auto& start = starts[first];
-        size_t next = first;
-        std::string workers;
-        while (next < starts.size() && starts[next].job == start.job && starts[next].step == start.step
-            && starts[next].occurrence == start.occurrence) {
-            absl::StrAppend(&workers, workers.empty() ? "" : ",", starts[next].worker);
-            ++next;
+        const auto step = stepOf(taskOf(starts[first]));
+        std::vector<std::pair<uint32_t, uint32_t>> workers;
+        uint64_t tasks = 0;
+        auto next = first;
+        for (; next < starts.size() && isTaskOf(taskOf(starts[next]), step); ++next) {
+            tasks += starts[next].count;
+            if (workers.empty() || workers.back().first != starts[next].worker)
+                workers.emplace_back(starts[next].worker, 0);
+            workers.back().second += starts[next].count;
+        }
+        std::string text;
+        for (size_t i = 0; i < std::min(workers.size(), maxWorkers); ++i) {
+            absl::StrAppend(&text, i == 0 ? "" : ",", workers[i].first);
+            if (workers[i].second > 1)
+                absl::StrAppend(&text, "*", workers[i].second);
         }
-        recordDecision("start", stepName(taskOf(start)), "placed",
-            absl::StrCat("tasks=", next - first, " run=", start.run, " workers=", workers));
+        if (workers.size() > maxWorkers)
+            absl::StrAppend(&text, " more=", workers.size() - maxWorkers);
+        recordDecision("start", stepName(step), "placed",
+            absl::StrCat("tasks=", tasks, " run=", starts[first].run, " workers=", text));
         first = next;
     }
 }
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -1,15 +1,25 @@
 #include "turmericpier/cell/planner.h"
 
+#include "cell/placement.h"
 #include "turmericpier/decision/fair-share.h"
 
 #include <algorithm>
 #include <deque>
-#include <set>
-#include <string_view>
+#include <numeric>
 #include <tuple>
 
 namespace turmericpier::cell {
 
+using detail::Candidate;
+using detail::canStart;
+using detail::chooseCandidate;
+using detail::costOf;
+using detail::historyOf;
+using detail::isCompatible;
+using detail::lastRunOf;
+using detail::PendingStep;
+using detail::reserveCapacity;
+using detail::TaskHistory;
 using record::TaskState;
 
 namespace {
@@ -21,58 +31,19 @@
     // Workers among which those to ask about are chosen, beginning at one that depends on the step. Steps that asked
     // about the same best workers of a large fleet would take each other's room and have to ask again.
     constexpr size_t maxUnknownCandidates = 128;
-    // Costs are in units of one recent failure or of one empty worker. A task on a rack away from its data takes
-    // several times as long, which is worse than running on a worker with some failures.
-    constexpr double remoteDataCost = 10;
-    // A task that has failed should not run on a second faulty worker, because its number of attempts is small.
-    constexpr double noRecentSuccessCost = 5;
-    // A task under which a worker has crashed may crash the next one, with all that runs there.
-    constexpr double taskAtRiskCost = 0.5; // For each task beside a suspected one.
-    constexpr double suspectNearbyCost = 5;
-    // Lower than the cost of one additional worker for a step of several tasks.
-    constexpr double fullnessWeight = 0.1;
     constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers may run a step.
-
-    /// A worker with the capacity that is still free in this round.
-    struct Candidate {
-        const WorkerRecord* record = nullptr;
-        Resources free;
-        double penalty = 0;
-        bool recentlySuccessful = false;
-        bool hasLatencyTarget = false; ///< Runs a task with a bound on its tail latency.
-        bool hasSuspectedTask = false; ///< Runs a task suspected of the crash of another worker.
-        bool hasFillingTask = false; ///< Runs a filling task, which disturbs tasks with such a bound.
-        std::vector<TaskKey> planned;
-    };
-
-    /// The waiting tasks of one step.
-    struct PendingStep {
-        const record::JobT* job = nullptr;
-        const record::QueueT* queue = nullptr;
-        const record::StepT* step = nullptr;
-        StepKey key;
-        std::vector<uint32_t> waiting;
-        bool anyPlaced = false;
-        bool anySuspected = false; ///< One of the waiting tasks is suspected of a crash.
-        uint64_t order = 0;
+    // A step is wide if its waiting tasks would take more than this part of the starts of a plan. All wide steps
+    // together take at most half of the starts while others wait.
+    constexpr size_t wideStepDivisor = 4;
+    constexpr size_t wideStepsDivisor = 2;
+
+    /// Capacity that is kept for tasks of a wide step, which start later in this round or in one of the next.
+    struct Reservation {
+        PendingStep* pending = nullptr;
+        Candidate* candidate = nullptr;
+        uint64_t count = 0;
     };
 
-    bool belongsTo(const TaskKey& key, const StepKey& step)
-    {
-        return key.job == step.job && key.occurrence == step.occurrence && key.step == step.step;
-    }
-
-    uint32_t countTasksOfStep(const Candidate& candidate, const StepKey& step)
-    {
-        const auto& placed = candidate.record->placed;
-        uint32_t count = 0;
-        for (auto it = placed.lower_bound(step); it != placed.end() && belongsTo(*it, step); ++it)
-            ++count;
-        for (const auto& key : candidate.planned)
-            count += belongsTo(key, step) ? 1 : 0;
-        return count;
-    }
-
     class PlanningRound {
     public:
         explicit PlanningRound(const PlannerInput& input)
@@ -93,11 +64,34 @@
             std::ranges::sort(m_pendingSteps, [](const PendingStep& a, const PendingStep& b) {
                 return std::tie(a.queue->priority, a.order) < std::tie(b.queue->priority, b.order);
             });
+            divideStarts();
             if (m_tenants.all().empty()) {
                 for (auto& pending : m_pendingSteps)
                     placeStep(pending);
-                return std::move(m_plan);
+            } else {
+                placeByTenants();
             }
+            startReserved();
+            return std::move(m_plan);
+        }
+
+    private:
+        using PendingSteps = std::vector<PendingStep>;
+
+        bool isWide(const PendingStep&) const { return false; }
+
+        /// Divides the starts of the plan so that wide steps, of which each could take them all, leave some to others.
+        void divideStarts()
+        {
+            const auto wide = static_cast<size_t>(
+                std::ranges::count_if(m_pendingSteps, [this](const auto& p) { return isWide(p); }));
+            m_wideStarts = m_input.maxStarts / wideStepsDivisor;
+            m_startsPerWideStep
+                = std::clamp<size_t>(m_wideStarts / std::max<size_t>(1, wide), 1, m_input.maxStarts / wideStepDivisor);
+        }
+
+        void placeByTenants()
+        {
             prepareShares();
             for (auto first = m_pendingSteps.begin(); first != m_pendingSteps.end();) {
                 const auto last = std::find_if(first, m_pendingSteps.end(),
@@ -105,12 +99,8 @@
                 placeInShares(first, last);
                 first = last;
             }
-            return std::move(m_plan);
         }
 
-    private:
-        using PendingSteps = std::vector<PendingStep>;
-
         /// Sets the quota of each tenant to its part of the capacity by weight. Jobs without a tenant count as one
         /// more tenant.
         void prepareShares()
@@ -152,24 +142,24 @@
                 auto& pending = *steps.front();
                 steps.pop_front();
                 m_shares.setWaiting(*tenant, !steps.empty());
-                const auto placed = m_plan.starts.size();
                 keepWithinCap(pending, m_shares.usage(*tenant));
+                const auto planned = m_plannedTasks;
                 placeStep(pending);
-                for (auto i = placed; i < m_plan.starts.size(); ++i)
-                    m_shares.addUsage(*tenant, resourcesOf(*pending.step));
+                m_shares.addUsage(*tenant, resourcesOf(*pending.step) * static_cast<int64_t>(m_plannedTasks - planned));
             }
         }
 
         /// Removes the waiting tasks that the tenant's cap does not allow for, all of them for a gang.
         void keepWithinCap(PendingStep& pending, const Resources& used)
         {
-            const auto count = pending.waiting.size();
+            const auto count = pending.waitingCount;
             auto allowed = m_tenants.tasksWithinCap(pending.job->tenant, used, resourcesOf(*pending.step), count);
             if (allowed == count)
                 return;
             if (pending.step->gang)
                 allowed = 0;
-            pending.waiting.resize(allowed);
+            pending.waitingCount = allowed;
+            pending.waiting.resize(std::min<size_t>(pending.waiting.size(), allowed));
             m_plan.unplaced.overCap += static_cast<uint32_t>(count - allowed);
             m_plan.waitingTenants.insert(pending.job->tenant);
         }
@@ -179,9 +169,10 @@
             const auto health = m_input.health(worker.worker.serial);
             if (!health.usable || worker.worker.draining)
                 return;
-            Candidate candidate {
-                .record = &worker, .penalty = health.penalty, .recentlySuccessful = health.recentlySuccessful
-            };
+            Candidate candidate { .record = &worker,
+                .penalty = health.penalty,
+                .recentlySuccessful = health.recentlySuccessful,
+                .startRoom = health.startRoom };
             candidate.free = capacityOf(worker.worker) - worker.used;
             candidate.hasLatencyTarget = worker.tasksWithTarget > 0;
             candidate.hasFillingTask = worker.fillingTasks > 0;
@@ -192,14 +183,23 @@
         void collectPendingSteps()
         {
             for (const auto& [order, job] : m_input.state.openJobs()) {
-                const auto* queue = m_input.state.findQueue(job->queue);
-                if (!queue)
-                    continue;
-                for (uint32_t number = 0; number < occurrenceCount(*job); ++number) {
-                    if (!isDue(*job, number))
-                        break;
-                    collectOccurrence(*job, *queue, number, order);
-                }
+                if (const auto* queue = m_input.state.findQueue(job->queue))
+                    collectJob(*job, *queue, order);
+            }
+        }
+
+        /// Collects the steps with waiting tasks. Of each step of a job with a schedule, the earliest occurrences with
+        /// as many tasks as one plan may start are enough.
+        void collectJob(const record::JobT& job, const record::QueueT& queue, uint64_t order)
+        {
+            std::vector<uint64_t> collected(job.steps.size());
+            const auto occurrences = occurrenceCount(job);
+            for (auto number = m_input.state.firstOpenOccurrence(job); number < occurrences; ++number) {
+                if (!isDue(job, number))
+                    break;
+                if (std::ranges::all_of(collected, [this](uint64_t tasks) { return tasks >= m_input.maxStarts; }))
+                    break;
+                collectOccurrence(job, queue, number, order, collected);
             }
         }
 
@@ -214,45 +214,36 @@
             return false;
         }
 
-        void collectOccurrence(const record::JobT& job, const record::QueueT& queue, uint32_t number, uint64_t order)
+        void collectOccurrence(const record::JobT& job, const record::QueueT& queue, uint32_t number, uint64_t order,
+            std::vector<uint64_t>& collected)
         {
             const auto* occurrence = findOccurrence(job, number);
             for (uint32_t i = 0; i < job.steps.size(); ++i) {
-                PendingStep pending { &job, &queue, job.steps[i].get(), { job.id, number, i, 0 }, {}, false, false,
-                    order };
-                for (uint32_t task = 0; task < pending.step->count; ++task) {
-                    const auto* record = occurrence ? occurrence->steps[i]->tasks[task].get() : nullptr;
-                    const auto state = record ? record->state : TaskState::Waiting;
-                    if (state == TaskState::Waiting)
-                        pending.waiting.push_back(task);
-                    pending.anySuspected |= state == TaskState::Waiting && record && record->suspicions > 0;
-                    pending.anyPlaced |= state == TaskState::Placed;
+                if (collected[i] >= m_input.maxStarts || !m_input.state.isReady(job, number, i))
+                    continue;
+                PendingStep pending { .job = &job, .queue = &queue, .step = job.steps[i].get() };
+                pending.key = { job.id, number, i, 0 };
+                pending.order = order;
+                pending.waitingCount = pending.step->count;
+                if (occurrence) {
+                    pending.tasks = occurrence->steps[i].get();
+                    const auto& progress = m_input.state.progressOf(*pending.tasks);
+                    pending.waitingCount = progress.waiting();
+                    pending.anyPlaced = progress.placed() > 0;
+                    pending.waiting = progress.firstWaiting(m_input.maxStarts);
+                } else {
+                    pending.waiting.resize(std::min<size_t>(m_input.maxStarts, pending.waitingCount));
+                    std::iota(pending.waiting.begin(), pending.waiting.end(), 0);
                 }
-                if (!pending.waiting.empty() && isReady(job, number, i))
-                    m_pendingSteps.push_back(std::move(pending));
+                if (pending.waitingCount == 0)
+                    continue;
+                pending.anySuspected = std::ranges::any_of(
+                    pending.waiting, [&](uint32_t index) { return historyOf(pending, index).suspected; });
+                collected[i] += pending.waitingCount;
+                m_pendingSteps.push_back(std::move(pending));
             }
         }
 
-        static bool isCompatible(const PendingStep& pending, const Candidate& candidate)
-        {
-            const auto& worker = candidate.record->worker;
-            if (worker.service != pending.queue->service)
-                return false;
-            const auto& needs = pending.step->needs;
-            return needs.empty() || std::ranges::find(worker.labels, needs) != worker.labels.end();
-        }
-
-        static bool hasCapacity(const PendingStep& pending, const Candidate& candidate)
-        {
-            const auto& step = *pending.step;
-            if (!fits(occupancyOf(step), candidate.free))
-                return false;
-            // The amount by which a filling task disturbs tasks with a latency target is not known in advance.
-            if ((step.fills && candidate.hasLatencyTarget) || (step.target_ms > 0 && candidate.hasFillingTask))
-                return false;
-            return step.max_per_worker == 0 || countTasksOfStep(candidate, pending.key) < step.max_per_worker;
-        }
-
         /// Returns the workers that may run the step. With advice these are the few with a valid ticket.
         std::vector<Candidate*> eligibleCandidates(const PendingStep& pending)
         {
@@ -280,111 +271,28 @@
             return it != m_candidates.end() && it->record->worker.serial == serial ? &*it : nullptr;
         }
 
-        /// Returns how many tasks of the step the worker can take, up to `count`.
-        static uint64_t taskCapacity(const PendingStep& pending, const Candidate& candidate, uint64_t count)
-        {
-            auto capacity = countThatFit(occupancyOf(*pending.step), candidate.free, count);
-            if (pending.step->max_per_worker > 0)
-                capacity = std::min<uint64_t>(capacity, pending.step->max_per_worker);
-            return capacity;
-        }
-
-        /// How earlier runs of a task affect its next placement.
-        struct TaskHistory {
-            bool failed = false;
-            bool suspected = false; ///< The task is suspected of the crash of a worker.
-            uint32_t avoidedWorker = 0; ///< Serial of a worker that must not be chosen; 0 for none.
-        };
-
-        /// Returns the cost of placing the next of `count` tasks on the worker; lower is better. Tasks that have failed
-        /// prefer workers with a recent success, and all tasks prefer workers near their data and without recent
-        /// failures. The tasks of a step share few workers, because a lost worker delays every job that it runs a task
-        /// of. Among otherwise equal workers the fullest is preferred, which keeps the others free for large tasks and
-        /// gangs.
-        static double costOf(
-            const PendingStep& pending, const Candidate& candidate, const TaskHistory& history, size_t count)
-        {
-            const auto& worker = candidate.record->worker;
-            double cost = candidate.penalty;
-            if (history.failed && !candidate.recentlySuccessful)
-                cost += noRecentSuccessCost;
-            if (candidate.hasSuspectedTask)
-                cost += suspectNearbyCost;
-            if (history.suspected)
-                cost
-                    += taskAtRiskCost * static_cast<double>(candidate.record->placed.size() + candidate.planned.size());
-            if (!pending.step->data_rack.empty() && pending.step->data_rack != worker.rack)
-                cost += remoteDataCost;
-            cost += 1 - static_cast<double>(taskCapacity(pending, candidate, count)) / static_cast<double>(count);
-            const double capacity = std::max<double>(1, static_cast<double>(worker.cpu));
-            return cost + fullnessWeight * static_cast<double>(candidate.free.cpu.value) / capacity;
-        }
-
-        TaskHistory historyOf(const PendingStep& pending, uint32_t index) const
-        {
-            const auto* task
-                = m_input.state.findTask({ pending.key.job, pending.key.occurrence, pending.key.step, index });
-            return task ? TaskHistory { task->failures > 0, task->suspicions > 0, task->failed_on } : TaskHistory {};
-        }
-
-        /// Returns the best of the workers for the next of `count` tasks, or null.
-        static Candidate* chooseCandidate(const PendingStep& pending, const TaskHistory& history, size_t count,
-            const std::vector<Candidate*>& workers, const std::string* rack = nullptr)
-        {
-            Candidate* best = nullptr;
-            double bestCost = 0;
-            for (auto* candidate : workers) {
-                const auto& worker = candidate->record->worker;
-                if ((rack && worker.rack != *rack)
-                    || (history.avoidedWorker != 0 && worker.serial == history.avoidedWorker)
-                    || !hasCapacity(pending, *candidate))
-                    continue;
-                const auto cost = costOf(pending, *candidate, history, count);
-                if (!best || cost < bestCost) {
-                    best = candidate;
-                    bestCost = cost;
-                }
-            }
-            return best;
-        }
-
-        void reserveCapacity(const PendingStep& pending, uint32_t index, Candidate& candidate)
-        {
-            candidate.free -= occupancyOf(*pending.step);
-            candidate.hasLatencyTarget |= pending.step->target_ms > 0;
-            candidate.hasFillingTask |= pending.step->fills;
-            candidate.planned.push_back({ pending.key.job, pending.key.occurrence, pending.key.step, index });
-        }
-
-        void addStart(const PendingStep& pending, uint32_t index, uint32_t run, const Candidate& candidate)
+        void addStart(
+            const PendingStep& pending, uint32_t index, uint32_t run, const Candidate& candidate, uint32_t count = 1)
         {
             auto task = pending.key;
             task.index = index;
             m_plan.starts.push_back(recordOf<record::StartT>(task, run, candidate.record->worker.serial));
+            m_plan.starts.back().count = count;
         }
 
-        uint32_t lastRun(const PendingStep& pending, uint32_t index) const
-        {
-            const auto* task
-                = m_input.state.findTask({ pending.key.job, pending.key.occurrence, pending.key.step, index });
-            return task ? task->run : 0;
-        }
-
-        void placeStep(const PendingStep& pending)
+        void placeStep(PendingStep& pending)
         {
-            if (pending.waiting.empty())
+            if (pending.waitingCount == 0)
                 return;
-            if (m_plan.starts.size() >= m_input.maxStarts) {
-                m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waiting.size());
-            } else if (pending.step->gang) {
-                if (!placeGang(pending))
-                    countUnplaced(pending, pending.waiting.size(), requestAdvice(pending, 0));
-            } else {
+            if (m_startedTasks >= m_input.maxStarts)
+                m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waitingCount);
+            else if (pending.step->gang)
+                placeGang(pending);
+            else
                 placeTasks(pending);
-            }
         }
 
-        void countUnplaced(const PendingStep& pending, size_t tasks, bool awaitingAdvice)
+        void countUnplaced(const PendingStep& pending, uint64_t tasks, bool awaitingAdvice)
         {
             auto& counter = awaitingAdvice ? m_plan.unplaced.awaitingAdvice : m_plan.unplaced.withoutWorker;
             counter += static_cast<uint32_t>(tasks);
@@ -396,23 +304,33 @@
                 m_plan.waitingTenants.insert(tenant);
         }
 
-        void placeTasks(const PendingStep& pending)
+        /// Returns how many tasks of the step may start before all other steps had their turn.
+        size_t startLimitOf(const PendingStep& pending)
+        {
+            if (!isWide(pending))
+                return pending.waiting.size();
+            const auto limit = std::min({ m_startsPerWideStep, m_wideStarts, pending.waiting.size() });
+            m_wideStarts -= limit;
+            return limit;
+        }
+
+        void placeTasks(PendingStep& pending)
         {
             const auto workers = eligibleCandidates(pending);
+            const auto limit = startLimitOf(pending);
             std::vector<uint32_t> unplaced;
             uint32_t avoidedByAll = 0;
             Candidate* last = nullptr; // Worker of the previous task, reused while it has capacity.
-            for (size_t i = 0; i < pending.waiting.size(); ++i) {
-                const auto index = pending.waiting[i];
+            for (; pending.next < limit; ++pending.next) {
+                const auto index = pending.waiting[pending.next];
                 const auto history = historyOf(pending, index);
-                const bool hasNoFailure = !history.failed && !history.suspected && history.avoidedWorker == 0;
                 if (unplaced.empty()) {
-                    if (!hasNoFailure || !last || last->hasSuspectedTask || !hasCapacity(pending, *last))
-                        last = chooseCandidate(pending, history, pending.waiting.size() - i, workers);
+                    if (!history.isClean() || !last || last->hasSuspectedTask || !canStart(pending, *last))
+                        last = chooseCandidate(pending, history, pending.waitingCount - pending.next, workers);
                     if (last) {
                         place(pending, index, *last);
                         last->hasSuspectedTask |= history.suspected;
-                        last = hasNoFailure ? last : nullptr;
+                        last = history.isClean() ? last : nullptr;
                         continue;
                     }
                 }
@@ -420,10 +338,11 @@
                 avoidedByAll = unplaced.empty() || avoidedByAll == history.avoidedWorker ? history.avoidedWorker : 0;
                 unplaced.push_back(index);
             }
+            const auto rest = pending.waitingCount - limit;
             if (unplaced.empty())
-                return;
+                return reserveRest(pending, rest, workers);
             if (requestAdvice(pending, avoidedByAll))
-                return countUnplaced(pending, unplaced.size(), true);
+                return countUnplaced(pending, unplaced.size() + rest, true);
             // No other worker may run the task: a second run on the worker where it failed is better than none.
             size_t placed = 0;
             while (placed < unplaced.size()) {
@@ -432,53 +351,98 @@
                     break;
                 place(pending, unplaced[placed++], *candidate);
             }
-            countUnplaced(pending, unplaced.size() - placed, false);
+            countUnplaced(pending, unplaced.size() - placed + rest, false);
         }
 
-        void place(const PendingStep& pending, uint32_t index, Candidate& candidate)
+        /// Keeps capacity for tasks that follow in this round or the next, so that later steps do not take it.
+        void reserveRest(PendingStep& pending, uint64_t rest, const std::vector<Candidate*>& workers)
         {
-            reserveCapacity(pending, index, candidate);
-            addStart(pending, index, lastRun(pending, index) + 1, candidate);
+            m_plan.unplaced.overLimit += static_cast<uint32_t>(rest);
+            rest = std::min<uint64_t>(rest, m_input.maxStarts);
+            while (rest > 0) {
+                auto* candidate = chooseCandidate(pending, {}, rest, workers, true);
+                if (!candidate)
+                    return;
+                const auto count = detail::capacityFor(pending, *candidate, rest);
+                reserve(pending, *candidate, count);
+                m_reservations.push_back({ &pending, candidate, count });
+                rest -= count;
+            }
         }
 
-        /// Places all members or none, in one rack if the step asks for that and a rack has the capacity.
-        bool placeGang(const PendingStep& pending)
+        /// Starts tasks of wide steps with the starts that all steps together have left.
+        void startReserved()
         {
-            if (pending.anyPlaced || pending.waiting.size() != pending.step->count)
-                return true; // Some member of an earlier run has not ended.
-            const auto workers = eligibleCandidates(pending);
-            if (pending.step->same_rack) {
-                std::set<std::string_view> racks;
-                for (const auto* candidate : workers)
-                    racks.insert(candidate->record->worker.rack);
-                for (const auto rack : racks) {
-                    const std::string name(rack);
-                    if (placeGangIn(pending, workers, &name))
-                        return true;
+            for (const auto& [pending, candidate, count] : m_reservations) {
+                for (uint64_t i = 0; i < count && m_startedTasks < m_input.maxStarts && candidate->startRoom > 0
+                     && pending->next < pending->waiting.size();
+                     ++i) {
+                    // Other tasks need a worker of their own choice, which the next plan finds for them.
+                    const auto index = pending->waiting[pending->next++];
+                    if (!historyOf(*pending, index).isClean())
+                        continue;
+                    start(*pending, index, *candidate);
+                    --m_plan.unplaced.overLimit;
                 }
             }
-            return placeGangIn(pending, workers, nullptr);
         }
 
-        bool placeGangIn(const PendingStep& pending, const std::vector<Candidate*>& workers, const std::string* rack)
+        void reserve(PendingStep& pending, Candidate& candidate, uint64_t count)
+        {
+            reserveCapacity(pending, candidate, count);
+            m_plannedTasks += count;
+        }
+
+        void start(const PendingStep& pending, uint32_t index, Candidate& candidate)
+        {
+            --candidate.startRoom;
+            ++m_startedTasks;
+            addStart(pending, index, lastRunOf(pending, index) + 1, candidate);
+        }
+
+        void place(PendingStep& pending, uint32_t index, Candidate& candidate)
+        {
+            reserve(pending, candidate, 1);
+            start(pending, index, candidate);
+        }
+
+        void placeGang(PendingStep& pending)
+        {
+            const auto count = pending.step->count;
+            if (pending.anyPlaced || pending.waitingCount != count)
+                return; // Some member of an earlier run has not ended.
+            if (m_input.isDeferred && m_input.isDeferred(pending.key)) {
+                m_plan.unplaced.overLimit += count;
+                return;
+            }
+            const auto placement = detail::placeGang(pending, eligibleCandidates(pending));
+            if (placement.empty())
+                return countUnplaced(pending, count, requestAdvice(pending, 0));
+            for (const auto& [candidate, members] : placement)
+                reserve(pending, *candidate, members);
+            const bool isLarge = count > maxListedGang;
+            if (isLarge && (m_largeGangStarts || !m_input.mayStartLargeGang)) {
+                m_plan.unplaced.overLimit += count; // Its room is kept.
+                return;
+            }
+            m_largeGangStarts |= isLarge;
+            // The orders of a large gang are sent after those of other tasks, so its starts do not count.
+            m_startedTasks += isLarge ? 0 : count;
+            addMembers(pending, placement);
+        }
+
+        void addMembers(const PendingStep& pending, const detail::GangPlacement& placement)
         {
-            // Chosen workers with their former values, in the order of the members.
-            std::vector<std::pair<Candidate*, Candidate>> reserved;
             uint32_t run = 0;
-            for (const auto index : pending.waiting) {
-                auto* candidate = chooseCandidate(pending, {}, pending.waiting.size() - reserved.size(), workers, rack);
-                if (!candidate) {
-                    for (auto it = reserved.rbegin(); it != reserved.rend(); ++it)
-                        *it->first = std::move(it->second);
-                    return false;
-                }
-                reserved.emplace_back(candidate, *candidate);
-                reserveCapacity(pending, index, *candidate);
-                run = std::max(run, lastRun(pending, index));
+            for (uint32_t index = 0; pending.tasks && index < pending.step->count; ++index)
+                run = std::max(run, lastRunOf(pending, index));
+            const uint32_t step = pending.step->count > maxListedGang ? pending.step->count : 1;
+            uint32_t index = 0;
+            for (const auto& [candidate, members] : placement) {
+                const auto end = index + static_cast<uint32_t>(members);
+                for (; index < end; index += std::min(step, end - index))
+                    addStart(pending, index, run + 1, *candidate, std::min(step, end - index));
             }
-            for (size_t i = 0; i < reserved.size(); ++i)
-                addStart(pending, pending.waiting[i], run + 1, *reserved[i].first);
-            return true;
         }
 
         /// Requests advice about workers with capacity. Those known to be fit come first, as they only need a new
@@ -495,13 +459,13 @@
             bool mayAskAvoided = false;
             const TaskHistory history { .suspected = pending.anySuspected };
             const auto consider = [&](const Candidate& candidate, std::vector<std::pair<double, uint32_t>>& list) {
-                if (!isCompatible(pending, candidate) || !hasCapacity(pending, candidate))
+                if (!isCompatible(pending, candidate) || !canStart(pending, candidate))
                     return;
                 const auto serial = candidate.record->worker.serial;
                 if (serial == avoidedByAll)
                     mayAskAvoided = true;
                 else
-                    list.emplace_back(costOf(pending, candidate, history, pending.waiting.size()), serial);
+                    list.emplace_back(costOf(pending, candidate, history, pending.waitingCount), serial);
             };
             const auto asked = m_input.tickets.askedWorkers(pending.key, m_input.now);
             for (const auto& [serial, fitness] : asked) {
@@ -517,9 +481,9 @@
                     consider(candidate, unknown);
             }
             const auto wanted
-                = std::clamp(adviceWorkersPerTask * pending.waiting.size(), minAdviceWorkers, maxAdviceWorkers);
+                = std::clamp<uint64_t>(adviceWorkersPerTask * pending.waitingCount, minAdviceWorkers, maxAdviceWorkers);
             for (auto* list : { &expired, &unknown }) {
-                const auto used = std::min(wanted, list->size());
+                const auto used = std::min<size_t>(wanted, list->size());
                 std::ranges::partial_sort(*list, list->begin() + static_cast<std::ptrdiff_t>(used));
             }
             AdviceRequest request { .step = pending.key };
@@ -528,7 +492,7 @@
                     if (request.workers.size() < wanted)
                         request.workers.push_back(serial);
                 }
-                if (request.workers.size() >= pending.waiting.size() && !request.workers.empty())
+                if (request.workers.size() >= pending.waitingCount && !request.workers.empty())
                     break;
             }
             if (request.workers.empty() && mayAskAvoided)
@@ -546,6 +510,12 @@
         const Tenants& m_tenants;
         std::vector<Candidate> m_candidates;
         PendingSteps m_pendingSteps;
+        std::vector<Reservation> m_reservations;
+        size_t m_startsPerWideStep = 0;
+        size_t m_wideStarts = 0; ///< Starts that are left for wide steps.
+        size_t m_startedTasks = 0; ///< Starts in the plan without those of large gangs.
+        uint64_t m_plannedTasks = 0; ///< Starts and reservations.
+        bool m_largeGangStarts = false; ///< The plan has the starts of a large gang.
         decision::FairShare m_shares; ///< Used only if there are tenants.
         Plan m_plan;
     };
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -1,8 +1,5 @@
 #include "turmericpier/cell/state.h"
 
-#include "cell/bytes.h"
-#include "turmericpier/base/error.h"
-
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <utility>
@@ -32,14 +29,23 @@
         return const_cast<record::OccurrenceT*>(findOccurrence(job, number));
     }
 
-    record::OccurrenceT& findOrCreateOccurrence(record::JobT& job, uint32_t number)
+    bool precedes(const std::unique_ptr<record::OccurrenceT>& occurrence, uint32_t number)
     {
-        if (auto* found = findMutableOccurrence(job, number))
-            return *found;
-        job.occurrences.push_back(newOccurrence(job, number));
-        return *job.occurrences.back();
+        return occurrence->number < number;
     }
 
+    uint64_t countTasks(const record::JobT& job)
+    {
+        uint64_t tasks = 0;
+        for (const auto& step : job.steps)
+            tasks += step->count;
+        return tasks * occurrenceCount(job);
+    }
+
+    /// Returns true if the checkpoint of a gang is kept at its first member only, because a copy for each member at the
+    /// end of each member would take a time that grows with the square of their number.
+    bool sharesCheckpoint(const record::StepT& step) { return step.gang && step.count > maxListedGang; }
+
     record::TaskT* taskIn(record::OccurrenceT* occurrence, uint32_t step, uint32_t index)
     {
         if (!occurrence || step >= occurrence->steps.size() || index >= occurrence->steps[step]->tasks.size())
@@ -69,11 +75,6 @@
             bytes += step->needs.size() + step->data_rack.size() + step->image.size();
         return bytes;
     }
-
-    bool isDone(const record::StepTasksT& step)
-    {
-        return std::ranges::all_of(step.tasks, [](const auto& task) { return task->state == TaskState::Done; });
-    }
 } // namespace
 
 std::string stepName(const TaskKey& task) { return absl::StrCat(task.job, ".", task.occurrence, ".", task.step); }
@@ -99,33 +100,31 @@
 
 const record::OccurrenceT* findOccurrence(const record::JobT& job, uint32_t number)
 {
-    for (const auto& occurrence : job.occurrences) {
-        if (occurrence->number == number)
-            return occurrence.get();
-    }
-    return nullptr;
+    const auto found = std::lower_bound(job.occurrences.begin(), job.occurrences.end(), number, precedes);
+    return found != job.occurrences.end() && (*found)->number == number ? found->get() : nullptr;
 }
 
 uint32_t occurrenceCount(const record::JobT& job) { return std::max<uint32_t>(1, job.times); }
 
-bool isReady(const record::JobT& job, uint32_t occurrence, uint32_t step)
+bool State::isReady(const record::JobT& job, uint32_t occurrence, uint32_t step) const
 {
     const auto& after = job.steps[step]->after;
     if (after.empty())
         return true;
     const auto* found = findOccurrence(job, occurrence);
-    return found && std::ranges::all_of(after, [&](uint32_t earlier) { return isDone(*found->steps[earlier]); });
+    return found
+        && std::ranges::all_of(after, [&](uint32_t earlier) { return progressOf(*found->steps[earlier]).isDone(); });
 }
 
 size_t estimateRecordMemory(const record::JobT& job) { return recordBytes(job) + stringBytes(job); }
 
 size_t estimateMemory(const record::JobT& job)
 {
-    constexpr size_t taskBytes = 128;
-    size_t tasks = 0;
-    for (const auto& step : job.steps)
-        tasks += step->count;
-    return recordBytes(job) + copiesOfStrings * stringBytes(job) + tasks * occurrenceCount(job) * taskBytes;
+    constexpr size_t taskBytes = 144;
+    constexpr size_t occurrenceBytes = 96;
+    constexpr size_t stepTasksBytes = 224; // The tasks of a step in one occurrence, with their progress.
+    return recordBytes(job) + copiesOfStrings * stringBytes(job) + countTasks(job) * taskBytes
+        + occurrenceCount(job) * (occurrenceBytes + job.steps.size() * stepTasksBytes);
 }
 
 size_t estimateMemory(const record::WorkerT& worker)
@@ -247,6 +246,12 @@
 
 void State::indexJob(record::JobT& job)
 {
+    auto& progress = m_jobProgress[&job];
+    for (const auto& occurrence : job.occurrences) {
+        for (const auto& step : occurrence->steps)
+            progress.doneTasks += m_progress.try_emplace(step.get(), *step).first->second.done();
+    }
+    skipEndedOccurrences(job, progress);
     if (job.state != JobState::Open)
         return;
     m_openJobs[m_nextOrder] = &job;
@@ -275,6 +280,8 @@
     const auto& step = *job.steps[key.step];
     auto& worker = m_workers.at(task.worker);
     worker.placed.insert(key);
+    if (step.max_per_worker > 0)
+        ++worker.tasksOfStep[stepOf(key)];
     worker.used += occupancyOf(step);
     worker.tasksWithTarget += step.target_ms > 0 ? 1 : 0;
     worker.fillingTasks += step.fills ? 1 : 0;
@@ -282,23 +289,72 @@
     m_tenants.addUsage(job.tenant, resourcesOf(step));
 }
 
+record::OccurrenceT& State::findOrCreateOccurrence(record::JobT& job, uint32_t number)
+{
+    const auto found = std::lower_bound(job.occurrences.begin(), job.occurrences.end(), number, precedes);
+    if (found != job.occurrences.end() && (*found)->number == number)
+        return **found;
+    auto& added = **job.occurrences.insert(found, newOccurrence(job, number));
+    for (const auto& step : added.steps)
+        m_progress.try_emplace(step.get(), *step);
+    return added;
+}
+
+void State::setTaskState(record::JobT& job, const TaskKey& key, record::TaskT& task, TaskState state)
+{
+    const auto& step = *findOccurrence(job, key.occurrence)->steps[key.step];
+    const auto former = std::exchange(task.state, state);
+    m_progress.at(&step).change(key.index, former, state);
+    if (state == TaskState::Done && former != TaskState::Done)
+        countDoneTask(job, key);
+}
+
+void State::countDoneTask(record::JobT& job, const TaskKey& key)
+{
+    auto& progress = m_jobProgress.at(&job);
+    ++progress.doneTasks;
+    if (key.occurrence == progress.firstOpen)
+        skipEndedOccurrences(job, progress);
+}
+
+void State::skipEndedOccurrences(const record::JobT& job, JobProgress& progress) const
+{
+    const auto hasEnded = [&](uint32_t number) {
+        const auto* occurrence = findOccurrence(job, number);
+        return occurrence
+            && std::ranges::all_of(occurrence->steps, [this](const auto& step) { return progressOf(*step).isDone(); });
+    };
+    while (hasEnded(progress.firstOpen))
+        ++progress.firstOpen;
+}
+
 void State::applyStart(const record::StartT& start)
 {
     const auto found = m_jobs.find(start.job);
     if (found == m_jobs.end() || found->second->state != JobState::Open || !m_workers.contains(start.worker))
         return;
     auto& job = *found->second;
-    auto* task = taskIn(&findOrCreateOccurrence(job, start.occurrence), start.step, start.index);
+    if (start.step >= job.steps.size())
+        return;
+    auto key = taskOf(start);
+    const auto end = std::min<uint64_t>(uint64_t { start.index } + start.count, job.steps[start.step]->count);
+    for (; key.index < end; ++key.index)
+        startTask(job, key, start);
+}
+
+void State::startTask(record::JobT& job, const TaskKey& key, const record::StartT& start)
+{
+    auto* task = taskIn(&findOrCreateOccurrence(job, key.occurrence), key.step, key.index);
     if (!task || task->state != TaskState::Waiting || start.run <= task->run)
         return;
-    task->state = TaskState::Placed;
+    setTaskState(job, key, *task, TaskState::Placed);
     task->run = start.run;
     task->worker = start.worker;
     job.started = true;
-    place(job, taskOf(start), *task);
+    place(job, key, *task);
 }
 
-void State::release(const record::JobT& job, const TaskKey& key, record::TaskT& task)
+void State::release(record::JobT& job, const TaskKey& key, record::TaskT& task)
 {
     const auto& step = *job.steps[key.step];
     const auto worker = m_workers.find(task.worker);
@@ -307,10 +363,12 @@
         worker->second.tasksWithTarget -= step.target_ms > 0 ? 1 : 0;
         worker->second.fillingTasks -= step.fills ? 1 : 0;
         worker->second.suspectedTasks -= task.suspicions > 0 ? 1 : 0;
+        if (step.max_per_worker > 0 && --worker->second.tasksOfStep[stepOf(key)] == 0)
+            worker->second.tasksOfStep.erase(stepOf(key));
         m_tenants.removeUsage(job.tenant, resourcesOf(step));
     }
     task.worker = 0;
-    task.state = TaskState::Waiting;
+    setTaskState(job, key, task, TaskState::Waiting);
 }
 
 void State::applyEnd(const record::EndT& end)
@@ -352,7 +410,9 @@
     const auto& step = *job.steps[key.step];
     auto& tasks = findMutableOccurrence(job, key.occurrence)->steps[key.step]->tasks;
     auto& task = *tasks[key.index];
-    if (!saved.empty()) {
+    if (!saved.empty() && sharesCheckpoint(step)) {
+        tasks.front()->saved = saved;
+    } else if (!saved.empty()) {
         // The members of a gang resume from one checkpoint, and that of any member is valid.
         for (auto& member : tasks) {
             if (step.gang || member.get() == &task)
@@ -360,20 +420,14 @@
         }
     }
     if (how == EndKind::Done && !step.long_running) {
-        for (auto& member : tasks) {
-            if (step.gang || member.get() == &task)
-                member->state = TaskState::Done;
+        auto member = key;
+        for (member.index = 0; step.gang && member.index < tasks.size(); ++member.index) {
+            if (tasks[member.index]->worker != 0)
+                release(job, member, *tasks[member.index]);
+            setTaskState(job, member, *tasks[member.index], TaskState::Done);
         }
-        if (step.gang) {
-            for (uint32_t i = 0; i < tasks.size(); ++i) {
-                const TaskKey member { key.job, key.occurrence, key.step, i };
-                if (tasks[i]->worker != 0) {
-                    release(job, member, *tasks[i]);
-                    tasks[i]->state = TaskState::Done;
-                }
-            }
-        }
-        if (job.state == JobState::Open && allDone(job))
+        setTaskState(job, key, task, TaskState::Done);
+        if (job.state == JobState::Open && m_jobProgress.at(&job).doneTasks == countTasks(job))
             closeJob(job, JobState::Done);
         return;
     }
@@ -390,15 +444,6 @@
         closeJob(job, JobState::Failed);
 }
 
-bool State::allDone(const record::JobT& job) const
-{
-    if (job.occurrences.size() < occurrenceCount(job))
-        return false;
-    return std::ranges::all_of(job.occurrences, [](const auto& occurrence) {
-        return std::ranges::all_of(occurrence->steps, [](const auto& step) { return isDone(*step); });
-    });
-}
-
 void State::applyForget(const std::string& id)
 {
     const auto found = m_jobs.find(id);
@@ -411,6 +456,11 @@
     }
     m_memory -= estimateMemory(*found->second);
     m_tenants.removeJob(found->second->tenant);
+    m_jobProgress.erase(found->second.get());
+    for (const auto& occurrence : found->second->occurrences) {
+        for (const auto& step : occurrence->steps)
+            m_progress.erase(step.get());
+    }
     m_jobs.erase(found);
 }
 
@@ -453,6 +503,13 @@
     return taskIn(findMutableOccurrence(*found->second, key.occurrence), key.step, key.index);
 }
 
+const std::string& State::checkpointOf(const TaskKey& key) const
+{
+    const auto& job = *findJob(key.job);
+    const auto& tasks = findOccurrence(job, key.occurrence)->steps[key.step]->tasks;
+    return tasks[sharesCheckpoint(*job.steps[key.step]) ? 0 : key.index]->saved;
+}
+
 uint32_t State::waitingJobs(const std::string& queue) const
 {
     return static_cast<uint32_t>(std::ranges::count_if(
@@ -485,68 +542,4 @@
     return latest;
 }
 
-std::string State::snapshot() const
-{
-    // The records are serialized in place, because a copy of them would take as much memory as the state. What the
-    // builder does not use of its buffer takes none.
-    flatbuffers::FlatBufferBuilder builder(std::max<size_t>(m_memory, 1'024));
-    std::vector<flatbuffers::Offset<record::Queue>> queues;
-    for (const auto& [key, queue] : m_queues)
-        queues.push_back(record::Queue::Pack(builder, &queue));
-    std::vector<flatbuffers::Offset<record::Worker>> workers;
-    for (const auto& [serial, worker] : m_workers)
-        workers.push_back(record::Worker::Pack(builder, &worker.worker));
-    // Open jobs come first and in their order, which is part of the state.
-    std::vector<flatbuffers::Offset<record::Job>> jobs;
-    for (const auto& [order, job] : m_openJobs)
-        jobs.push_back(record::Job::Pack(builder, job));
-    for (const auto& [id, job] : m_jobs) {
-        if (job->state != JobState::Open)
-            jobs.push_back(record::Job::Pack(builder, job.get()));
-    }
-    std::vector<flatbuffers::Offset<record::Tenant>> tenants;
-    for (const auto& [name, tenant] : m_tenants.all())
-        tenants.push_back(record::Tenant::Pack(builder, &tenant));
-    const auto config = m_config ? record::Config::Pack(builder, m_config.get()) : 0;
-    builder.Finish(record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial, &tenants));
-    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
-}
-
-absl::Status State::restore(std::string_view data)
-{
-    constexpr uint32_t maxTables = 100'000'000; // A snapshot holds all jobs, and each task is a table.
-    record::SnapshotT in;
-    if (!unpack<record::Snapshot>(data, in, maxTables)) {
-        return makeError({ absl::StatusCode::kDataLoss, Outcome::Unknown, "BAD_SNAPSHOT", "restore", "" },
-            "the snapshot of the cell is not readable");
-    }
-    *this = State {};
-    m_config = std::move(in.config);
-    for (auto& queue : in.queues)
-        m_queues[queueKey(queue->host, queue->prefix)] = *queue;
-    for (auto& worker : in.workers)
-        storeWorker(*worker, worker->serial);
-    m_nextSerial = std::max<uint32_t>(1, in.next_serial);
-    for (auto& job : in.jobs) {
-        auto& stored = *(m_jobs[job->id] = std::move(job));
-        m_memory += estimateMemory(stored);
-        m_tenants.addJob(stored.tenant);
-        indexJob(stored);
-        for (const auto& occurrence : stored.occurrences) {
-            for (uint32_t step = 0; step < occurrence->steps.size(); ++step) {
-                for (uint32_t i = 0; i < occurrence->steps[step]->tasks.size(); ++i) {
-                    const auto& task = *occurrence->steps[step]->tasks[i];
-                    if (task.state == TaskState::Placed && m_workers.contains(task.worker))
-                        place(stored, { stored.id, occurrence->number, step, i }, task);
-                }
-            }
-        }
-    }
-    if (m_config)
-        m_tenants.assign(m_config->tenants);
-    for (const auto& tenant : in.tenants)
-        m_tenants.restore(*tenant);
-    return absl::OkStatus();
-}
-
 } // namespace turmericpier::cell
--- /dev/null
+++ b/test/cell-large-jobs-test.cc
@@ -0,0 +1,298 @@
+#include "cell-fake-world.h"
+#include "cell/bytes.h"
+#include "consensus/core.h"
+#include "turmericpier/cell/planner.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <new>
+
+/// Tests of jobs with very many tasks, which must neither end nor stop the processes that plan them.
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using namespace turmericpier::cell::test;
+using record::EndKind;
+using record::TaskState;
+using std::chrono::milliseconds;
+
+namespace {
+
+size_t allocatedBytes = 0; ///< By all threads of the test since the start.
+
+/// Returns how many bytes the function allocates, also those that it frees.
+template <typename Function> size_t bytesAllocatedBy(const Function& function)
+{
+    const auto before = allocatedBytes;
+    function();
+    return allocatedBytes - before;
+}
+
+} // namespace
+
+void* operator new(size_t size)
+{
+    allocatedBytes += size;
+    if (void* memory = std::malloc(size == 0 ? 1 : size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept { std::free(memory); }
+void operator delete(void* memory, size_t) noexcept { std::free(memory); }
+
+namespace {
+
+constexpr int64_t largeCpu = 64'000;
+
+std::unique_ptr<record::WorkerT> largeWorker(const std::string& id, const std::string& rack = "r1")
+{
+    auto made = worker(id, 1, largeCpu);
+    made->memory = 262'144;
+    made->rack = rack;
+    return made;
+}
+
+std::unique_ptr<record::StepT> smallTasks(uint32_t count)
+{
+    auto made = step(count, 5);
+    made->memory = 10;
+    return made;
+}
+
+std::unique_ptr<record::StepT> gang(uint32_t members)
+{
+    auto made = smallTasks(members);
+    made->gang = true;
+    return made;
+}
+
+/// A state with large workers, and plans for it.
+struct LargeJobsFixture {
+    State state;
+    TicketCache tickets;
+    uint32_t startRoom = UINT32_MAX;
+    bool mayStartLargeGang = true;
+
+    explicit LargeJobsFixture(int workers = 8, std::unique_ptr<record::ConfigT> configuration = config())
+    {
+        configure(state, std::move(configuration));
+        for (int i = 0; i < workers; ++i)
+            addWorker(state, largeWorker("w" + std::to_string(i), "r" + std::to_string(i / 4)));
+    }
+
+    Plan run()
+    {
+        PlannerInput input { state, tickets,
+            [this](uint32_t) { return WorkerHealthView { .usable = true, .startRoom = startRoom }; },
+            [](const StepKey&) { return false; }, TimePoint { std::chrono::seconds(100) }, 1'000'000 };
+        input.mayStartLargeGang = mayStartLargeGang;
+        return plan(input);
+    }
+
+    /// Returns the size of the plan's entry in the log, and applies it.
+    size_t apply(const Plan& made)
+    {
+        record::CommandT command;
+        for (const auto& start : made.starts)
+            command.starts.push_back(std::make_unique<record::StartT>(start));
+        const auto entry = pack<record::Command>(command);
+        state.apply(command);
+        return entry.size();
+    }
+};
+
+uint64_t tasksOf(const Plan& made, const std::string& job)
+{
+    uint64_t tasks = 0;
+    for (const auto& start : made.starts)
+        tasks += start.job == job ? start.count : 0;
+    return tasks;
+}
+
+} // namespace
+
+// Guards against a round that copies what it has planned for each member of a gang: 4,000 members took more memory than
+// a control process has (review/6).
+TEST_CASE("the memory of a planning round grows at most with the members of a gang", "[cell]")
+{
+    constexpr size_t bytesPerMember = 400;
+    constexpr size_t bytesPerRound = 100'000;
+    const bool sameRack = GENERATE(false, true);
+    for (const uint32_t members : { 10U, 100U, 1'000U, 4'000U, 10'000U }) {
+        LargeJobsFixture fixture;
+        auto wanted = gang(members);
+        wanted->same_rack = sameRack;
+        submit(fixture.state, job(jobId(1), std::move(wanted)));
+        Plan made;
+        const auto bytes = bytesAllocatedBy([&] { made = fixture.run(); });
+        CHECK(tasksOf(made, jobId(1)) == members);
+        CHECK(bytes < bytesPerRound + members * bytesPerMember);
+        fixture.apply(made);
+        CHECK(fixture.state.findTask({ jobId(1), 0, 0, members - 1 })->state == TaskState::Placed);
+    }
+}
+
+// Guards against starts of a gang that exceed the largest entry of the log, so that no task of any job starts any more.
+TEST_CASE("the log entry of a gang grows with the workers and not with the members", "[cell]")
+{
+    LargeJobsFixture fixture(16);
+    submit(fixture.state, job(jobId(1), gang(60'000)));
+    const auto made = fixture.run();
+    CHECK(made.starts.size() <= 16);
+    CHECK(fixture.apply(made) < 10'000);
+    for (const uint32_t index : { 0U, 30'000U, 59'999U })
+        CHECK(fixture.state.findTask({ jobId(1), 0, 0, index })->state == TaskState::Placed);
+}
+
+// Guards against gangs of a size that earlier versions could run, of which a replica of an earlier version would start
+// one member for each worker only.
+TEST_CASE("each member of a small gang has a start of its own", "[cell]")
+{
+    LargeJobsFixture fixture;
+    submit(fixture.state, job(jobId(1), gang(maxListedGang)));
+    const auto made = fixture.run();
+    CHECK(made.starts.size() == maxListedGang);
+    CHECK(std::ranges::all_of(made.starts, [](const auto& start) { return start.count == 1; }));
+}
+
+// Guards against a large gang whose members all wait for the connections to one worker.
+TEST_CASE("a large gang is spread over the workers that have room", "[cell]")
+{
+    LargeJobsFixture fixture;
+    submit(fixture.state, job(jobId(1), gang(2'000)));
+    const auto made = fixture.run();
+    REQUIRE(tasksOf(made, jobId(1)) == 2'000);
+    for (const auto& start : made.starts)
+        CHECK(start.count <= 256);
+}
+
+// Guards against a gang that does not fit and takes the room of others, or is placed in part.
+TEST_CASE("a large gang that does not fit leaves the room to others", "[cell]")
+{
+    LargeJobsFixture fixture(1);
+    submit(fixture.state, job(jobId(1), gang(20'000)));
+    submit(fixture.state, job(jobId(2), smallTasks(2)));
+    const auto made = fixture.run();
+    CHECK(tasksOf(made, jobId(1)) == 0);
+    CHECK(tasksOf(made, jobId(2)) == 2);
+}
+
+// Guards against several large gangs whose orders delay each other until members give up waiting.
+TEST_CASE("large gangs start one after the other", "[cell]")
+{
+    LargeJobsFixture fixture;
+    submit(fixture.state, job(jobId(1), gang(1'000)));
+    submit(fixture.state, job(jobId(2), gang(1'000)));
+    submit(fixture.state, job(jobId(3), smallTasks(2)));
+    const auto made = fixture.run();
+    CHECK(tasksOf(made, jobId(1)) == 1'000);
+    CHECK(tasksOf(made, jobId(2)) == 0);
+    CHECK(tasksOf(made, jobId(3)) == 2);
+    fixture.apply(made);
+    fixture.mayStartLargeGang = false;
+    CHECK(fixture.run().starts.empty());
+    fixture.mayStartLargeGang = true;
+    CHECK(tasksOf(fixture.run(), jobId(2)) == 1'000);
+}
+
+// Guards against a gang of a tenant or with advice that is placed by another way than others.
+TEST_CASE("a large gang starts with tickets and within the cap of its tenant", "[cell]")
+{
+    LargeJobsFixture advised(8, config(1, 2, true));
+    submit(advised.state, job(jobId(1), gang(1'000)));
+    const auto asked = advised.run();
+    REQUIRE(asked.advice.size() == 1);
+    std::map<uint32_t, std::string> tickets;
+    for (const auto serial : asked.advice[0].workers)
+        tickets[serial] = "ticket";
+    advised.tickets.record(
+        { jobId(1), 0, 0, 0 }, asked.advice[0].workers, tickets, TimePoint { std::chrono::seconds(200) });
+    CHECK(tasksOf(advised.run(), jobId(1)) == 1'000);
+
+    auto configuration = config();
+    auto tenant = std::make_unique<record::TenantT>();
+    tenant->name = "t";
+    tenant->weight = 1;
+    tenant->cap_cpu = 6'000;
+    configuration->tenants.push_back(std::move(tenant));
+    LargeJobsFixture capped(8, std::move(configuration));
+    for (const uint32_t members : { 2'000U, 1'000U }) { // 10 and 5 cores.
+        auto made = job(jobId(members), gang(members));
+        made->tenant = "t";
+        submit(capped.state, std::move(made));
+    }
+    const auto made = capped.run();
+    CHECK(tasksOf(made, jobId(2'000)) == 0);
+    CHECK(tasksOf(made, jobId(1'000)) == 1'000);
+}
+
+// Guards against a worker with so many runs that its answer to a poll cannot be read any more.
+TEST_CASE("a worker gets no more tasks than an answer may list", "[cell]")
+{
+    LargeJobsFixture fixture(1);
+    auto idle = step(60'000, 0);
+    idle->memory = 0;
+    idle->gang = true;
+    submit(fixture.state, job(jobId(1), std::move(idle)));
+    CHECK(fixture.run().starts.empty());
+    addWorker(fixture.state, largeWorker("x1"));
+    addWorker(fixture.state, largeWorker("x2"));
+    const auto made = fixture.run();
+    CHECK(tasksOf(made, jobId(1)) == 60'000);
+    for (const auto& start : made.starts)
+        CHECK(start.count == 20'000);
+}
+
+// Guards against tasks that are started faster than their worker takes orders while others are free.
+TEST_CASE("a worker gets no more starts than may wait for it", "[cell]")
+{
+    LargeJobsFixture fixture;
+    fixture.startRoom = 10;
+    submit(fixture.state, job(jobId(1), smallTasks(60)));
+    std::map<uint32_t, uint32_t> byWorker;
+    for (const auto& start : fixture.run().starts)
+        ++byWorker[start.worker];
+    CHECK(byWorker.size() == 6);
+    for (const auto& [serial, starts] : byWorker)
+        CHECK(starts == 10);
+}
+
+// Guards against a round that looks at each occurrence of a job, and searches for each of them among all others.
+TEST_CASE("a round collects as many occurrences of a job as it may start", "[cell]")
+{
+    LargeJobsFixture fixture;
+    auto timed = job(jobId(1), smallTasks(1));
+    timed->times = 20'000;
+    timed->first_due_ms = 1;
+    timed->interval_ms = 1;
+    submit(fixture.state, std::move(timed));
+    for (int round = 0; round < 3; ++round) {
+        Plan made;
+        CHECK(bytesAllocatedBy([&] { made = fixture.run(); }) < 400'000);
+        REQUIRE(made.starts.size() == 256);
+        fixture.apply(made);
+        for (const auto& start : made.starts)
+            end(fixture.state, taskOf(start), 1, start.worker, EndKind::Done);
+    }
+    CHECK(fixture.state.firstOpenOccurrence(*fixture.state.findJob(jobId(1))) == 3 * 256);
+}
+
+// Guards against members that resume from different checkpoints, and against copies of it for each member at each end.
+TEST_CASE("the members of a large gang resume from one checkpoint", "[cell]")
+{
+    LargeJobsFixture fixture;
+    submit(fixture.state, job(jobId(1), gang(1'000)));
+    const auto made = fixture.run();
+    fixture.apply(made);
+    for (const auto& start : made.starts) {
+        for (auto key = taskOf(start); key.index < start.index + start.count; ++key.index)
+            end(fixture.state, key, 1, start.worker, EndKind::Stopped, "saved " + std::to_string(key.index));
+    }
+    const auto saved = fixture.state.checkpointOf({ jobId(1), 0, 0, 0 });
+    CHECK(saved.starts_with("saved "));
+    CHECK(fixture.state.checkpointOf({ jobId(1), 0, 0, 999 }) == saved);
+    State restored;
+    REQUIRE(restored.restore(fixture.state.snapshot()).ok());
+    CHECK(restored.checkpointOf({ jobId(1), 0, 0, 999 }) == saved);
+}
--- a/test/cell-state-test.cc
+++ b/test/cell-state-test.cc
@@ -171,14 +171,14 @@
     second->after = { 0 };
     submit(fixture.state, job(jobId(1), step(2), std::move(second)));
     const auto& stored = *fixture.state.findJob(jobId(1));
-    CHECK(isReady(stored, 0, 0));
-    CHECK_FALSE(isReady(stored, 0, 1));
+    CHECK(fixture.state.isReady(stored, 0, 0));
+    CHECK_FALSE(fixture.state.isReady(stored, 0, 1));
     for (uint32_t i = 0; i < 2; ++i) {
-        CHECK_FALSE(isReady(stored, 0, 1));
+        CHECK_FALSE(fixture.state.isReady(stored, 0, 1));
         start(fixture.state, { jobId(1), 0, 0, i }, 1, fixture.w1);
         end(fixture.state, { jobId(1), 0, 0, i }, 1, fixture.w1, EndKind::Done);
     }
-    CHECK(isReady(stored, 0, 1));
+    CHECK(fixture.state.isReady(stored, 0, 1));
     CHECK(fixture.stateOf(jobId(1)) == JobState::Open);
 }
 
