Start only as many tasks of one step as a plan may

Cause: the limit of starts was checked before a step only. The entry exceeded the largest one and was refused, and the next plan was the same.

Change: the limit holds within a step. Wide steps take at most half of the starts while other steps have tasks to start, and their next tasks keep their room.

--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -78,7 +78,10 @@
     private:
         using PendingSteps = std::vector<PendingStep>;
 
-        bool isWide(const PendingStep&) const { return false; }
+        bool isWide(const PendingStep& pending) const
+        {
+            return !pending.step->gang && pending.waitingCount > m_input.maxStarts / wideStepDivisor;
+        }
 
         /// Divides the starts of the plan so that wide steps, of which each could take them all, leave some to others.
         void divideStarts()
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -244,6 +244,51 @@
         CHECK(start.count == 20'000);
 }
 
+// Guards against a step that exceeds the largest entry of the log, so that no task of any job starts any more.
+TEST_CASE("a plan starts only as many tasks of one step as one entry may hold", "[cell]")
+{
+    const uint32_t maxPerWorker = GENERATE(0U, 99'000U);
+    LargeJobsFixture fixture;
+    auto wide = smallTasks(99'000);
+    wide->max_per_worker = maxPerWorker;
+    submit(fixture.state, job(jobId(1), std::move(wide)));
+    for (int round = 0; round < 4; ++round) {
+        Plan made;
+        const auto bytes = bytesAllocatedBy([&] { made = fixture.run(); });
+        CHECK(made.starts.size() == 256);
+        CHECK(made.unplaced.overLimit == 99'000 - 256 * (static_cast<uint32_t>(round) + 1));
+        CHECK(bytes < 200'000);
+        CHECK(fixture.apply(made) < 100'000);
+    }
+}
+
+// Guards against one wide step that takes all starts of each plan until all its tasks have run.
+TEST_CASE("wide steps leave starts to others", "[cell]")
+{
+    const int wideSteps = GENERATE(1, 3, 20);
+    LargeJobsFixture fixture;
+    for (int i = 0; i < wideSteps; ++i)
+        submit(fixture.state, job(jobId(static_cast<unsigned>(100 + i)), smallTasks(9'000)));
+    submit(fixture.state, job(jobId(1), smallTasks(2)));
+    const auto made = fixture.run();
+    CHECK(made.starts.size() == 256);
+    CHECK(tasksOf(made, jobId(1)) == 2);
+    for (int i = 0; i < wideSteps; ++i)
+        CHECK(tasksOf(made, jobId(static_cast<unsigned>(100 + i))) >= 128U / static_cast<unsigned>(wideSteps));
+}
+
+// Guards against tasks of a later job that take the room of an earlier wide step, which has more tasks than a plan
+// starts.
+TEST_CASE("the room for the next tasks of a wide step is kept", "[cell]")
+{
+    LargeJobsFixture fixture(1);
+    submit(fixture.state, job(jobId(1), step(100, 640))); // The worker has room for 100.
+    submit(fixture.state, job(jobId(2), step(2, 640)));
+    const auto made = fixture.run();
+    CHECK(tasksOf(made, jobId(1)) == 100);
+    CHECK(tasksOf(made, jobId(2)) == 0);
+}
+
 // Guards against tasks that are started faster than their worker takes orders while others are free.
 TEST_CASE("a worker gets no more starts than may wait for it", "[cell]")
 {
