Hold orders back until a worker can take them

Callers saw: a gang of 600 members on one worker was started and stopped without end, and never ran. Cause: all starts went to the HTTP client at once, which fails what exceeds its queue of 512 requests, and the leader took starts that were certainly not sent for unanswered ones.

Change: at most 32 orders to a worker are without an answer; the others wait in the leader. Workers with 64 waiting starts get no more. A start that was not sent ends as never started at once. A large gang that cannot be ordered while its first members wait is stopped before they end alone, and tried again later.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -3,6 +3,7 @@
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/metrics.h"
 #include "turmericpier/cell/arrival-limiter.h"
+#include "turmericpier/cell/gang-offers.h"
 #include "turmericpier/cell/orders.h"
 #include "turmericpier/cell/planner.h"
 #include "turmericpier/cell/state.h"
@@ -28,6 +29,8 @@
     /// Longest lease that workers accept. A former leader may have given one of this length.
     std::chrono::milliseconds maxLease { 10'000 };
     std::chrono::milliseconds heartbeatInterval { 1'500 }; ///< Interval at which workers send heartbeats.
+    /// Time for which the members of a gang wait for each other at the workers.
+    std::chrono::milliseconds gangWait { 3'000 };
     /// How long ended jobs are kept; twice what callers are promised.
     std::chrono::milliseconds endedJobRetention { 240'000 };
     /// Time whose jobs a tenant may send at once, at the rate of its weight.
@@ -81,6 +84,7 @@
 private:
     /// What the leader knows about a run that it has ordered.
     enum class RunPhase {
+        Queued, ///< The start order waits for its turn; nothing was sent.
         Inherited, ///< Committed by a former leader; the first poll shows whether the run exists.
         Ordered, ///< The start order is in flight.
         Running, ///< The worker has accepted the order or listed the run.
@@ -100,7 +104,7 @@
         bool stopInFlight = false;
         TimePoint stopSentAt;
         bool endProposed = false;
-        uint32_t startAttempts = 0; ///< Number of times the start order was sent; more than one if answers were lost.
+        uint32_t startAttempts = 0; ///< Number of times the start order was made; more than one if answers were lost.
         int64_t leaseUntilMs = 0; ///< Lease in the start order, on the worker's clock.
         std::string checkpoint;
         uint32_t progress = 0;
@@ -119,6 +123,11 @@
         TimePoint sentAt;
         TimePoint receivedAt;
     };
+    struct RunKey {
+        TaskKey task;
+        uint32_t number = 0;
+        friend auto operator<=>(const RunKey&, const RunKey&) = default;
+    };
     /// What the leader knows about one incarnation of a worker.
     struct WorkerSession {
         uint32_t serial = 0;
@@ -145,6 +154,12 @@
         TimePoint failuresUpdatedAt;
         std::optional<TimePoint> lastSuccessAt; ///< Time of the last successful end of a run.
         std::map<TaskKey, Run> runs;
+        uint32_t ordersInFlight = 0; ///< Start and stop orders that were sent and not answered.
+        std::deque<RunKey> queuedStops;
+        std::deque<RunKey> queuedStarts; ///< Those without a run in the phase Queued are skipped.
+        std::deque<RunKey> queuedGangStarts; ///< Of large gangs; sent after the others.
+        std::set<RunKey> unansweredStops; ///< Queued or sent.
+        bool isSendingOrders = false; ///< sendQueuedOrders() runs.
     };
     /// Figures since the last line of the log about the load, which tell a busy leader from slow workers and advisors.
     struct LoadFigures {
@@ -221,26 +236,15 @@
     void proposeFor(
         const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs = {});
 
-    // Orders to workers and their answers (leader-workers.cc).
+    // Sessions with workers and polls (leader-workers.cc, leader-lost-workers.cc).
     void refreshSessions();
     void adoptRuns(WorkerSession& session, const WorkerRecord& worker);
     void poll(WorkerSession& session);
     void onPollAnswer(uint32_t serial, uint64_t generation, TimePoint sentAt, PollAnswer answer);
     void onPollFailed(WorkerSession& session, const PollAnswer& answer);
-    void processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows);
     void processActiveRuns(WorkerSession& session, const PollAnswer& answer, TimePoint sentAt);
     void recordUnknownRun(const WorkerSession& session, const ActiveRun& reported);
     void resolveUnlistedRuns(WorkerSession& session, const std::set<TaskKey>& listed, TimePoint sentAt);
-    void sendStart(WorkerSession& session, const TaskKey& task, Run& run);
-    bool trySendStart(WorkerSession& session, const TaskKey& task, Run& run);
-    void markStartInDoubt(WorkerSession& session, Run& run);
-    void onStart(uint32_t serial, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer);
-    void proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run);
-    void stopRun(WorkerSession& session, const TaskKey& task, Run& run);
-    void sendStop(WorkerSession& session, const TaskKey& task, uint32_t number);
-    void proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted);
-    void flushEnds();
-    void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
     void markReplaced(WorkerSession& session);
     bool mayHoldRunsOf(const WorkerRecord& earlier, const record::WorkerT& later) const;
@@ -266,6 +270,28 @@
     record::EndT makeEnd(
         const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
 
+    // Start and stop orders (leader-orders.cc).
+    bool isInLargeGang(const TaskKey& task) const;
+    void queueStart(WorkerSession& session, const TaskKey& task, Run& run);
+    void queueStop(WorkerSession& session, const TaskKey& task, uint32_t number);
+    void sendQueuedOrders(WorkerSession& session);
+    static uint32_t startRoomOf(const WorkerSession& session);
+    void sendStart(WorkerSession& session, const TaskKey& task, Run& run);
+    bool trySendStart(WorkerSession& session, const TaskKey& task, Run& run);
+    void markStartInDoubt(WorkerSession& session, Run& run);
+    void onStart(
+        WorkerSession& session, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer);
+    void stopRun(WorkerSession& session, const TaskKey& task, Run& run);
+    void sendStop(WorkerSession& session, const TaskKey& task, uint32_t number);
+    void onStop(WorkerSession& session, const TaskKey& task, uint32_t number, const OrderAnswer& answer);
+
+    // Ends of runs (leader-ends.cc).
+    void proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run);
+    void processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows);
+    void proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted);
+    void flushEnds();
+    void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
+
     // Clocks and leases of workers (leader-leases.cc).
     void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
@@ -282,6 +308,9 @@
     void stopJob(const record::JobT& job);
     void stopGangs(const record::CommandT& command);
     void stopGang(const StepKey& step, uint32_t run);
+    void stopLateGangs();
+    void deferGang(const StepKey& step, Duration delay, std::string_view reason, std::string detail);
+    bool maySendLargeGang() const;
     void forgetOldJobs();
     void recordTick();
     void reportLoad();
@@ -333,6 +362,7 @@
     ArrivalLimiter m_arrivals;
     std::set<std::string> m_waitingTenants; ///< Tenants with tasks that the last plan left waiting.
     std::map<std::string, TenantFigures> m_tenantFigures;
+    GangOffers m_largeGangs;
     /// Ended jobs, with the time at which this leader learned of their end.
     std::map<std::string, TimePoint> m_endedSince;
     int64_t m_nextDueMs = 0;
--- a/include/turmericpier/cell/orders.h
+++ b/include/turmericpier/cell/orders.h
@@ -34,6 +34,7 @@
     OtherIncarnation, ///< Another incarnation of a worker answers at the address.
     ConnectionRefused, ///< No process listens at the address.
     NoAnswer, ///< The order may have been carried out, or may still be.
+    NotSent, ///< The order has certainly not been sent and will not be.
 };
 std::string_view toString(OrderResult result);
 
--- /dev/null
+++ b/src/cell/leader-ends.cc
@@ -0,0 +1,97 @@
+#include "turmericpier/base/log.h"
+#include "turmericpier/cell/leader.h"
+
+/// Ends of runs on their way from the workers' lists to the log.
+namespace turmericpier::cell {
+
+using record::EndKind;
+
+void Leader::proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run)
+{
+    if (std::exchange(run.endProposed, true))
+        return;
+    record::CommandT command;
+    command.ends.push_back(std::make_unique<record::EndT>(
+        makeEnd(task, run.number, session.serial, EndKind::NeverStarted, run.checkpoint)));
+    proposeEnds(session.serial, std::move(command), 0);
+}
+
+void Leader::processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows)
+{
+    record::CommandT command;
+    uint64_t last = session.lastEndSeen;
+    for (const auto& reported : rows) {
+        if (reported.number <= session.lastEndSeen)
+            continue;
+        last = std::max(last, reported.number);
+        const auto found = session.runs.find(reported.task);
+        if (found == session.runs.end() || found->second.number != reported.run)
+            continue;
+        found->second.endProposed = true;
+        found->second.isListed = true;
+        const auto& checkpoint = reported.checkpoint.empty() ? found->second.checkpoint : reported.checkpoint;
+        command.ends.push_back(std::make_unique<record::EndT>(
+            makeEnd(reported.task, reported.run, session.serial, reported.how, checkpoint)));
+    }
+    if (last == session.lastEndSeen)
+        return;
+    session.lastEndSeen = last;
+    if (command.ends.empty())
+        session.lastEndCommitted = last;
+    else
+        proposeEnds(session.serial, std::move(command), last);
+}
+
+/// Collects ends until the events that wait for the thread are processed. A busy leader then proposes the ends of many
+/// workers as one entry of the log, which costs each replica far less than an entry for each worker.
+void Leader::proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted)
+{
+    PendingEnds pending { serial, lastEndCommitted, {} };
+    for (auto& end : command.ends) {
+        pending.tasks.push_back(taskOf(*end));
+        m_endsCommand.ends.push_back(std::move(end));
+    }
+    m_pendingEnds.push_back(std::move(pending));
+    if (m_pendingEnds.size() > 1)
+        return;
+    m_hooks.runAfter(Duration::zero(), [this] { flushEnds(); });
+}
+
+void Leader::flushEnds()
+{
+    if (m_pendingEnds.empty())
+        return;
+    const auto command = std::exchange(m_endsCommand, {});
+    m_hooks.propose(command,
+        [this, pending = std::exchange(m_pendingEnds, {}), generation = m_generation](const absl::Status& status) {
+            if (generation != m_generation)
+                return;
+            for (const auto& ends : pending)
+                onEndsCommitted(ends, status);
+        });
+}
+
+void Leader::onEndsCommitted(const PendingEnds& ends, const absl::Status& status)
+{
+    const auto found = m_sessions.find(ends.serial);
+    if (found == m_sessions.end())
+        return;
+    auto& session = found->second;
+    if (status.ok()) {
+        session.lastEndCommitted = std::max(session.lastEndCommitted, ends.lastEndCommitted);
+        if (!session.pollInFlight && (session.replaced || session.lastEndCommitted > session.lastEndAcknowledged))
+            poll(session);
+        return;
+    }
+    logError("cell", "ends were not committed",
+        { { "worker", addressOf(session).id }, { "message", std::string(status.message()) } });
+    // The worker lists the ends again.
+    session.lastEndSeen = session.lastEndCommitted;
+    for (const auto& task : ends.tasks) {
+        const auto run = session.runs.find(task);
+        if (run != session.runs.end())
+            run->second.endProposed = false;
+    }
+}
+
+} // namespace turmericpier::cell
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -22,7 +22,7 @@
 Leader::Suspicion Leader::suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const
 {
     const auto& job = *m_state.findJob(task.job);
-    if (job.state != record::JobState::Open || run.endProposed)
+    if (job.state != record::JobState::Open || run.endProposed || run.phase == RunPhase::Queued)
         return Suspicion::None;
     if (!run.hasBegun && session.runs.size() > 1)
         return Suspicion::Unanswered;
@@ -149,7 +149,8 @@
     if (session == m_sessions.end() || earlier.worker.born_ms >= later.born_ms
         || earlier.worker.address != later.address)
         return false;
-    return std::ranges::any_of(session->second.runs, [](const auto& entry) { return !entry.second.isListed; });
+    return std::ranges::any_of(session->second.runs,
+        [](const auto& entry) { return !entry.second.isListed && entry.second.phase != RunPhase::Queued; });
 }
 
 /// Holds a heartbeat back until the runs that its sender may hold are settled. Registering it ends the earlier
@@ -217,6 +218,9 @@
         return false;
     }
     switch (run.phase) {
+    case RunPhase::Queued:
+        proposeNeverStarted(session, task, run);
+        return false;
     case RunPhase::Ordered:
     case RunPhase::Stopping:
         return false; // The answer to the order decides.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
-/// Orders to workers and their answers.
+/// Sessions with workers, polls and the runs that they show.
 namespace turmericpier::cell {
 
 using record::EndKind;
@@ -18,15 +18,14 @@
     constexpr uint32_t maxPollWaitMs = 500;
     // Delay between polls, so that one poll collects ends that occur close together.
     constexpr milliseconds pollDelay { 30 };
+    // Additional delay for each run that the last answer lists, several times the processor time that it takes. Workers
+    // with thousands of runs would otherwise take the whole processor.
+    constexpr std::chrono::microseconds delayPerRow { 25 };
+    constexpr milliseconds maxRowsDelay { 500 };
     constexpr milliseconds pollRetryDelay { 150 };
     constexpr milliseconds stopRetryDelay { 100 }; // Delay after an attempt without an answer.
-    // After an order without an answer, other tasks are placed elsewhere until a repeated order can have been answered.
-    constexpr milliseconds noAnswerBackoff { 400 };
-    // Attempts of a start order while none is answered. More would delay the start on another worker.
-    constexpr uint32_t maxStartAttempts = 3;
     // A newly elected leader may overlap with the orders of the previous one for as long as that one's lease.
     constexpr milliseconds leadershipOverlap { 1'000 };
-    constexpr milliseconds unhealthyBackoff { 1'500 };
     // Half-life of the failure count of a worker.
     constexpr double failureHalfLifeSeconds = 6;
     // A worker counts as healthy for this long after a successful run, unless a later run has failed.
@@ -153,9 +152,11 @@
         session.synced = true;
         requestPlan();
     }
-    session.pollDueAt = now + pollDelay;
+    const auto delay
+        = pollDelay + std::min<Duration>(delayPerRow * (answer.running.size() + answer.ended.size()), maxRowsDelay);
+    session.pollDueAt = now + delay;
     if (!session.pollInFlight && !session.runs.empty() && session.lastEndSeen == session.lastEndCommitted) {
-        m_hooks.runAfter(pollDelay, [this, serial, generation] {
+        m_hooks.runAfter(delay, [this, serial, generation] {
             const auto again = m_sessions.find(serial);
             if (generation == m_generation && again != m_sessions.end() && !again->second.pollInFlight
                 && again->second.synced && !again->second.runs.empty()
@@ -202,7 +203,7 @@
             // According to the log this incarnation does not hold the run, for example because its end was committed or
             // its job was already removed.
             recordUnknownRun(session, reported);
-            sendStop(session, reported.task, reported.run);
+            queueStop(session, reported.task, reported.run);
             continue;
         }
         listed.insert(reported.task);
@@ -217,6 +218,7 @@
             run.progressSince = now;
         run.progress = reported.progress;
     }
+    sendQueuedOrders(session);
     for (const auto& reported : answer.ended) {
         const auto found = session.runs.find(reported.task);
         if (found != session.runs.end() && found->second.number == reported.run)
@@ -234,6 +236,7 @@
         if (listed.contains(key) || run.endProposed || sentAt < run.phaseSince)
             continue;
         switch (run.phase) {
+        case RunPhase::Queued:
         case RunPhase::Ordered:
         case RunPhase::Stopping:
             break; // The answer to the order decides.
@@ -262,261 +265,6 @@
             " placed_run=", task ? task->run : 0, " placed_on=", placed ? placed->worker.id : "none"));
 }
 
-void Leader::proposeNeverStarted(WorkerSession& session, const TaskKey& task, Run& run)
-{
-    if (std::exchange(run.endProposed, true))
-        return;
-    record::CommandT command;
-    command.ends.push_back(std::make_unique<record::EndT>(
-        makeEnd(task, run.number, session.serial, EndKind::NeverStarted, run.checkpoint)));
-    proposeEnds(session.serial, std::move(command), 0);
-}
-
-void Leader::processEndedRuns(WorkerSession& session, const std::vector<EndedRun>& rows)
-{
-    record::CommandT command;
-    uint64_t last = session.lastEndSeen;
-    for (const auto& reported : rows) {
-        if (reported.number <= session.lastEndSeen)
-            continue;
-        last = std::max(last, reported.number);
-        const auto found = session.runs.find(reported.task);
-        if (found == session.runs.end() || found->second.number != reported.run)
-            continue;
-        found->second.endProposed = true;
-        found->second.isListed = true;
-        const auto& checkpoint = reported.checkpoint.empty() ? found->second.checkpoint : reported.checkpoint;
-        command.ends.push_back(std::make_unique<record::EndT>(
-            makeEnd(reported.task, reported.run, session.serial, reported.how, checkpoint)));
-    }
-    if (last == session.lastEndSeen)
-        return;
-    session.lastEndSeen = last;
-    if (command.ends.empty())
-        session.lastEndCommitted = last;
-    else
-        proposeEnds(session.serial, std::move(command), last);
-}
-
-/// Collects ends until the events that wait for the thread are processed. A busy leader then proposes the ends of many
-/// workers as one entry of the log, which costs each replica far less than an entry for each worker.
-void Leader::proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted)
-{
-    PendingEnds pending { serial, lastEndCommitted, {} };
-    for (auto& end : command.ends) {
-        pending.tasks.push_back(taskOf(*end));
-        m_endsCommand.ends.push_back(std::move(end));
-    }
-    m_pendingEnds.push_back(std::move(pending));
-    if (m_pendingEnds.size() > 1)
-        return;
-    m_hooks.runAfter(Duration::zero(), [this] { flushEnds(); });
-}
-
-void Leader::flushEnds()
-{
-    if (m_pendingEnds.empty())
-        return;
-    const auto command = std::exchange(m_endsCommand, {});
-    m_hooks.propose(command,
-        [this, pending = std::exchange(m_pendingEnds, {}), generation = m_generation](const absl::Status& status) {
-            if (generation != m_generation)
-                return;
-            for (const auto& ends : pending)
-                onEndsCommitted(ends, status);
-        });
-}
-
-void Leader::onEndsCommitted(const PendingEnds& ends, const absl::Status& status)
-{
-    const auto found = m_sessions.find(ends.serial);
-    if (found == m_sessions.end())
-        return;
-    auto& session = found->second;
-    if (status.ok()) {
-        session.lastEndCommitted = std::max(session.lastEndCommitted, ends.lastEndCommitted);
-        if (!session.pollInFlight && (session.replaced || session.lastEndCommitted > session.lastEndAcknowledged))
-            poll(session);
-        return;
-    }
-    logError("cell", "ends were not committed",
-        { { "worker", addressOf(session).id }, { "message", std::string(status.message()) } });
-    // The worker lists the ends again.
-    session.lastEndSeen = session.lastEndCommitted;
-    for (const auto& task : ends.tasks) {
-        const auto run = session.runs.find(task);
-        if (run != session.runs.end())
-            run->second.endProposed = false;
-    }
-}
-
-void Leader::sendStart(WorkerSession& session, const TaskKey& task, Run& run)
-{
-    const auto until = leaseUntil(session);
-    run.leaseUntilMs = until.value_or(0);
-    if (until && trySendStart(session, task, run))
-        return;
-    // No order was sent, so the run certainly never starts.
-    m_startsRefused.increment();
-    proposeNeverStarted(session, task, run);
-}
-
-/// Sends the start order for the first time or again; the worker treats a repeated order as the same run. It carries
-/// the lease of the first one, because a later lease would postpone the moment at which an unreachable worker is given
-/// up.
-bool Leader::trySendStart(WorkerSession& session, const TaskKey& task, Run& run)
-{
-    const auto& job = *m_state.findJob(task.job);
-    const auto* queue = m_state.findQueue(job.queue);
-    const auto* ticket = m_tickets.ticketFor(stepOf(task), session.serial, m_clock.now());
-    if (m_fenced || !m_hooks.holdsLease() || (queue && queue->advice && !ticket))
-        return false;
-    m_starts.increment();
-    ++m_load.starts;
-    ++run.startAttempts;
-    const auto now = m_clock.now();
-    StartOrder order { .task = task, .run = run.number, .spec = job.spec, .leaseUntilMs = run.leaseUntilMs };
-    order.fencingToken = m_term;
-    order.checkpoint = m_state.checkpointOf(task);
-    if (ticket)
-        order.ticket = *ticket;
-    m_hooks.start(addressOf(session), order,
-        [this, serial = session.serial, task, number = run.number, now, generation = m_generation](OrderAnswer answer) {
-            if (generation == m_generation)
-                onStart(serial, task, number, now, answer);
-        });
-    return true;
-}
-
-/// Marks a start as in doubt, since the run may begin at any time. A poll shows whether it exists, or a stop prevents
-/// it.
-void Leader::markStartInDoubt(WorkerSession& session, Run& run)
-{
-    if (run.phase == RunPhase::Ordered) {
-        run.phase = RunPhase::InDoubt;
-        run.phaseSince = m_clock.now();
-    }
-    recordFailure(session, 1);
-    if (!session.pollInFlight)
-        poll(session);
-}
-
-void Leader::onStart(uint32_t serial, const TaskKey& task, uint32_t number, TimePoint sentAt, const OrderAnswer& answer)
-{
-    const auto found = m_sessions.find(serial);
-    if (found == m_sessions.end())
-        return;
-    auto& session = found->second;
-    m_startLatency.record(m_clock.now() - sentAt);
-    ++m_load.startAnswers;
-    m_load.startTime += m_clock.now() - sentAt;
-    if (answer.clockMs)
-        recordClock(session, *answer.clockMs, sentAt);
-    const auto entry = session.runs.find(task);
-    if (entry == session.runs.end() || entry->second.number != number)
-        return;
-    auto& run = entry->second;
-    if (answer.result != OrderResult::Accepted) {
-        m_startsRefused.increment();
-        recordDecision("start", taskName(task), toString(answer.result),
-            absl::StrCat("run=", number, " worker=", addressOf(session).id, " serial=", serial));
-    }
-    // The refusal of a repeated order says nothing about the orders before it, which may be carried out late or may
-    // have run already.
-    if (run.startAttempts > 1 && answer.result != OrderResult::Accepted && answer.result != OrderResult::Fenced
-        && answer.result != OrderResult::NoAnswer)
-        return markStartInDoubt(session, run);
-    switch (answer.result) {
-    case OrderResult::Accepted:
-        session.lastContactAt = m_clock.now();
-        run.hasBegun = true;
-        if (run.phase == RunPhase::Ordered) {
-            run.phase = RunPhase::Running;
-            run.phaseSince = m_clock.now();
-        }
-        if (run.stopWanted)
-            stopRun(session, task, run);
-        if (!session.pollInFlight)
-            poll(session);
-        return;
-    case OrderResult::Fenced:
-        return onFenced(session);
-    case OrderResult::NoAnswer:
-        session.backoffUntil = std::max(session.backoffUntil, m_clock.now() + noAnswerBackoff);
-        if (run.phase == RunPhase::Ordered && !run.stopWanted && !run.endProposed && !session.leaving
-            && !session.replaced && run.startAttempts < maxStartAttempts && trySendStart(session, task, run))
-            return;
-        return markStartInDoubt(session, run);
-    case OrderResult::OtherIncarnation:
-        session.backoffUntil = m_clock.now() + unhealthyBackoff;
-        proposeNeverStarted(session, task, run);
-        if (!session.pollInFlight)
-            poll(session); // Shows the later incarnation.
-        return;
-    case OrderResult::Unhealthy:
-        recordFailure(session, 1);
-        session.backoffUntil = m_clock.now() + unhealthyBackoff;
-        return proposeNeverStarted(session, task, run);
-    case OrderResult::BadTicket:
-        m_tickets.expire(stepOf(task), serial);
-        return proposeNeverStarted(session, task, run);
-    case OrderResult::NoRoom:
-        recordFailure(session, 1);
-        return proposeNeverStarted(session, task, run);
-    case OrderResult::ConnectionRefused:
-        recordFailure(session, 2);
-        session.backoffUntil = m_clock.now() + unhealthyBackoff;
-        return proposeNeverStarted(session, task, run);
-    case OrderResult::Superseded:
-    case OrderResult::TooLate:
-    case OrderResult::Invalid:
-        return proposeNeverStarted(session, task, run);
-    }
-}
-
-/// Ends a run, and prevents it from starting if its order is still in flight.
-void Leader::stopRun(WorkerSession& session, const TaskKey& task, Run& run)
-{
-    run.stopWanted = true;
-    // The worker may not know the run until the start order has arrived, so its answer is awaited first.
-    if (run.phase == RunPhase::Ordered || run.endProposed || run.stopInFlight || m_fenced || !m_hooks.holdsLease())
-        return;
-    if (run.phase == RunPhase::InDoubt || run.phase == RunPhase::Running) {
-        run.phase = RunPhase::Stopping;
-        run.phaseSince = m_clock.now();
-    }
-    run.stopInFlight = true;
-    run.stopSentAt = m_clock.now();
-    sendStop(session, task, run.number);
-}
-
-void Leader::sendStop(WorkerSession& session, const TaskKey& task, uint32_t number)
-{
-    m_hooks.stop(addressOf(session), { task, number, m_term },
-        [this, serial = session.serial, task, number, generation = m_generation](const OrderAnswer& answer) {
-            const auto found = m_sessions.find(serial);
-            if (generation != m_generation || found == m_sessions.end())
-                return;
-            auto& stopped = found->second;
-            if (answer.result == OrderResult::Fenced)
-                return onFenced(stopped);
-            const auto entry = stopped.runs.find(task);
-            if (entry == stopped.runs.end() || entry->second.number != number)
-                return;
-            auto& run = entry->second;
-            run.stopInFlight = false;
-            run.stopSentAt = m_clock.now();
-            if (answer.result != OrderResult::Accepted && answer.result != OrderResult::Superseded) {
-                recordDecision("stop", taskName(task), toString(answer.result), absl::StrCat("run=", number));
-                return;
-            }
-            run.phase = RunPhase::StopAcknowledged;
-            run.phaseSince = m_clock.now();
-            if (!stopped.pollInFlight)
-                poll(stopped);
-        });
-}
-
 /// Repeats failed stops, stops runs that must not continue, and moves tasks whose progress has stalled.
 void Leader::checkRuns(WorkerSession& session)
 {
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -67,6 +67,8 @@
         return "other life";
     case OrderResult::ConnectionRefused:
         return "connection refused";
+    case OrderResult::NotSent:
+        return "not sent";
     case OrderResult::NoAnswer:
         break;
     }
@@ -94,6 +96,7 @@
     , m_startLatency(metrics.latency("cell_start_order_seconds"))
     , m_adviceLatency(metrics.latency("cell_advice_seconds"))
     , m_arrivals(m_options.arrivalWindow)
+    , m_largeGangs(m_options.gangWait)
 {
 }
 
@@ -126,6 +129,7 @@
         proxy.busy = false;
     m_startsProposed = false;
     m_endsCommand = {};
+    m_largeGangs.clear();
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
     m_arrivals.clear();
@@ -189,16 +193,20 @@
         if (task->state != record::TaskState::Placed || task->run != start.run || task->worker != start.worker)
             continue;
         auto& run = session->second.runs[key];
-        run = { .number = start.run, .phase = RunPhase::Ordered, .phaseSince = m_clock.now() };
+        run = { .number = start.run, .phaseSince = m_clock.now() };
         run.startedAt = run.progressSince = m_clock.now();
         run.checkpoint = m_state.checkpointOf(key);
-        sendStart(session->second, key, run);
+        if (i == 0 && isInLargeGang(key))
+            m_largeGangs.begin(stepOf(key), start.run, start.count);
+        queueStart(session->second, key, run);
     }
+    sendQueuedOrders(session->second);
 }
 
 void Leader::stopJob(const record::JobT& job)
 {
     m_tickets.forgetJob(job.id);
+    m_largeGangs.forgetJob(job.id);
     m_endedSince.emplace(job.id, m_clock.now());
     for (auto& [serial, session] : m_sessions) {
         for (auto it = session.runs.lower_bound({ job.id, 0, 0, 0 });
@@ -228,12 +236,17 @@
 /// then start again under one run number.
 void Leader::stopGangs(const record::CommandT& command)
 {
-    std::set<std::pair<StepKey, uint32_t>> broken;
+    std::set<RunKey> broken;
     for (const auto& end : command.ends) {
         const auto* job = m_state.findJob(end->job);
         if (end->how == EndKind::Done || !job || !job->steps[end->step]->gang)
             continue;
-        broken.emplace(stepOf(taskOf(*end)), end->run);
+        const auto step = stepOf(taskOf(*end));
+        broken.insert({ step, end->run });
+        if (end->how != EndKind::Alone)
+            continue;
+        if (const auto delay = m_largeGangs.recordAlone(step, end->run, m_clock.now()))
+            deferGang(step, *delay, "ended alone", absl::StrCat("run=", end->run));
     }
     for (const auto& [step, run] : broken)
         stopGang(step, run);
@@ -249,6 +262,31 @@
     }
 }
 
+/// Stops the large gangs of which not all members could be ordered while the first ones wait for them.
+void Leader::stopLateGangs()
+{
+    for (const auto& late : m_largeGangs.takeLate(m_clock.now())) {
+        deferGang(
+            late.step, late.retryAfter, "not ordered in time", absl::StrCat("run=", late.run, " unsent=", late.unsent));
+        stopGang(late.step, late.run);
+    }
+}
+
+void Leader::deferGang(const StepKey& step, Duration delay, std::string_view reason, std::string detail)
+{
+    recordDecision("gang", stepName(step), reason, absl::StrCat(detail, " retry_after_ms=", toMs(delay)));
+    m_hooks.runAfter(delay, [this, generation = m_generation] {
+        if (generation == m_generation)
+            requestPlan();
+    });
+}
+
+/// Returns false while orders of a large gang wait to be sent. Those of another one would delay them.
+bool Leader::maySendLargeGang() const
+{
+    return std::ranges::all_of(m_sessions, [](const auto& entry) { return entry.second.queuedGangStarts.empty(); });
+}
+
 void Leader::requestPlan()
 {
     m_planRequested = true;
@@ -268,7 +306,7 @@
     m_planRequested = false;
     m_plans.increment();
     const auto now = m_clock.now();
-    const PlannerInput input { m_state, m_tickets,
+    PlannerInput input { m_state, m_tickets,
         // The planner asks in the order of the serials, so the next session is mostly the one asked for.
         [this, now, next = m_sessions.begin()](uint32_t serial) mutable {
             if (next == m_sessions.end() || next->first != serial)
@@ -278,9 +316,11 @@
             const auto session = next++;
             const auto failures = decayedFailures(session->second);
             return WorkerHealthView { isUsable(session->second, failures, now), failures,
-                hasRecentSuccess(session->second) };
+                hasRecentSuccess(session->second), startRoomOf(session->second) };
         },
         [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
+    input.mayStartLargeGang = maySendLargeGang();
+    input.isDeferred = [this, now](const StepKey& step) { return m_largeGangs.isDeferred(step, now); };
     auto result = plan(input);
     const auto planTime = m_clock.now() - now;
     m_planLatency.record(planTime);
@@ -478,6 +518,7 @@
             && (!session.synced || session.failedPolls > 0 || !session.runs.empty() || session.leaving))
             poll(session);
         checkRuns(session);
+        sendQueuedOrders(session);
         if (session.backoffUntil != TimePoint {} && now >= session.backoffUntil) {
             session.backoffUntil = {};
             requestPlan();
@@ -488,6 +529,7 @@
         if (!session.removalProposed && session.failedPolls > 0 && silent)
             proposeRemoval(session, false);
     }
+    stopLateGangs();
     if (m_nextDueMs != 0 && m_hooks.wallMs() >= m_nextDueMs)
         requestPlan();
     // A plan may have been postponed because the lease was missing, or a call to the advisor because no proxy was idle.
--- a/src/cell/order-records.cc
+++ b/src/cell/order-records.cc
@@ -33,7 +33,7 @@
 
     OrderResult resultOf(const record::OrderAnswerT& answer)
     {
-        return answer.result < static_cast<uint8_t>(OrderResult::NoAnswer) ? static_cast<OrderResult>(answer.result)
+        return answer.result <= static_cast<uint8_t>(OrderResult::NotSent) ? static_cast<OrderResult>(answer.result)
                                                                            : OrderResult::NoAnswer;
     }
 } // namespace
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -341,3 +341,98 @@
     REQUIRE(restored.restore(fixture.state.snapshot()).ok());
     CHECK(restored.checkpointOf({ jobId(1), 0, 0, 999 }) == saved);
 }
+
+namespace {
+
+/// A leader with one large worker.
+struct LargeWorkerFixture : LeaderFixture {
+    explicit LargeWorkerFixture(const LeaderOptions& options = {})
+    {
+        createLeader(options);
+        activate();
+        heartbeat(largeWorker("w1"));
+        answerPoll("w1");
+    }
+    size_t answerStarts(size_t most)
+    {
+        size_t answered = 0;
+        for (; answered < most && !starts.empty(); ++answered)
+            answerStart(OrderResult::Accepted);
+        return answered;
+    }
+};
+
+} // namespace
+
+// Guards against starts that fail because too many of them wait for the connections to one worker, so that a gang of
+// 600 members was started and stopped without end.
+TEST_CASE("the starts of a gang are sent as fast as the worker takes them", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(600)));
+    CHECK(fixture.starts.size() <= 64);
+    CHECK(fixture.answerStarts(600) == 600);
+    CHECK(fixture.starts.empty());
+    CHECK(fixture.stops.empty());
+    CHECK(fixture.state.findWorkerById("w1")->placed.size() == 600);
+}
+
+// Guards against urgent tasks that wait behind all members of a large gang.
+TEST_CASE("the starts of other tasks are sent before those of a large gang", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(600)));
+    fixture.submitJob(job(jobId(2), smallTasks(2)));
+    std::set<std::string> next;
+    for (int i = 0; i < 2; ++i) {
+        fixture.answerStart(OrderResult::Accepted);
+        next.insert(fixture.starts.back().order.task.job);
+    }
+    CHECK(next == std::set { jobId(2) });
+}
+
+// Guards against a gang whose members end alone because not all of them are ordered in time, again and again.
+TEST_CASE("a gang that cannot be ordered in time is stopped and tried again later", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(600)));
+    fixture.answerStarts(100);
+    for (int i = 0; i < 46; ++i) { // 2.3 s of the 3 s for which members wait.
+        fixture.advanceTime(milliseconds(50));
+        fixture.answerPoll("w1", {}, {});
+    }
+    CHECK(fixture.starts.size() <= 64); // Nothing was sent after those without an answer.
+    fixture.answerStarts(1);
+    CHECK_FALSE(fixture.stops.empty());
+    const auto placed = fixture.state.findWorkerById("w1")->placed.size();
+    CHECK(placed <= 132); // Those that were not sent have ended.
+    fixture.submitJob(job(jobId(2), smallTasks(1)));
+    CHECK(fixture.state.findJob(jobId(2))->started);
+}
+
+// Guards against a stop order for a run whose start was not sent, and against a job that cannot be cancelled meanwhile.
+TEST_CASE("a cancelled gang ends without orders for members that were not ordered", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(600)));
+    const auto sent = fixture.starts.size();
+    fixture.call(LeaderFixture::callFor(record::CallKind::Cancel, prefix + jobId(1)));
+    CHECK(fixture.state.findWorkerById("w1")->placed.size() == sent);
+    CHECK(fixture.starts.size() == sent);
+}
+
+// Guards against a task that waits for an unreachable worker although its order was certainly not sent.
+TEST_CASE("a start that was not sent goes to another worker at once", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.heartbeat(largeWorker("w2"));
+    fixture.answerPoll("w2");
+    fixture.submitJob(job(jobId(1), smallTasks(1)));
+    REQUIRE(fixture.starts.size() == 1);
+    const auto first = fixture.starts.front().to.id;
+    fixture.answerStart(OrderResult::NotSent);
+    REQUIRE(fixture.starts.size() == 1);
+    CHECK(fixture.starts.front().to.id != first);
+    CHECK(fixture.starts.front().order.run == 2);
+    CHECK(fixture.stops.empty());
+}
--- a/test/platform-codec-test.cc
+++ b/test/platform-codec-test.cc
@@ -187,6 +187,7 @@
     CHECK(decodeOrder(makeResponse(500, "")).result == OrderResult::NoAnswer);
     CHECK(decodeOrder({ http::CallFault::Refused, 0, "" }).result == OrderResult::ConnectionRefused);
     CHECK(decodeOrder({ http::CallFault::NoAnswer, 0, "" }).result == OrderResult::NoAnswer);
+    CHECK(decodeOrder({ http::CallFault::Unreachable, 0, "" }).result == OrderResult::NotSent);
 }
 
 // Guards against the clock of another incarnation in the place of that of the worker, and against the list of a later
--- a/test/platform-settings-test.cc
+++ b/test/platform-settings-test.cc
@@ -28,6 +28,7 @@
 [bounds]
 grace-s = 6
 max-hold-ms = 10000
+gang-wait-ms = 3500
 status_s = 120
 quota-window-s = 4
 )";
@@ -61,6 +62,7 @@
     CHECK(settings->firstStart);
     CHECK(settings->grace == std::chrono::seconds(6));
     CHECK(settings->maxLease == std::chrono::seconds(10));
+    CHECK(settings->gangWait == std::chrono::milliseconds(3'500));
     CHECK(settings->maxLostDisks == 2);
     CHECK(settings->statusRetention == std::chrono::seconds(120));
     CHECK(settings->quotaWindow == std::chrono::seconds(4));
