Split the ends of many runs over several entries of the log

Callers would see: ends with large checkpoints, and the end of a worker with very many runs, exceed the largest entry, are refused and proposed again without end; a worker that has restarted cannot register. Cause: nothing bounded an entry with ends.

Removal and registration of a worker come after the ends of its runs.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -291,6 +291,7 @@
     void proposeEnds(uint32_t serial, record::CommandT command, uint64_t lastEndCommitted);
     void flushEnds();
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
+    void proposeExcessEnds(record::CommandT& command);
 
     // Clocks and leases of workers (leader-leases.cc).
     void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
@@ -349,6 +350,7 @@
     TimePoint m_nextPlanAt; ///< No plan is made before this time.
     bool m_startsProposed = false;
     record::CommandT m_endsCommand; ///< Ends that were not proposed yet.
+    size_t m_endsBytes = 0; ///< Estimated size of `m_endsCommand`.
     std::vector<PendingEnds> m_pendingEnds; ///< The sources of the ends in `m_endsCommand`.
     TicketCache m_tickets;
     std::set<StepKey> m_adviceInFlight;
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -324,6 +324,7 @@
     if (atAddress && atAddress != known && atAddress->worker.born_ms < worker.born_ms)
         appendEndsOfReplaced(command, *atAddress);
     appendLateCrashes(command, worker);
+    proposeExcessEnds(command);
     command.workers.push_back(std::move(call->worker));
     proposeFor(command, std::move(answer), "worker", id);
 }
--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -124,6 +124,7 @@
     recordDecision("worker", worker.id, "gone",
         absl::StrCat("runs=", session.runs.size(), " serial=", session.serial, " born=", worker.born_ms,
             " other_answers=", hasCrashed, " since_contact_ms=", sinceContact.count()));
+    proposeExcessEnds(command);
     propose(command, [this, serial = session.serial, generation = m_generation](const absl::Status& status) {
         const auto found = m_sessions.find(serial);
         if (!status.ok() && generation == m_generation && found != m_sessions.end())
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -129,6 +129,7 @@
         proxy.busy = false;
     m_startsProposed = false;
     m_endsCommand = {};
+    m_endsBytes = 0;
     m_largeGangs.clear();
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -436,3 +436,46 @@
     CHECK(fixture.starts.front().order.run == 2);
     CHECK(fixture.stops.empty());
 }
+
+// Guards against ends that together exceed the largest entry of the log, so that none of them is ever committed.
+TEST_CASE("ends with large checkpoints are split over several entries", "[cell]")
+{
+    constexpr uint32_t tasks = 2'000;
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(tasks)));
+    CHECK(fixture.answerStarts(tasks) == tasks);
+    const std::string checkpoint(4'096, 'x');
+    std::vector<ActiveRun> running;
+    std::vector<EndedRun> ended;
+    for (uint32_t i = 0; i < tasks; ++i) {
+        const TaskKey task { jobId(1), 0, 0, i };
+        if (i < 500)
+            ended.push_back({ i + 1, task, 1, EndKind::Stopped, checkpoint });
+        else
+            running.push_back(activeRun(task, 1, 0, checkpoint));
+    }
+    const auto checkLog = [&] {
+        size_t entries = 0;
+        while (!fixture.log.empty()) {
+            fixture.commits = false;
+            for (const auto& [command, done] : fixture.log)
+                CHECK(pack<record::Command>(*command).size() < consensus::maxEntryBytes);
+            entries += fixture.log.size();
+            fixture.commits = true;
+            fixture.runPending();
+        }
+        return entries;
+    };
+    fixture.commits = false;
+    fixture.answerPoll("w1", std::move(running), std::move(ended));
+    CHECK(checkLog() > 1);
+    CHECK(fixture.state.findWorkerById("w1")->placed.size() == tasks - 500);
+    fixture.commits = false;
+    fixture.heartbeat([] {
+        auto later = largeWorker("w1");
+        later->born_ms = 2;
+        return later;
+    }());
+    CHECK(checkLog() > 1);
+    CHECK(fixture.state.findWorkerById("w1")->worker.born_ms == 2);
+}
