Acknowledge no end before the ends before it are committed

Callers would see: a task runs again after a run that has ended done. Cause: a list of ends whose new ones concern unknown runs counted as committed at once, also while earlier ends were under way to the log. The worker forgets what is acknowledged; if the leader changes then, the end is lost.

Change: such a list is read again once all ends before it are committed.

Result: the new test fails before (the poll acknowledges 2 while 1 is not committed) and holds now. Found by reading.

--- a/src/cell/leader-ends.cc
+++ b/src/cell/leader-ends.cc
@@ -59,9 +59,9 @@
     if (!command.ends.empty()) {
         session.lastEndSeen = last;
         proposeEnds(session.serial, std::move(command), last);
-    } else if (session.lastEndSeen == seenBefore) {
+    } else if (session.lastEndSeen == seenBefore && session.lastEndCommitted == seenBefore) {
         session.lastEndSeen = session.lastEndCommitted = last;
-    }
+    } // Otherwise the ends that concern no run of the log are listed again once the ends before them are committed.
 }
 
 /// Collects ends until the events that wait for the thread are processed. A busy leader then proposes the ends of many
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -479,3 +479,20 @@
     CHECK(checkLog() > 1);
     CHECK(fixture.state.findWorkerById("w1")->worker.born_ms == 2);
 }
+
+// Guards against an end that is acknowledged before an earlier one is committed, because it concerns no run of the log.
+// The worker then forgets both, and the task of the first one runs again.
+TEST_CASE("an end of an unknown run is not acknowledged before earlier ends are committed", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), smallTasks(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    fixture.commits = false;
+    const EndedRun first { 1, { jobId(1), 0, 0, 0 }, 1, EndKind::Done, {} };
+    fixture.answerPoll("w1", {}, { first });
+    fixture.advanceTime(milliseconds(200));
+    fixture.answerPoll("w1", {}, { first, { 2, { jobId(9), 0, 0, 0 }, 1, EndKind::Stopped, {} } });
+    fixture.advanceTime(milliseconds(200));
+    for (const auto& poll : fixture.polls)
+        CHECK(poll.order.ackCursor == 0);
+}
