Remove jobs that have ended under a former leader

Cause: only the leader under which a job ended had it in the list from which ended jobs are removed.

Change: entries of the log carry a time that the leaders continue by their steady clocks, ended jobs keep it, and a leader that takes over fills its list from the state. One entry removes at most 1,000 jobs.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -232,9 +232,9 @@
     void heartbeat(std::unique_ptr<record::CallT> call, Answer answer);
     void seen(const record::CallT& call, const Answer& answer);
     void leave(const record::CallT& call, const Answer& answer);
-    void propose(const record::CommandT& command, LeaderHooks::ProposeCallback done);
+    void propose(record::CommandT& command, LeaderHooks::ProposeCallback done);
     void proposeFor(
-        const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs = {});
+        record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs = {});
 
     // Sessions with workers and polls (leader-workers.cc, leader-lost-workers.cc).
     void refreshSessions();
@@ -312,6 +312,8 @@
     void stopLateGangs();
     void deferGang(const StepKey& step, Duration delay, std::string_view reason, std::string detail);
     bool maySendLargeGang() const;
+    uint64_t cellTimeMs() const;
+    void rememberEndedJobs();
     void forgetOldJobs();
     void recordTick();
     void reportLoad();
@@ -365,7 +367,9 @@
     std::set<std::string> m_waitingTenants; ///< Tenants with tasks that the last plan left waiting.
     std::map<std::string, TenantFigures> m_tenantFigures;
     GangOffers m_largeGangs;
-    /// Ended jobs, with the time at which this leader learned of their end.
+    TimePoint m_activatedAt;
+    uint64_t m_timeAtActivation = 0; ///< Time of the cell, in milliseconds.
+    /// Ended jobs, with the time of their end on the clock of this leader.
     std::map<std::string, TimePoint> m_endedSince;
     int64_t m_nextDueMs = 0;
     size_t m_pendingStateBytes = 0; ///< Estimated memory of jobs and workers that wait for their commit.
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -102,6 +102,10 @@
     /// Returns the estimated memory of all jobs and workers.
     size_t memory() const { return m_memory; }
 
+    /// Returns the time of the cell in milliseconds. It advances with the commands by the steady clocks of the leaders,
+    /// and stands still while there is none.
+    uint64_t timeMs() const { return m_timeMs; }
+
     const Tenants& tenants() const { return m_tenants; }
     const record::ConfigT* config() const { return m_config.get(); }
     /// Returns the active queue with the longest prefix of `path`, or null.
@@ -173,6 +177,7 @@
     std::unordered_map<std::string, std::set<uint32_t>> m_workersByAddress; ///< Serials of the workers by address.
     uint32_t m_nextSerial = 1;
     size_t m_memory = 0;
+    uint64_t m_timeMs = 0;
     std::unordered_map<const record::StepTasksT*, StepProgress> m_progress;
     std::unordered_map<const record::JobT*, JobProgress> m_jobProgress; ///< Of all jobs.
 };
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -81,14 +81,14 @@
 }
 
 /// Proposes a command after the ends that were collected before it, so that the log keeps their order.
-void Leader::propose(const record::CommandT& command, LeaderHooks::ProposeCallback done)
+void Leader::propose(record::CommandT& command, LeaderHooks::ProposeCallback done)
 {
     flushEnds();
+    command.time_ms = cellTimeMs();
     m_hooks.propose(command, std::move(done));
 }
 
-void Leader::proposeFor(
-    const record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs)
+void Leader::proposeFor(record::CommandT& command, Answer answer, std::string what, std::string id, std::string inputs)
 {
     propose(command,
         [this, answer = std::move(answer), what = std::move(what), id = std::move(id), inputs = std::move(inputs)](
--- a/src/cell/leader-ends.cc
+++ b/src/cell/leader-ends.cc
@@ -89,7 +89,8 @@
 {
     if (m_pendingEnds.empty())
         return;
-    const auto command = std::exchange(m_endsCommand, {});
+    auto command = std::exchange(m_endsCommand, {});
+    command.time_ms = cellTimeMs();
     m_endsBytes = 0;
     m_hooks.propose(command,
         [this, pending = std::exchange(m_pendingEnds, {}), generation = m_generation](const absl::Status& status) {
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -107,6 +107,9 @@
     deactivate();
     m_active = true;
     m_term = term;
+    m_activatedAt = m_clock.now();
+    m_timeAtActivation = m_state.timeMs();
+    rememberEndedJobs();
     refreshSessions(); // Polls every worker.
     recordDecision("leadership", absl::StrCat(term), "active",
         absl::StrCat("workers=", m_sessions.size(), " open_jobs=", m_state.openJobs().size()));
@@ -456,16 +459,34 @@
     entry.lastSeenAt = m_clock.now();
 }
 
+/// Takes the ended jobs over that former leaders have not removed. While there is no leader the time of the cell stands
+/// still, so that they are kept rather too long than too short.
+void Leader::rememberEndedJobs()
+{
+    for (const auto& [id, job] : m_state.jobs()) {
+        if (job->state == JobState::Open)
+            continue;
+        const auto age = milliseconds(m_state.timeMs() - std::min(m_state.timeMs(), job->ended_ms));
+        m_endedSince.emplace(id, m_clock.now() - age);
+    }
+}
+
+uint64_t Leader::cellTimeMs() const
+{
+    return m_timeAtActivation + static_cast<uint64_t>(toMs(m_clock.now() - m_activatedAt));
+}
+
 void Leader::forgetOldJobs()
 {
     const auto now = m_clock.now();
     // Half of the retention is what callers are promised; the rest is given up for new jobs.
     const bool isHalfFull = m_options.maxStateBytes > 0 && m_state.memory() > m_options.maxStateBytes / 2;
     const Duration retention = m_options.endedJobRetention / (isHalfFull ? 2 : 1);
+    constexpr size_t maxForgotten = 1'000; // Bounds the size of the entry.
     record::CommandT command;
-    for (const auto& [id, since] : m_endedSince) {
-        if (now - since >= retention)
-            command.forget.push_back(id);
+    for (auto it = m_endedSince.begin(); it != m_endedSince.end() && command.forget.size() < maxForgotten; ++it) {
+        if (now - it->second >= retention)
+            command.forget.push_back(it->first);
     }
     if (command.forget.empty())
         return;
--- a/src/cell/state-snapshot.cc
+++ b/src/cell/state-snapshot.cc
@@ -33,7 +33,8 @@
     for (const auto& [name, tenant] : m_tenants.all())
         tenants.push_back(record::Tenant::Pack(builder, &tenant));
     const auto config = m_config ? record::Config::Pack(builder, m_config.get()) : 0;
-    builder.Finish(record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial, &tenants));
+    builder.Finish(
+        record::CreateSnapshotDirect(builder, config, &queues, &workers, &jobs, m_nextSerial, &tenants, m_timeMs));
     return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
 }
 
@@ -52,6 +53,7 @@
     for (auto& worker : in.workers)
         storeWorker(*worker, worker->serial);
     m_nextSerial = std::max<uint32_t>(1, in.next_serial);
+    m_timeMs = in.time_ms;
     for (auto& job : in.jobs) {
         std::ranges::sort(job->occurrences, {}, [](const auto& occurrence) { return occurrence->number; });
         auto& stored = *(m_jobs[job->id] = std::move(job));
--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -139,6 +139,7 @@
 
 void State::apply(const record::CommandT& command)
 {
+    m_timeMs = std::max(m_timeMs, command.time_ms);
     if (command.config)
         applyConfig(*command.config);
     for (const auto& job : command.submit)
@@ -237,6 +238,7 @@
     auto added = std::make_unique<record::JobT>(job);
     added->state = JobState::Open;
     added->occurrences.clear();
+    added->ended_ms = 0;
     auto& stored = *added;
     m_memory += estimateMemory(stored);
     m_tenants.addJob(job.tenant);
@@ -268,6 +270,7 @@
 void State::closeJob(record::JobT& job, JobState state)
 {
     job.state = state;
+    job.ended_ms = m_timeMs;
     const auto found = m_openJobOrder.find(job.id);
     if (found == m_openJobOrder.end())
         return;
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -496,3 +496,25 @@
     for (const auto& poll : fixture.polls)
         CHECK(poll.order.ackCursor == 0);
 }
+
+// Guards against ended jobs that only the leader under which they ended removes, so that they fill the state.
+TEST_CASE("a new leader removes the jobs that have ended under the one before it", "[cell]")
+{
+    LargeWorkerFixture fixture({ .endedJobRetention = std::chrono::seconds(60) });
+    fixture.submitJob(job(jobId(1), smallTasks(1)));
+    fixture.call(LeaderFixture::callFor(record::CallKind::Cancel, prefix + jobId(1)));
+    fixture.answerStart(OrderResult::Accepted);
+    fixture.answerPoll("w1", {}, { { 1, { jobId(1), 0, 0, 0 }, 1, EndKind::Stopped, {} } });
+    fixture.advanceTime(std::chrono::seconds(20));
+    fixture.submitJob(job(jobId(2), step(1, largeCpu + 1))); // The last entry of this leader.
+    fixture.leader->deactivate();
+    State restored;
+    REQUIRE(restored.restore(fixture.state.snapshot()).ok());
+    fixture.state = std::move(restored);
+    fixture.activate(2);
+    fixture.advanceTime(std::chrono::seconds(39));
+    CHECK(fixture.state.findJob(jobId(1)));
+    fixture.advanceTime(std::chrono::seconds(3));
+    CHECK_FALSE(fixture.state.findJob(jobId(1)));
+    CHECK(fixture.state.findJob(jobId(2)));
+}
