Refuse a gang that needs more than the cap of its tenant

Callers saw: a job with such a gang was accepted and waited without end, because its members start together or not at all.

Change: it is refused with 400 and the number of the step; nothing of it is stored.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -224,6 +224,7 @@
     std::optional<Caller> identifyOrAnswer(const record::CallT& call, const Answer& answer) const;
     bool mayAccess(const Caller& caller, const std::string& queue, const std::string& tenant) const;
     bool isWithinRate(const std::string& tenant, const std::string& job, const Answer& answer);
+    bool isWithinCap(const record::JobT& job, const Answer& answer) const;
     void forgetOmittedTenants();
     void status(const record::CallT& call, const Answer& answer) const;
     void cancel(const record::CallT& call, Answer answer);
--- a/src/cell/leader-calls.cc
+++ b/src/cell/leader-calls.cc
@@ -185,6 +185,21 @@
     return false;
 }
 
+/// Refuses a job with a gang that needs more than its tenant may run at a time, which would wait without end.
+bool Leader::isWithinCap(const record::JobT& job, const Answer& answer) const
+{
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& step = *job.steps[i];
+        if (!step.gang || m_state.tenants().tasksWithinCap(job.tenant, {}, resourcesOf(step), step.count) == step.count)
+            continue;
+        recordDecision("limit", job.id, "refused", absl::StrCat("tenant=", job.tenant, " gang=", step.count));
+        answer(makeReply(
+            Verdict::Invalid, absl::StrCat("steps[", i, "]: the gang needs more than the cap of its tenant")));
+        return false;
+    }
+    return true;
+}
+
 /// Bounds the figures by the number of tenants that have work or may send it.
 void Leader::forgetOmittedTenants()
 {
@@ -211,6 +226,8 @@
     }
     job.queue = queueKey(caller->queue->host, caller->queue->prefix);
     job.tenant = caller->tenant;
+    if (!isWithinCap(job, answer))
+        return;
     const auto bytes = estimateMemory(job);
     if (!fitsState(bytes, job.id))
         return answer(makeStateFullReply());
--- a/test/cell-leader-tenants-test.cc
+++ b/test/cell-leader-tenants-test.cc
@@ -233,3 +233,25 @@
     CHECK(dump.find("\"waiting_jobs\":1") != std::string::npos);
     CHECK(dump.find("key-of") == std::string::npos);
 }
+
+// Guards against a gang that waits without end, because it needs more than its tenant may run at a time.
+TEST_CASE("a gang beyond the cap of its tenant is refused with the reason", "[cell]")
+{
+    auto configured = configWithTenants(1, tenant("a", { "key-of-a" }, 2));
+    configured->tenants.front()->cap_cpu = 4'000;
+    LeaderFixture fixture(std::move(configured));
+    fixture.activate();
+    const auto submitGang = [&](const std::string& id, uint32_t members) {
+        auto gang = step(members);
+        gang->gang = true;
+        auto call = LeaderFixture::callFor(CallKind::Submit, prefix + id);
+        call->key = "key-of-a";
+        call->job = job(id, step(9), std::move(gang));
+        return *fixture.call(std::move(call));
+    };
+    const auto refused = submitGang(jobId(1), 5);
+    CHECK(refused.verdict == Verdict::Invalid);
+    CHECK(refused.message == "steps[1]: the gang needs more than the cap of its tenant");
+    CHECK_FALSE(fixture.state.findJob(jobId(1)));
+    CHECK(submitGang(jobId(2), 4).verdict == Verdict::Ok);
+}
