Measure gangs of 10 to 10,000 members in the bench of the cell

Cause: nothing showed how a round and the life of a gang grow with its members.

Change: two benchmarks, gangRound (time and allocations of a planning round) and gangLife (all that the leader does for a gang).

--- a/bench/cell-bench.cc
+++ b/bench/cell-bench.cc
@@ -3,8 +3,12 @@
 // docs/CAPACITY.md is derived from the results.
 #include "../test/cell-fixtures.h"
 #include "turmericpier/cell/leader.h"
+#include "turmericpier/cell/planner.h"
 
+#include <atomic>
 #include <benchmark/benchmark.h>
+#include <cstdlib>
+#include <new>
 #include <queue>
 #include <random>
 
@@ -14,6 +18,23 @@
 
 namespace {
 
+std::atomic<size_t> allocatedBytes { 0 };
+
+} // namespace
+
+void* operator new(size_t size)
+{
+    allocatedBytes += size;
+    if (void* memory = std::malloc(size == 0 ? 1 : size))
+        return memory;
+    throw std::bad_alloc();
+}
+
+void operator delete(void* memory) noexcept { std::free(memory); }
+void operator delete(void* memory, size_t) noexcept { std::free(memory); }
+
+namespace {
+
 constexpr milliseconds roundTrip { 16 };
 constexpr milliseconds commitTime { 12 };
 constexpr int64_t workerCpu = 16'000;
@@ -23,10 +44,10 @@
 /// A leader with simulated workers, on simulated time.
 class Simulation {
 public:
-    explicit Simulation(int workers)
+    explicit Simulation(int workers, bool hasTraffic = true)
     {
         m_clock.advance(std::chrono::seconds(1'000));
-        test::configure(m_state, test::config(1, 2, true));
+        test::configure(m_state, test::config(1, 2, hasTraffic));
         m_leader = std::make_unique<Leader>(LeaderOptions {}, makeHooks(), m_state, m_clock, m_metrics);
         for (int i = 0; i < workers; ++i) {
             auto worker = test::worker(workerName(i), 1, workerCpu);
@@ -39,7 +60,16 @@
             at(milliseconds(i % 1'500), [this, i] { beat(i); });
         // The load of the large deployment, in proportion to the number of workers.
         m_jobInterval = Duration(static_cast<int64_t>(1e9 / (56.0 * workers / 1'100)));
-        at(milliseconds(0), [this] { submit(); });
+        if (hasTraffic)
+            at(milliseconds(0), [this] { submit(); });
+    }
+
+    void submitGang(uint32_t members)
+    {
+        auto gang = test::step(members, 5);
+        gang->memory = 1;
+        gang->gang = true;
+        submit(test::job(test::jobId(++m_jobs), std::move(gang)));
     }
 
     void run(Duration time)
@@ -139,14 +169,18 @@
         auto first = test::step(13, 3'500);
         auto second = test::step(13, 3'500);
         second->after.push_back(0);
-        auto job = test::job(test::jobId(++m_jobs), std::move(first), std::move(second));
+        submit(test::job(test::jobId(++m_jobs), std::move(first), std::move(second)));
+        at(m_jobInterval, [this] { submit(); });
+    }
+
+    void submit(std::unique_ptr<record::JobT> job)
+    {
         auto call = std::make_unique<record::CallT>();
         call->kind = record::CallKind::Submit;
         call->host = test::host;
         call->path = test::prefix + job->id;
         call->job = std::move(job);
         m_leader->handle(std::move(call), [](const record::ReplyT&) {});
-        at(m_jobInterval, [this] { submit(); });
     }
 
     void startTask(const std::string& id, const TaskKey& task, uint32_t run)
@@ -216,8 +250,47 @@
     state.counters["open jobs"] = static_cast<double>(simulation.openJobs());
 }
 
+/// One iteration is a planning round that places a gang. `bytes` is what the round allocates, also what it frees.
+void gangRound(benchmark::State& state)
+{
+    State cell;
+    test::configure(cell, test::config());
+    for (int i = 0; i < 64; ++i)
+        test::addWorker(cell, test::worker("i-" + std::to_string(i), 1, workerCpu));
+    auto gang = test::step(static_cast<uint32_t>(state.range(0)), 5);
+    gang->memory = 1;
+    gang->gang = true;
+    test::submit(cell, test::job(test::jobId(1), std::move(gang)));
+    const TicketCache tickets;
+    size_t starts = 0;
+    const auto before = allocatedBytes.load();
+    for (auto _ : state) {
+        const auto made = plan({ cell, tickets, [](uint32_t) { return WorkerHealthView { .usable = true }; },
+            [](const StepKey&) { return false; }, TimePoint {}, 0 });
+        starts = made.starts.size();
+    }
+    state.counters["bytes"] = static_cast<double>(allocatedBytes - before) / static_cast<double>(state.iterations());
+    state.counters["records"] = static_cast<double>(starts);
+}
+
+/// One iteration is the life of a gang, from its submission to the end of its last member.
+void gangLife(benchmark::State& state)
+{
+    Simulation simulation(64, false);
+    simulation.run(std::chrono::seconds(3));
+    for (auto _ : state) {
+        simulation.submitGang(static_cast<uint32_t>(state.range(0)));
+        simulation.run(std::chrono::seconds(5));
+    }
+    if (simulation.openJobs() > 0)
+        state.SkipWithError("the gang has not ended");
+    state.counters["starts"] = static_cast<double>(simulation.starts()) / static_cast<double>(state.iterations());
+}
+
 } // namespace
 
+BENCHMARK(gangRound)->RangeMultiplier(10)->Range(10, 10'000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(gangLife)->RangeMultiplier(10)->Range(10, 10'000)->Unit(benchmark::kMillisecond)->Iterations(3);
 BENCHMARK(secondOfLoad)->Arg(120)->Arg(350)->Arg(1'100)->Arg(8'500)->Unit(benchmark::kMillisecond)->Iterations(5);
 
 BENCHMARK_MAIN();
