Do not count an order to a silent worker as a crash by its task

Cause: an order without an answer counted as a crash by its task whenever nothing else was on the worker.

Change: such an order counts only if the worker was heard of within a heartbeat interval and 0.5 s before it.

Result: the new test fails before and holds now.

--- a/src/cell/leader-lost-workers.cc
+++ b/src/cell/leader-lost-workers.cc
@@ -12,19 +12,22 @@
 
 namespace {
     constexpr milliseconds youngRunAge { 1'000 };
+    constexpr milliseconds heartbeatDelay { 500 }; // Heartbeats are as late as this without a reason.
     // A task that lasts meets crashes that it has not caused. It is suspected only of those soon after its start.
     constexpr milliseconds maxSuspectedAgeOfLongRunning { 10'000 };
     // Far longer than a worker takes to restart.
     constexpr milliseconds lostWorkerRetention { 60'000 };
 } // namespace
 
-/// An order without an answer may have been sent after the crash, unless nothing else was on the worker.
+/// An order without an answer may have been sent after the crash, unless the worker was heard of shortly before it and
+/// nothing else was there.
 Leader::Suspicion Leader::suspicionOf(const WorkerSession& session, const TaskKey& task, const Run& run) const
 {
     const auto& job = *m_state.findJob(task.job);
     if (job.state != record::JobState::Open || run.endProposed || run.phase == RunPhase::Queued)
         return Suspicion::None;
-    if (!run.hasBegun && session.runs.size() > 1)
+    const auto silentBefore = run.startedAt - session.lastContactAt;
+    if (!run.hasBegun && (session.runs.size() > 1 || silentBefore > m_options.heartbeatInterval + heartbeatDelay))
         return Suspicion::Unanswered;
     // A crash shows when the worker has restarted, which takes seconds.
     const auto crashedAt = session.failedPolls > 0 ? session.unreachableSince : m_clock.now();
--- a/test/cell-crash-test.cc
+++ b/test/cell-crash-test.cc
@@ -204,6 +204,21 @@
     CHECK(fixture.state.findTask(taskOfJob(2))->suspicions == 1);
 }
 
+// Guards against a job that is shown as failed because an order went to a worker that had been silent, and had crashed
+// long before it (LOST on the day trouble-3).
+TEST_CASE("an unanswered order to a worker that was silent before it does not count as a crash", "[cell]")
+{
+    CrashFixture fixture;
+    fixture.addReadyWorker("w1");
+    fixture.advanceTime(milliseconds(3'400)); // The worker has crashed and is about to be back.
+    fixture.submitJob(job(jobId(1), step(1)));
+    REQUIRE(fixture.starts.size() == 1);
+    fixture.starts.clear();
+    fixture.restart("w1");
+    CHECK(fixture.state.findTask(taskOfJob(1))->crashes == 0);
+    CHECK(fixture.state.findTask(taskOfJob(1))->suspicions == 1);
+}
+
 // Guards against suspects that are told apart by their age when the worker is back, seconds after the crash.
 TEST_CASE("the age of a run counts up to the first failed poll", "[cell]")
 {
