Give a job up after as many crashes as its queue allows attempts

Cause: the numbers of crashes were constants, whatever the queue allows.

Change: the limit is the queue's number of attempts, two at least, and one more if others were suspected as well. Queues with two attempts behave as before.

--- a/src/cell/state.cc
+++ b/src/cell/state.cc
@@ -392,19 +392,20 @@
         countCrash(job, *task, end);
 }
 
-/// Gives the job up after crashes of two workers if the task alone is suspected of the last one, and after three in any
-/// case. An innocent task that shares its workers with others is rarely suspected that often. A run that may not have
-/// begun does not count.
+/// Gives the job up after as many crashes of workers as the queue allows attempts, but at least two, if the task alone
+/// is suspected of the last one, and after one more in any case. An innocent task that shares its workers with others
+/// is rarely suspected that often. A run that may not have begun does not count.
 void State::countCrash(record::JobT& job, record::TaskT& task, const record::EndT& end)
 {
-    constexpr uint32_t maxCrashesAsSoleSuspect = 2;
-    constexpr uint32_t maxCrashes = 3;
+    constexpr uint32_t minAttempts = 2;
     if (task.suspicions++ == 0 && task.state == TaskState::Placed)
         ++m_workers.at(task.worker).suspectedTasks; // Late evidence; the task runs elsewhere by now.
     if (!end.certain)
         return;
     ++task.crashes;
-    if (job.state == JobState::Open && task.crashes >= (end.sole_suspect ? maxCrashesAsSoleSuspect : maxCrashes))
+    const auto* queue = findQueue(job.queue);
+    const auto attempts = std::max(minAttempts, queue ? queue->attempts : 0) + (end.sole_suspect ? 0 : 1);
+    if (job.state == JobState::Open && task.crashes >= attempts)
         closeJob(job, JobState::Failed);
 }
 
--- a/test/cell-crash-test.cc
+++ b/test/cell-crash-test.cc
@@ -219,6 +219,24 @@
     CHECK(fixture.state.findTask(taskOfJob(1))->suspicions == 1);
 }
 
+// Guards against a job that is shown as failed after fewer lost runs than its queue allows attempts (review/4).
+TEST_CASE("a job is not given up before as many crashes as its queue allows attempts", "[cell]")
+{
+    constexpr uint32_t attempts = 4;
+    CrashFixture fixture;
+    configure(fixture.state, config(2, attempts));
+    fixture.addReadyWorker("w1");
+    fixture.submitJob(job(jobId(1), step(1)));
+    for (uint32_t crash = 1; crash <= attempts; ++crash) {
+        CHECK(fixture.jobState(1) == JobState::Open);
+        REQUIRE(fixture.starts.size() == 1);
+        const auto worker = fixture.workerOf(taskOfJob(1));
+        fixture.answerStart(OrderResult::Accepted);
+        fixture.restart(worker);
+    }
+    CHECK(fixture.jobState(1) == JobState::Failed);
+}
+
 // Guards against suspects that are told apart by their age when the worker is back, seconds after the crash.
 TEST_CASE("the age of a run counts up to the first failed poll", "[cell]")
 {
