--- a/bench/cell-bench.cc
+++ b/bench/cell-bench.cc
@@ -1,14 +1,12 @@
 // Measures the processor time that the leader of a cell needs for one second of load, at several numbers of workers.
 // There is no network: workers, the log and the advisor are simulated on a clock that the benchmark advances.
 // docs/CAPACITY.md is derived from the results.
+#include "../test/allocation-counter.h"
 #include "../test/cell-fixtures.h"
 #include "turmericpier/cell/leader.h"
 #include "turmericpier/cell/planner.h"
 
-#include <atomic>
 #include <benchmark/benchmark.h>
-#include <cstdlib>
-#include <new>
 #include <queue>
 #include <random>
 
@@ -18,23 +16,6 @@
 
 namespace {
 
-std::atomic<size_t> allocatedBytes { 0 };
-
-} // namespace
-
-void* operator new(size_t size)
-{
-    allocatedBytes += size;
-    if (void* memory = std::malloc(size == 0 ? 1 : size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, size_t) noexcept { std::free(memory); }
-
-namespace {
-
 constexpr milliseconds roundTrip { 16 };
 constexpr milliseconds commitTime { 12 };
 constexpr int64_t workerCpu = 16'000;
@@ -263,13 +244,14 @@
     test::submit(cell, test::job(test::jobId(1), std::move(gang)));
     const TicketCache tickets;
     size_t starts = 0;
-    const auto before = allocatedBytes.load();
+    const auto before = test::allocatedBytes.load();
     for (auto _ : state) {
         const auto made = plan({ cell, tickets, [](uint32_t) { return WorkerHealthView { .usable = true }; },
             [](const StepKey&) { return false; }, TimePoint {}, 0 });
         starts = made.starts.size();
     }
-    state.counters["bytes"] = static_cast<double>(allocatedBytes - before) / static_cast<double>(state.iterations());
+    state.counters["bytes"]
+        = static_cast<double>(test::allocatedBytes - before) / static_cast<double>(state.iterations());
     state.counters["records"] = static_cast<double>(starts);
 }
 
--- a/include/turmericpier/cell/gang-offers.h
+++ b/include/turmericpier/cell/gang-offers.h
@@ -38,9 +38,9 @@
     void recordSent(const StepKey& step, uint32_t run, TimePoint now);
     /// Returns, once each, the gangs with members that were not ordered in time.
     std::vector<Late> takeLate(TimePoint now);
-    /// Records that a member has ended because it waited too long for the others. Returns the delay before the next
-    /// attempt if this is the first such end of the run.
-    std::optional<Duration> recordAlone(const StepKey& step, uint32_t run, TimePoint now);
+    /// Records that a member has waited too long for the others or could not be ordered. Returns the delay before the
+    /// next attempt if this is the first such end of the run.
+    std::optional<Duration> recordFailure(const StepKey& step, uint32_t run, TimePoint now);
     /// Returns true while the next attempt is delayed.
     bool isDeferred(const StepKey& step, TimePoint now) const;
     void forgetJob(const std::string& job);
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -311,7 +311,7 @@
     void stopGangs(const record::CommandT& command);
     void stopGang(const StepKey& step, uint32_t run);
     void stopLateGangs();
-    void deferGang(const StepKey& step, Duration delay, std::string_view reason, std::string detail);
+    void deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail);
     bool maySendLargeGang() const;
     uint64_t cellTimeMs() const;
     void rememberEndedJobs();
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -59,8 +59,8 @@
     /// it; it is recorded by workers and not by tasks.
     size_t maxStarts = 256;
     bool mayStartLargeGang = true; ///< No orders of another large gang wait to be sent.
-    std::function<bool(const StepKey&)>
-        isDeferred {}; ///< Returns true for a gang that must not start yet; may be null.
+    /// Returns true for a gang that must not start yet; may be null.
+    std::function<bool(const StepKey&)> isDeferred {};
 };
 
 /// Returns a plan for the waiting tasks that may start now, the most urgent queues first. Within one priority, the
--- a/include/turmericpier/cell/state.h
+++ b/include/turmericpier/cell/state.h
@@ -38,6 +38,7 @@
 
 inline StepKey stepOf(const TaskKey& task) { return { task.job, task.occurrence, task.step, 0 }; }
 
+/// Returns true if the task belongs to the step.
 inline bool isTaskOf(const TaskKey& task, const StepKey& step)
 {
     return task.job == step.job && task.occurrence == step.occurrence && task.step == step.step;
--- a/src/cell/gang-offers.cc
+++ b/src/cell/gang-offers.cc
@@ -48,7 +48,7 @@
     return late;
 }
 
-std::optional<Duration> GangOffers::recordAlone(const StepKey& step, uint32_t run, TimePoint now)
+std::optional<Duration> GangOffers::recordFailure(const StepKey& step, uint32_t run, TimePoint now)
 {
     const auto found = m_offers.find(step);
     if (found == m_offers.end() || found->second.run != run)
--- a/src/cell/leader-orders.cc
+++ b/src/cell/leader-orders.cc
@@ -65,7 +65,8 @@
             || found->second.phase != RunPhase::Queued || found->second.endProposed)
             continue;
         // The task is no longer placed if another member of its gang has ended it.
-        if (m_state.findTask(start.task)->state == record::TaskState::Placed)
+        const auto* task = m_state.findTask(start.task);
+        if (task && task->state == record::TaskState::Placed && task->run == start.number)
             sendStart(session, start.task, found->second);
         else
             proposeNeverStarted(session, start.task, found->second);
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -247,10 +247,11 @@
             continue;
         const auto step = stepOf(taskOf(*end));
         broken.insert({ step, end->run });
-        if (end->how != EndKind::Alone)
+        if (end->how != EndKind::Alone && end->how != EndKind::NeverStarted)
             continue;
-        if (const auto delay = m_largeGangs.recordAlone(step, end->run, m_clock.now()))
-            deferGang(step, *delay, "ended alone", absl::StrCat("run=", end->run));
+        if (const auto delay = m_largeGangs.recordFailure(step, end->run, m_clock.now()))
+            deferGang(
+                step, *delay, "incomplete", absl::StrCat("run=", end->run, " end=", record::EnumNameEndKind(end->how)));
     }
     for (const auto& [step, run] : broken)
         stopGang(step, run);
@@ -276,7 +277,7 @@
     }
 }
 
-void Leader::deferGang(const StepKey& step, Duration delay, std::string_view reason, std::string detail)
+void Leader::deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail)
 {
     recordDecision("gang", stepName(step), reason, absl::StrCat(detail, " retry_after_ms=", toMs(delay)));
     m_hooks.runAfter(delay, [this, generation = m_generation] {
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -180,7 +180,7 @@
             candidate.hasLatencyTarget = worker.tasksWithTarget > 0;
             candidate.hasFillingTask = worker.fillingTasks > 0;
             candidate.hasSuspectedTask = worker.suspectedTasks > 0;
-            m_candidates.push_back(std::move(candidate));
+            m_candidates.push_back(candidate);
         }
 
         void collectPendingSteps()
--- a/test/cell-gang-offers-test.cc
+++ b/test/cell-gang-offers-test.cc
@@ -44,10 +44,10 @@
     for (uint32_t run = 1; run <= 10; ++run) {
         offers.begin(step, run, 1);
         CHECK_FALSE(offers.isDeferred(step, now));
-        const auto delay = offers.recordAlone(step, run, now);
+        const auto delay = offers.recordFailure(step, run, now);
         REQUIRE(delay);
         CHECK(*delay == std::min<Duration>(run == 1 ? Duration(seconds(1)) : 2 * last, seconds(60)));
-        CHECK_FALSE(offers.recordAlone(step, run, now)); // Another member of the same run.
+        CHECK_FALSE(offers.recordFailure(step, run, now)); // Another member of the same run.
         CHECK(offers.isDeferred(step, now + *delay - milliseconds(1)));
         now = now + *delay;
         last = *delay;
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -1,11 +1,10 @@
+#include "allocation-counter.h"
 #include "cell-fake-world.h"
 #include "cell/bytes.h"
 #include "consensus/core.h"
 #include "turmericpier/cell/planner.h"
 
 #include <catch2/catch.hpp>
-#include <cstdlib>
-#include <new>
 
 /// Tests of jobs with very many tasks, which must neither end nor stop the processes that plan them.
 
@@ -18,31 +17,14 @@
 
 namespace {
 
-size_t allocatedBytes = 0; ///< By all threads of the test since the start.
-
 /// Returns how many bytes the function allocates, also those that it frees.
 template <typename Function> size_t bytesAllocatedBy(const Function& function)
 {
-    const auto before = allocatedBytes;
+    const size_t before = allocatedBytes;
     function();
     return allocatedBytes - before;
 }
 
-} // namespace
-
-void* operator new(size_t size)
-{
-    allocatedBytes += size;
-    if (void* memory = std::malloc(size == 0 ? 1 : size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, size_t) noexcept { std::free(memory); }
-
-namespace {
-
 constexpr int64_t largeCpu = 64'000;
 
 std::unique_ptr<record::WorkerT> largeWorker(const std::string& id, const std::string& rack = "r1")
@@ -410,6 +392,24 @@
     CHECK(fixture.state.findJob(jobId(2))->started);
 }
 
+// Guards against a gang that is placed again at once, without end, because one of its members is refused each time.
+TEST_CASE("a large gang with a refused member is tried again later", "[cell]")
+{
+    LargeWorkerFixture fixture;
+    fixture.submitJob(job(jobId(1), gang(600)));
+    fixture.answerStart(OrderResult::Superseded);
+    fixture.answerStarts(600);
+    fixture.answerPoll("w1");
+    for (int i = 0; i < 200 && !fixture.stops.empty(); ++i)
+        fixture.answerStop(OrderResult::Accepted);
+    fixture.answerPoll("w1");
+    REQUIRE(fixture.state.findWorkerById("w1")->placed.empty());
+    fixture.advanceTime(milliseconds(500));
+    CHECK(fixture.starts.empty());
+    fixture.advanceTime(milliseconds(600));
+    CHECK_FALSE(fixture.starts.empty());
+}
+
 // Guards against a stop order for a run whose start was not sent, and against a job that cannot be cancelled meanwhile.
 TEST_CASE("a cancelled gang ends without orders for members that were not ordered", "[cell]")
 {
