--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -294,6 +294,13 @@
     void onEndsCommitted(const PendingEnds& ends, const absl::Status& status);
     void proposeExcessEnds(record::CommandT& command);
 
+    // Gangs (leader-gangs.cc).
+    void stopGangs(const record::CommandT& command);
+    void stopGang(const StepKey& step, uint32_t run);
+    void stopLateGangs();
+    void deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail);
+    bool maySendLargeGang() const;
+
     // Clocks and leases of workers (leader-leases.cc).
     void assumeLongestLease(WorkerSession& session, Duration grantedUntil);
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
@@ -308,11 +315,6 @@
     void logEnd(const record::EndT& end) const;
     void stopClosedJobs(const record::CommandT& command);
     void stopJob(const record::JobT& job);
-    void stopGangs(const record::CommandT& command);
-    void stopGang(const StepKey& step, uint32_t run);
-    void stopLateGangs();
-    void deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail);
-    bool maySendLargeGang() const;
     uint64_t cellTimeMs() const;
     void rememberEndedJobs();
     void forgetOldJobs();
