--- /dev/null
+++ b/review/standin-3/cases.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "scene.h"
+
+#include <filesystem>
+
+/// The cases. Each returns true if the rule was broken, and throws CannotRun if it cannot run.
+namespace review {
+
+bool crashedWorkers(Record& record, const std::filesystem::path& repository, bool isDisturbed);
+bool fillingTasks(Record& record, const std::filesystem::path& repository, bool isDisturbed);
+bool lateStarts(Record& record, const std::filesystem::path& repository, bool isDisturbed);
+
+} // namespace review
--- /dev/null
+++ b/review/standin-3/cluster.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "record.h"
+
+#include <filesystem>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+/// The processes of the system, started with the commands of the deploy file on loopback addresses.
+namespace review {
+
+struct ClusterOptions {
+    std::filesystem::path repository; ///< Working directory of the processes.
+    int controls = 5;
+    int entries = 3;
+};
+
+struct Process {
+    std::string name;
+    std::string ip;
+    std::string zone;
+    bool isControl = false;
+    pid_t pid = 0;
+};
+
+class Cluster {
+public:
+    Cluster(Record& record, ClusterOptions options);
+    ~Cluster(); ///< Ends all processes.
+
+    void start();
+    const std::vector<Process>& processes() const { return m_processes; }
+    std::vector<std::string> controlAddresses() const;
+    std::vector<std::string> entryAddresses() const;
+    /// Second number of all loopback addresses of this run.
+    int network() const { return m_network; }
+    /// Returns true if a process has ended by itself.
+    bool hasEnded();
+
+private:
+    void spawn(Process& process, bool isFirstStart);
+    std::string settingsOf(const Process& process, bool isFirstStart) const;
+
+    Record& m_record;
+    const ClusterOptions m_options;
+    int m_network = 0;
+    std::filesystem::path m_folder;
+    std::vector<Process> m_processes;
+};
+
+} // namespace review
--- /dev/null
+++ b/review/standin-3/main.cc
@@ -0,0 +1,43 @@
+#include "cases.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <unistd.h>
+
+/// Usage: review-cases CASE REPOSITORY RECORD
+///
+/// Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 there is no
+/// disruption.
+int main(int argumentCount, char** arguments)
+{
+    using namespace review;
+    const std::map<std::string, bool (*)(Record&, const std::filesystem::path&, bool)> cases {
+        { "crashed-workers", crashedWorkers },
+        { "filling-tasks", fillingTasks },
+        { "late-starts", lateStarts },
+    };
+    const auto found = argumentCount == 4 ? cases.find(arguments[1]) : cases.end();
+    if (found == cases.end()) {
+        std::cerr << "usage: review-cases CASE REPOSITORY RECORD\n";
+        return 2;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    // The processes end with this one.
+    constexpr unsigned longestSeconds = 110;
+    ::alarm(longestSeconds);
+    const char* trouble = std::getenv("TROUBLE");
+    const bool isDisturbed = !trouble || std::string(trouble) != "0";
+    Record record(arguments[3]);
+    int result = 2;
+    try {
+        result = found->second(record, arguments[2], isDisturbed) ? 1 : 0;
+    } catch (const std::exception& failure) {
+        record.write(std::string("the case cannot run: ") + failure.what());
+    }
+    record.write(result == 1 ? "RULE BROKEN" : result == 0 ? "the rule held" : "no result");
+    std::cout << arguments[1] << ": " << (result == 1 ? "rule broken" : result == 0 ? "rule held" : "not run") << "\n";
+    std::cout.flush();
+    ::_exit(result);
+}
