--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -9,6 +9,8 @@
 
 bool crashedWorkers(Record& record, const std::filesystem::path& repository, bool isDisturbed);
 bool fillingTasks(Record& record, const std::filesystem::path& repository, bool isDisturbed);
+bool failingService(Record& record, const std::filesystem::path& repository, bool isDisturbed);
+bool cutOffWorker(Record& record, const std::filesystem::path& repository, bool isDisturbed);
 bool lateStarts(Record& record, const std::filesystem::path& repository, bool isDisturbed);
 
 } // namespace review
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -16,7 +16,9 @@
     const std::map<std::string, bool (*)(Record&, const std::filesystem::path&, bool)> cases {
         { "crashed-workers", crashedWorkers },
         { "filling-tasks", fillingTasks },
+        { "cut-off-worker", cutOffWorker },
         { "late-starts", lateStarts },
+        { "failing-service", failingService },
     };
     const auto found = argumentCount == 4 ? cases.find(arguments[1]) : cases.end();
     if (found == cases.end()) {
--- a/review/standin-3/worker.cc
+++ b/review/standin-3/worker.cc
@@ -13,6 +13,7 @@
 namespace {
     constexpr int64_t longestLeaseMs = 10'000;
     constexpr milliseconds stopTime { 50 };
+    constexpr int64_t failingTaskMs = 50;
     constexpr milliseconds heartbeatInterval { 1'500 };
 
     std::string text(const json::object& body, const char* name)
@@ -35,6 +36,7 @@
         size_t history = 0;
         SteadyTime startedAt;
         int64_t durationMs = 0; ///< 0 for a task that lasts.
+        std::string outcome = "done"; ///< How the run ends after this time.
         std::optional<SteadyTime> stopAt;
     };
     struct End {
@@ -117,6 +119,18 @@
 
 void Worker::drain() { m_draining = true; }
 
+void Worker::cutOff(SteadyTime until)
+{
+    m_record.write("worker " + m_options.id + " is cut off");
+    m_cutOffUntil = until;
+}
+
+void Worker::awaitLink() const
+{
+    while (now() < m_cutOffUntil.load())
+        std::this_thread::sleep_for(milliseconds(10));
+}
+
 void Worker::leave()
 {
     const auto life = m_life;
@@ -135,6 +149,18 @@
     return m_drainAcknowledgedAt;
 }
 
+bool Worker::fail(const std::string& task)
+{
+    const auto life = m_life;
+    std::lock_guard lock(life->mutex);
+    const auto found = life->running.find(task);
+    if (found == life->running.end())
+        return false;
+    found->second.durationMs = 1;
+    found->second.outcome = "failed";
+    return true;
+}
+
 std::set<std::string> Worker::running() const
 {
     const auto life = m_life;
@@ -168,7 +194,9 @@
 {
     Reader reader(socket);
     while (auto request = reader.read(true)) {
+        awaitLink();
         const auto response = handle(*life, *request);
+        awaitLink();
         if (!response.empty() && !sendAll(socket, response))
             break;
     }
@@ -236,9 +264,13 @@
     if (known != life.running.end() || (ended != life.highestEnded.end() && run <= ended->second))
         return answer(409, { { "reason", "old" } });
     const auto spec = text(body, "spec");
-    Life::Run started { run, 0, now(), 0, std::nullopt };
+    Life::Run started { run, 0, now(), 0, "done", std::nullopt };
     if (spec.starts_with("ms="))
         started.durationMs = std::stoll(spec.substr(3));
+    if (spec == "fails") {
+        started.durationMs = failingTaskMs;
+        started.outcome = "failed";
+    }
     started.history = m_history.add({ m_options.id, task, run, now(), {}, "" });
     life.running[task] = started;
     m_record.write("worker " + m_options.id + " begins " + task + " run " + std::to_string(run));
@@ -304,7 +336,7 @@
             else if (run.stopAt && now() >= *run.stopAt)
                 how = "stopped";
             else if (run.durationMs > 0 && now() - run.startedAt >= milliseconds(run.durationMs))
-                how = "done";
+                how = run.outcome;
             if (how.empty()) {
                 ++it;
                 continue;
@@ -326,6 +358,7 @@
     std::string preferred;
     bool sentDraining = false;
     while (true) {
+        awaitLink();
         json::object body;
         bool draining = false;
         {
--- a/review/standin-3/worker.h
+++ b/review/standin-3/worker.h
@@ -71,6 +71,8 @@
     bool start();
     /// Ends at once: all connections and all that runs are lost.
     void crash();
+    /// Cuts the worker off: it sends and answers nothing until `until`, and runs on.
+    void cutOff(SteadyTime until);
     /// Reports `draining` from now on.
     void drain();
     /// Takes leave and ends, as after a drain.
@@ -81,6 +83,8 @@
     std::optional<SteadyTime> drainAcknowledgedAt() const;
     bool isRegistered() const { return m_acknowledged; }
     const std::string& id() const { return m_options.id; }
+    /// Ends the task as failed. Returns false if it does not run here.
+    bool fail(const std::string& task);
     /// Names of the tasks that run here.
     std::set<std::string> running() const;
 
@@ -97,6 +101,7 @@
     std::string poll(Life& life, std::unique_lock<std::mutex>& lock, const boost::json::object& body);
     void tick(const std::shared_ptr<Life>& life);
     void beat(const std::shared_ptr<Life>& life);
+    void awaitLink() const;
 
     Record& m_record;
     History& m_history;
@@ -105,6 +110,7 @@
     std::atomic<bool> m_up { false };
     std::atomic<bool> m_draining { false };
     std::atomic<bool> m_acknowledged { false };
+    std::atomic<SteadyTime> m_cutOffUntil { SteadyTime {} };
     mutable std::mutex m_drainMutex;
     std::optional<SteadyTime> m_drainAcknowledgedAt;
 };
