Review case 11: waiting tasks stay after a restart of all control processes

A leader that has just started drops its questions to the advisor, because it knows no proxy yet, and nothing asks again.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # the rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/turmericpier ] && [ -x target/review-3/review-cases ] || exit 2
-exec target/review-3/review-cases crashed-workers "$PWD" "review/11/record.txt"
+exec target/review-3/review-cases advice-after-restart "$PWD" "review/11/record.txt"
--- a/review/standin-3/cluster.cc
+++ b/review/standin-3/cluster.cc
@@ -7,9 +7,11 @@
 #include <fcntl.h>
 #include <fstream>
 #include <stdexcept>
+#include <thread>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 
@@ -17,7 +19,6 @@
     constexpr int clientPort = 8161;
     constexpr int controlPort = 8166;
     constexpr int readyPort = 8167;
-    constexpr int advisorPort = 8169;
     constexpr int firstInternalPort = 7720;
 
     std::string address(const std::string& ip, int port) { return ip + ":" + std::to_string(port); }
@@ -81,7 +82,7 @@
         + "\ncounts-as-loss = " + (process.isControl ? "true" : "false")
         + "\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeat-interval-ms = 1500\nconfig_mode = \"highest\"\n"
           "orders = \"call\"\nadvice = \""
-        + address("127." + std::to_string(m_network) + ".3.1", advisorPort) + "\"\n";
+        + address(advisorIp(), advisorPort) + "\"\n";
     if (process.isControl)
         text += "data-dir = \"" + (m_folder / process.name).string() + "\"\n";
     text += "[listen]\n";
@@ -131,6 +132,24 @@
     m_record.write("started " + process.name + " at " + process.ip + ", process " + std::to_string(process.pid));
 }
 
+void Cluster::powerOffControls(std::chrono::milliseconds time)
+{
+    for (const auto& process : m_processes) {
+        if (process.isControl && process.pid > 0)
+            ::kill(process.pid, SIGKILL);
+    }
+    m_record.write("all control processes are killed");
+    for (auto& process : m_processes) {
+        if (process.isControl && process.pid > 0)
+            ::waitpid(std::exchange(process.pid, 0), nullptr, 0);
+    }
+    std::this_thread::sleep_for(time);
+    for (auto& process : m_processes) {
+        if (process.isControl)
+            spawn(process, false);
+    }
+}
+
 bool Cluster::hasEnded()
 {
     for (auto& process : m_processes) {
--- a/review/standin-3/cluster.h
+++ b/review/standin-3/cluster.h
@@ -31,10 +31,14 @@
 
     void start();
     const std::vector<Process>& processes() const { return m_processes; }
+    /// Kills all control processes at once, as a loss of power does, and starts them again after the time.
+    void powerOffControls(std::chrono::milliseconds time);
+    std::string advisorIp() const { return "127." + std::to_string(m_network) + ".3.1"; }
     std::vector<std::string> controlAddresses() const;
     std::vector<std::string> entryAddresses() const;
     /// Second number of all loopback addresses of this run.
     int network() const { return m_network; }
+    static constexpr int advisorPort = 8169;
     /// Returns true if a process has ended by itself.
     bool hasEnded();
 
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -14,8 +14,8 @@
 {
     using namespace review;
     const std::map<std::string, bool (*)(Record&, const std::filesystem::path&, bool)> cases {
-        { "crashed-workers", crashedWorkers },
         { "filling-tasks", fillingTasks },
+        { "advice-after-restart", adviceAfterRestart },
         { "cut-off-worker", cutOffWorker },
         { "late-starts", lateStarts },
         { "failing-service", failingService },
