Keep the stand-ins of the third review until their process ends

Threads of the workers could use a scene that was destroyed already, and a case that took too long ended with the status of its alarm.

--- a/review/standin-3/cluster.h
+++ b/review/standin-3/cluster.h
@@ -27,7 +27,14 @@
 class Cluster {
 public:
     Cluster(Record& record, ClusterOptions options);
-    ~Cluster(); ///< Ends all processes.
+    ~Cluster();
+    Cluster(const Cluster&) = delete;
+    Cluster& operator=(const Cluster&) = delete;
+
+    /// Ends all processes and removes their folder.
+    void end();
+    /// Ends the processes of the cluster that was made last, if there is one.
+    static void endCurrent();
 
     void start();
     const std::vector<Process>& processes() const { return m_processes; }
@@ -46,6 +53,8 @@
     void spawn(Process& process, bool isFirstStart);
     std::string settingsOf(const Process& process, bool isFirstStart) const;
 
+    static Cluster* s_current;
+
     Record& m_record;
     const ClusterOptions m_options;
     int m_network = 0;
--- a/review/standin-3/cut-off-worker.cc
+++ b/review/standin-3/cut-off-worker.cc
@@ -14,7 +14,7 @@
     constexpr milliseconds timeBeforeJob { 5'200 };
     constexpr double calmSeconds = 7; // The 3 s and the 4 s before them.
     constexpr double longestWait = 40;
-    Scene scene(record, { .cluster = { .repository = repository }, .workers = workers });
+    auto& scene = Scene::make(record, { .cluster = { .repository = repository }, .workers = workers });
     const std::string serving = "/sync/";
     scene.start({ makeQueue("r-close", "/close/", 2, 2), makeQueue("r-sync", serving, 1, 4) });
     auto& worker = *scene.workers[workers / 2];
--- a/review/standin-3/failing-service.cc
+++ b/review/standin-3/failing-service.cc
@@ -14,7 +14,7 @@
     constexpr double restartSeconds = 6; // From the end of the last run of a task that lasts.
     constexpr double idleSeconds = 3;
     constexpr int longestWait = 40;
-    Scene scene(record, { .cluster = { .repository = repository }, .workers = workers });
+    auto& scene = Scene::make(record, { .cluster = { .repository = repository }, .workers = workers });
     const std::string serving = "/sync/";
     const std::string batch = "/close/";
     scene.start({ makeQueue("r-close", batch, 2, 2), makeQueue("r-sync", serving, 1, 4) });
--- a/review/standin-3/filling-tasks.cc
+++ b/review/standin-3/filling-tasks.cc
@@ -12,7 +12,7 @@
     constexpr int workers = 16;
     constexpr double finishSeconds = 14; // finish_s
     constexpr double idleSeconds = 3;
-    Scene scene(record, { .cluster = { .repository = repository }, .workers = workers });
+    auto& scene = Scene::make(record, { .cluster = { .repository = repository }, .workers = workers });
     const std::string serving = "/sync/";
     const std::string batch = "/close/";
     scene.start({ makeQueue("r-close", batch, 2, 2), makeQueue("r-sync", serving, 1, 4) });
--- a/review/standin-3/late-starts.cc
+++ b/review/standin-3/late-starts.cc
@@ -16,7 +16,7 @@
 {
     constexpr double drainSeconds = 2.5; // drain-ms
     constexpr milliseconds slowTime { 7'000 };
-    Scene scene(record, { .cluster = { .repository = repository }, .workers = 16 });
+    auto& scene = Scene::make(record, { .cluster = { .repository = repository }, .workers = 16 });
     const std::string batch = "/close/";
     const std::string serving = "/sync/";
     scene.start({ makeQueue("r-close", batch, 2, 2), makeQueue("r-sync", serving, 1, 4) });
--- a/review/standin-3/scene.h
+++ b/review/standin-3/scene.h
@@ -23,7 +23,8 @@
 
 class Scene {
 public:
-    Scene(Record& record, SceneOptions options);
+    /// Makes a scene that is never destroyed, because the threads of its workers use it until the process ends.
+    static Scene& make(Record& record, SceneOptions options) { return *new Scene(record, std::move(options)); }
 
     /// Starts the processes and the workers, and waits until the configuration is acknowledged, every worker is
     /// registered, and a first job is done.
@@ -39,6 +40,9 @@
     Cluster cluster;
     Client client;
     std::vector<std::unique_ptr<Worker>> workers;
+
+private:
+    Scene(Record& record, SceneOptions options);
 };
 
 } // namespace review
