--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-"${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread review/standin-3/*.cc \
+"${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread review/11/standin/*.cc \
     -o target/review-3/review-cases -lboost_json
