Plan again when a worker that a plan left out can take tasks

A plan reads whether a worker is usable; several of the conditions end by an event or by time alone, and nothing requested a plan then. The leader now keeps what the last plan has read of each worker, and compares it with the present at each tick while tasks wait. The comparison uses the function that the plan reads, so that a further condition is part of both. The planner returns a reason for each task that it leaves out and the earliest time at which the time alone can change one; the delay of a gang is such a time. The dump shows the reasons and since when.

Planning moves to a file of its own. isDeferred() of the offers of gangs becomes deferredUntil(); its tests check the time as well.

--- a/include/turmericpier/cell/gang-offers.h
+++ b/include/turmericpier/cell/gang-offers.h
@@ -41,8 +41,8 @@
     /// Records that a member has waited too long for the others or could not be ordered. Returns the delay before the
     /// next attempt if this is the first such end of the run.
     std::optional<Duration> recordFailure(const StepKey& step, uint32_t run, TimePoint now);
-    /// Returns true while the next attempt is delayed.
-    bool isDeferred(const StepKey& step, TimePoint now) const;
+    /// Returns the time of the next attempt while it is delayed.
+    std::optional<TimePoint> deferredUntil(const StepKey& step, TimePoint now) const;
     void forgetJob(const std::string& job);
     void clear() { m_offers.clear(); }
 
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -160,6 +160,30 @@
         std::deque<RunKey> queuedGangStarts; ///< Of large gangs; sent after the others.
         std::set<RunKey> unansweredStops; ///< Queued or sent.
         bool isSendingOrders = false; ///< sendQueuedOrders() runs.
+        bool wasUsable = false; ///< The last plan could place tasks on the worker.
+    };
+    /// Why no tasks are placed on a worker. docs/design/waiting-tasks.md has the event or the time that ends each.
+    enum class Exclusion {
+        None,
+        NotSynced, ///< No poll with this leader's fencing token was answered yet.
+        PollsFailed, ///< The last poll got no answer.
+        Leaving, ///< The worker has announced that it leaves.
+        Replaced, ///< A later incarnation is known.
+        Removal, ///< The removal of the worker was proposed.
+        Pause, ///< An order got no answer, or the worker was not healthy, a short time ago.
+        Failures, ///< Too many recent failures.
+        Silent, ///< Not heard of for several heartbeat intervals.
+    };
+    /// What the last plan has left out, and what it has read beside the state and the sessions.
+    struct Waiting {
+        struct Step {
+            WaitReason reason = WaitReason::NoRoom;
+            uint32_t tasks = 0;
+            TimePoint since;
+        };
+        UnplacedTasks unplaced;
+        std::optional<TimePoint> retryAt;
+        std::map<StepKey, Step> steps; ///< The first ones, for operators.
     };
     /// Figures since the last line of the log about the load, which tell a busy leader from slow workers and advisors.
     struct LoadFigures {
@@ -266,7 +290,8 @@
     void recordSuccess(WorkerSession& session);
     bool hasRecentSuccess(const WorkerSession& session) const;
     void checkRuns(WorkerSession& session);
-    bool isUsable(const WorkerSession& session, double failures, TimePoint now) const;
+    Exclusion exclusionOf(const WorkerSession& session, double failures, TimePoint now) const;
+    static std::string_view nameOf(Exclusion exclusion);
     WorkerAddress addressOf(const WorkerSession& session) const;
     record::EndT makeEnd(
         const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
@@ -298,7 +323,7 @@
     void stopGangs(const record::CommandT& command);
     void stopGang(const StepKey& step, uint32_t run);
     void stopLateGangs();
-    void deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail);
+    void logDelayedGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail) const;
     bool maySendLargeGang() const;
 
     // Clocks and leases of workers (leader-leases.cc).
@@ -306,12 +331,18 @@
     void recordClock(WorkerSession& session, int64_t clockMs, TimePoint sentAt);
     std::optional<int64_t> leaseUntil(WorkerSession& session);
 
-    // Planning (leader.cc).
-    void orderStarts(const record::StartT& start);
+    // Planning (leader-plans.cc).
     void requestPlan();
     void runPlan();
-    void askAdvisor(const std::vector<struct AdviceRequest>& requests);
+    WorkerHealthView viewOf(const WorkerSession& session, TimePoint now) const;
+    void rememberWaiting(const Plan& plan);
+    void replanIfChanged();
+    bool hasWorkerForWaiting(TimePoint now) const;
+    void askAdvisor(const std::vector<AdviceRequest>& requests);
     void logStarts(const std::vector<record::StartT>& starts) const;
+
+    // The rest (leader.cc).
+    void orderStarts(const record::StartT& start);
     void logEnd(const record::EndT& end) const;
     void stopClosedJobs(const record::CommandT& command);
     void stopJob(const record::JobT& job);
@@ -321,6 +352,7 @@
     void recordTick();
     void reportLoad();
     boost::json::array describeTenants() const;
+    boost::json::array describeWaiting() const;
     void recordDecision(
         std::string_view what, std::string_view id, std::string_view outcome, std::string detail = "") const;
 
@@ -352,6 +384,7 @@
     bool m_fenced = false;
     bool m_planRequested = false;
     bool m_planScheduled = false;
+    Waiting m_waiting;
     TimePoint m_nextPlanAt; ///< No plan is made before this time.
     bool m_startsProposed = false;
     record::CommandT m_endsCommand; ///< Ends that were not proposed yet.
--- a/src/cell/gang-offers.cc
+++ b/src/cell/gang-offers.cc
@@ -70,10 +70,12 @@
     return delay;
 }
 
-bool GangOffers::isDeferred(const StepKey& step, TimePoint now) const
+std::optional<TimePoint> GangOffers::deferredUntil(const StepKey& step, TimePoint now) const
 {
     const auto found = m_offers.find(step);
-    return found != m_offers.end() && now < found->second.retryAt;
+    if (found == m_offers.end() || now >= found->second.retryAt)
+        return std::nullopt;
+    return found->second.retryAt;
 }
 
 void GangOffers::forgetJob(const std::string& job)
--- a/src/cell/leader-gangs.cc
+++ b/src/cell/leader-gangs.cc
@@ -22,7 +22,7 @@
         if (end->how != EndKind::Alone && end->how != EndKind::NeverStarted)
             continue;
         if (const auto delay = m_largeGangs.recordFailure(step, end->run, m_clock.now()))
-            deferGang(
+            logDelayedGang(
                 step, *delay, "incomplete", absl::StrCat("run=", end->run, " end=", record::EnumNameEndKind(end->how)));
     }
     for (const auto& [step, run] : broken)
@@ -43,20 +43,17 @@
 void Leader::stopLateGangs()
 {
     for (const auto& late : m_largeGangs.takeLate(m_clock.now())) {
-        deferGang(
+        logDelayedGang(
             late.step, late.retryAfter, "not ordered in time", absl::StrCat("run=", late.run, " unsent=", late.unsent));
         stopGang(late.step, late.run);
     }
 }
 
-void Leader::deferGang(const StepKey& step, Duration delay, std::string_view reason, const std::string& detail)
+void Leader::logDelayedGang(
+    const StepKey& step, Duration delay, std::string_view reason, const std::string& detail) const
 {
     recordDecision("gang", stepName(step), reason,
         absl::StrCat(detail, " retry_after_ms=", std::chrono::duration_cast<std::chrono::milliseconds>(delay).count()));
-    m_hooks.runAfter(delay, [this, generation = m_generation] {
-        if (generation == m_generation)
-            requestPlan();
-    });
 }
 
 /// Returns false while orders of a large gang wait to be sent. Those of another one would delay them.
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -32,6 +32,8 @@
     constexpr milliseconds recentSuccessWindow { 6'000 };
     // A worker with at least this many recent failures gets no tasks.
     constexpr double maxRecentFailures = 2.5;
+    // A worker gets no tasks after this many heartbeat intervals of silence.
+    constexpr int silentIntervals = 3;
     // A task is moved if its progress does not change for this long, or for the given multiple of the expected time per
     // percent if that is longer.
     constexpr milliseconds minStallTimeout { 3'000 };
@@ -324,11 +326,49 @@
 }
 
 /// `failures` is the current failure count of the worker.
-bool Leader::isUsable(const WorkerSession& session, double failures, TimePoint now) const
+Leader::Exclusion Leader::exclusionOf(const WorkerSession& session, double failures, TimePoint now) const
 {
-    return session.synced && session.failedPolls == 0 && !session.leaving && !session.replaced
-        && !session.removalProposed && now >= session.backoffUntil && failures < maxRecentFailures
-        && now - session.lastContactAt <= 3 * m_options.heartbeatInterval;
+    if (!session.synced)
+        return Exclusion::NotSynced;
+    if (session.failedPolls > 0)
+        return Exclusion::PollsFailed;
+    if (session.leaving)
+        return Exclusion::Leaving;
+    if (session.replaced)
+        return Exclusion::Replaced;
+    if (session.removalProposed)
+        return Exclusion::Removal;
+    if (now < session.backoffUntil)
+        return Exclusion::Pause;
+    if (failures >= maxRecentFailures)
+        return Exclusion::Failures;
+    return now - session.lastContactAt > silentIntervals * m_options.heartbeatInterval ? Exclusion::Silent
+                                                                                       : Exclusion::None;
+}
+
+std::string_view Leader::nameOf(Exclusion exclusion)
+{
+    switch (exclusion) {
+    case Exclusion::None:
+        return "";
+    case Exclusion::NotSynced:
+        return "not synced";
+    case Exclusion::PollsFailed:
+        return "polls failed";
+    case Exclusion::Leaving:
+        return "leaving";
+    case Exclusion::Replaced:
+        return "replaced";
+    case Exclusion::Removal:
+        return "removal";
+    case Exclusion::Pause:
+        return "pause";
+    case Exclusion::Failures:
+        return "failures";
+    case Exclusion::Silent:
+        break;
+    }
+    return "silent";
 }
 
 } // namespace turmericpier::cell
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -14,22 +14,10 @@
 using std::chrono::milliseconds;
 
 namespace {
-    // Time allowed for a call to the advisor beyond its expected duration, for queueing at the advisor and a slow
-    // connection.
-    constexpr milliseconds adviceTimeoutMargin { 600 };
-    // Delay before the advisor is asked again about a step whose call failed, as the advisor may be overloaded.
-    constexpr milliseconds adviceRetryDelay { 150 };
-    // A ticket is used only if it remains valid for this long, so that it covers the commit of the start and the order.
-    constexpr milliseconds ticketMargin { 250 };
     // A worker without runs is removed after this many heartbeat intervals of silence.
     constexpr int idleWorkerTimeoutIntervals = 6;
-    // Pause after a plan, as a multiple of the time that the plan took. Planning then takes at most a fifth of the
-    // processor, so that a long queue does not delay the answers and orders that would shorten it.
-    constexpr int planPauseFactor = 4;
-    constexpr milliseconds maxPlanPause { 40 };
     constexpr milliseconds loadReportInterval { 1'000 };
-    // Proxies announce themselves every second.
-    constexpr milliseconds advisorProxyTimeout { 3'000 };
+    constexpr milliseconds advisorProxyRetention { 30'000 };
 
     int64_t toMs(Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); }
 
@@ -144,6 +132,7 @@
         held.answer(makeReply(Verdict::NotLeader, "this replica does not lead"));
     m_endedSince.clear();
     m_nextDueMs = 0;
+    m_waiting = {};
     m_load = {};
     m_lastTickAt.reset();
 }
@@ -236,100 +225,6 @@
     }
 }
 
-void Leader::requestPlan()
-{
-    m_planRequested = true;
-    if (m_planScheduled || m_startsProposed || !m_active)
-        return;
-    m_planScheduled = true;
-    m_hooks.runAfter(std::max(Duration::zero(), m_nextPlanAt - m_clock.now()), [this] {
-        m_planScheduled = false;
-        runPlan();
-    });
-}
-
-void Leader::runPlan()
-{
-    if (!m_active || m_fenced || m_startsProposed || !m_planRequested || !m_hooks.holdsLease())
-        return;
-    m_planRequested = false;
-    m_plans.increment();
-    const auto now = m_clock.now();
-    PlannerInput input { m_state, m_tickets,
-        // The planner asks in the order of the serials, so the next session is mostly the one asked for.
-        [this, now, next = m_sessions.begin()](uint32_t serial) mutable {
-            if (next == m_sessions.end() || next->first != serial)
-                next = m_sessions.find(serial);
-            if (next == m_sessions.end())
-                return WorkerHealthView {};
-            const auto session = next++;
-            const auto failures = decayedFailures(session->second);
-            return WorkerHealthView { isUsable(session->second, failures, now), failures,
-                hasRecentSuccess(session->second), startRoomOf(session->second) };
-        },
-        [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
-    input.mayStartLargeGang = maySendLargeGang();
-    input.isDeferred = [this, now](const StepKey& step) { return m_largeGangs.isDeferred(step, now); };
-    auto result = plan(input);
-    const auto planTime = m_clock.now() - now;
-    m_planLatency.record(planTime);
-    ++m_load.plans;
-    m_load.planTime += planTime;
-    m_load.unplaced.awaitingAdvice += result.unplaced.awaitingAdvice;
-    m_load.unplaced.withoutWorker += result.unplaced.withoutWorker;
-    m_load.unplaced.overLimit += result.unplaced.overLimit;
-    m_load.unplaced.overCap += result.unplaced.overCap;
-    m_waitingTenants = std::move(result.waitingTenants);
-    m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
-    m_nextDueMs = result.nextDueMs;
-    askAdvisor(result.advice);
-    if (result.starts.empty())
-        return;
-    logStarts(result.starts);
-    record::CommandT command;
-    for (auto& start : result.starts)
-        command.starts.push_back(std::make_unique<record::StartT>(std::move(start)));
-    m_startsProposed = true;
-    const auto generation = m_generation;
-    propose(command, [this, generation](const absl::Status& status) {
-        if (generation != m_generation)
-            return;
-        m_startsProposed = false;
-        if (!status.ok())
-            logError("cell", "starts were not committed", { { "message", std::string(status.message()) } });
-        requestPlan();
-    });
-}
-
-/// Logs one line for the tasks of a step that start together, with the number of tasks by worker.
-void Leader::logStarts(const std::vector<record::StartT>& starts) const
-{
-    constexpr size_t maxWorkers = 50; // In one line.
-    for (size_t first = 0; first < starts.size();) {
-        const auto step = stepOf(taskOf(starts[first]));
-        std::vector<std::pair<uint32_t, uint32_t>> workers;
-        uint64_t tasks = 0;
-        auto next = first;
-        for (; next < starts.size() && isTaskOf(taskOf(starts[next]), step); ++next) {
-            tasks += starts[next].count;
-            if (workers.empty() || workers.back().first != starts[next].worker)
-                workers.emplace_back(starts[next].worker, 0);
-            workers.back().second += starts[next].count;
-        }
-        std::string text;
-        for (size_t i = 0; i < std::min(workers.size(), maxWorkers); ++i) {
-            absl::StrAppend(&text, i == 0 ? "" : ",", workers[i].first);
-            if (workers[i].second > 1)
-                absl::StrAppend(&text, "*", workers[i].second);
-        }
-        if (workers.size() > maxWorkers)
-            absl::StrAppend(&text, " more=", workers.size() - maxWorkers);
-        recordDecision("start", stepName(step), "placed",
-            absl::StrCat("tasks=", tasks, " run=", starts[first].run, " workers=", text));
-        first = next;
-    }
-}
-
 void Leader::logEnd(const record::EndT& end) const
 {
     if (end.how == EndKind::Done)
@@ -339,71 +234,6 @@
         absl::StrCat("run=", end.run, " worker=", worker ? worker->worker.id : "gone"));
 }
 
-void Leader::askAdvisor(const std::vector<AdviceRequest>& requests)
-{
-    const auto now = m_clock.now();
-    for (const auto& request : requests) {
-        const auto retry = m_adviceRetryAt.find(request.step);
-        if (retry != m_adviceRetryAt.end() && now < retry->second)
-            continue;
-        auto idle = m_advisorProxies.begin();
-        while (idle != m_advisorProxies.end()
-            && (idle->second.busy || now - idle->second.lastSeenAt > advisorProxyTimeout))
-            ++idle;
-        if (idle == m_advisorProxies.end())
-            return;
-        std::vector<std::string> ids;
-        for (const auto serial : request.workers)
-            ids.push_back(m_state.findWorker(serial)->worker.id);
-        const auto* queue = m_state.findQueue(m_state.findJob(request.step.job)->queue);
-        const auto validUntil = now + milliseconds(queue->advice->ticket_ms);
-        auto& proxy = idle->second;
-        proxy.busy = true;
-        const auto call = proxy.call = m_nextAdvice++;
-        m_adviceInFlight.insert(request.step);
-        m_adviceCalls.increment();
-        ++m_load.adviceCalls;
-        const auto generation = m_generation;
-        const auto finish = [this, generation, call, name = idle->first, request, validUntil, now](
-                                AdviceAnswer answer) {
-            const auto found = m_advisorProxies.find(name);
-            if (found == m_advisorProxies.end() || found->second.call != call || !found->second.busy
-                || generation != m_generation)
-                return;
-            found->second.busy = false;
-            m_adviceInFlight.erase(request.step);
-            m_adviceLatency.record(m_clock.now() - now);
-            ++m_load.adviceAnswers;
-            m_load.adviceTime += m_clock.now() - now;
-            if (!answer.ok) {
-                m_adviceRetryAt[request.step] = m_clock.now() + adviceRetryDelay;
-                recordDecision("advice", absl::StrCat(request.step.job, ".", request.step.step), "no answer", name);
-            } else {
-                m_adviceRetryAt.erase(request.step);
-                std::map<uint32_t, std::string> fit;
-                for (const auto serial : request.workers) {
-                    const auto* worker = m_state.findWorker(serial);
-                    const auto ticket = worker ? answer.tickets.find(worker->worker.id) : answer.tickets.end();
-                    if (ticket != answer.tickets.end())
-                        fit[serial] = ticket->second;
-                }
-                const auto* job = m_state.findJob(request.step.job);
-                if (job && job->state == JobState::Open)
-                    m_tickets.record(request.step, request.workers, fit, validUntil);
-            }
-            requestPlan();
-        };
-        m_hooks.advise(idle->first, request.step, ids, finish);
-        m_hooks.runAfter(request.expectedDuration + adviceTimeoutMargin, [finish] { finish({}); });
-    }
-}
-
-void Leader::recordAdvisorProxy(const std::string& proxy)
-{
-    auto& entry = m_advisorProxies[proxy];
-    entry.lastSeenAt = m_clock.now();
-}
-
 /// Takes the ended jobs over that former leaders have not removed. While there is no leader the time of the cell stands
 /// still, so that they are kept rather too long than too short.
 void Leader::rememberEndedJobs()
@@ -464,14 +294,20 @@
 {
     m_loadReportedAt = m_clock.now();
     const auto load = std::exchange(m_load, {});
+    const auto unplaced = [&load](std::initializer_list<WaitReason> reasons) {
+        int64_t tasks = 0;
+        for (const auto reason : reasons)
+            tasks += load.unplaced[reason];
+        return meanOf(tasks, load.plans);
+    };
     recordDecision("load", absl::StrCat("term ", m_term), "report",
         absl::StrCat("tick_gap_ms=", toMs(load.maxTickGap), " plans=", load.plans, " plan_ms=", toMs(load.planTime),
-            " starts=", load.starts, " start_answer_ms=", meanMs(load.startTime, load.startAnswers),
-            " looks=", load.polls, " advice=", load.adviceCalls,
-            " advice_ms=", meanMs(load.adviceTime, load.adviceAnswers), " open_jobs=", m_state.openJobs().size(),
-            " unplaced_advice=", meanOf(load.unplaced.awaitingAdvice, load.plans),
-            " unplaced_room=", meanOf(load.unplaced.withoutWorker, load.plans), " unplaced_limit=",
-            meanOf(load.unplaced.overLimit, load.plans), " unplaced_cap=", meanOf(load.unplaced.overCap, load.plans)));
+            " starts=", load.starts, " start_answer_ms=", meanMs(load.startTime, load.startAnswers), " looks=",
+            load.polls, " advice=", load.adviceCalls, " advice_ms=", meanMs(load.adviceTime, load.adviceAnswers),
+            " open_jobs=", m_state.openJobs().size(), " unplaced_advice=", unplaced({ WaitReason::Advice }),
+            " unplaced_room=", unplaced({ WaitReason::NoRoom, WaitReason::OrdersQueued }),
+            " unplaced_limit=", unplaced({ WaitReason::PlanLimit, WaitReason::GangDelay, WaitReason::GangOrders }),
+            " unplaced_cap=", unplaced({ WaitReason::TenantCap })));
 }
 
 void Leader::tick()
@@ -486,10 +322,6 @@
             poll(session);
         checkRuns(session);
         sendQueuedOrders(session);
-        if (session.backoffUntil != TimePoint {} && now >= session.backoffUntil) {
-            session.backoffUntil = {};
-            requestPlan();
-        }
         const bool silent = session.runs.empty()
             ? now - session.lastContactAt > idleWorkerTimeoutIntervals * m_options.heartbeatInterval
             : now >= session.leaseEnd;
@@ -497,14 +329,13 @@
             proposeRemoval(session, false);
     }
     stopLateGangs();
-    if (m_nextDueMs != 0 && m_hooks.wallMs() >= m_nextDueMs)
-        requestPlan();
-    // A plan may have been postponed because the lease was missing, or a call to the advisor because no proxy was idle.
-    if (m_planRequested || !m_adviceRetryAt.empty())
+    replanIfChanged();
+    // A call to the advisor may have been postponed because no proxy was idle.
+    if (!m_adviceRetryAt.empty())
         requestPlan();
     std::erase_if(m_adviceRetryAt, [&](const auto& entry) { return now >= entry.second; });
     std::erase_if(
-        m_advisorProxies, [&](const auto& entry) { return now - entry.second.lastSeenAt > 10 * advisorProxyTimeout; });
+        m_advisorProxies, [&](const auto& entry) { return now - entry.second.lastSeenAt > advisorProxyRetention; });
     forgetOldJobs();
 }
 
@@ -536,21 +367,35 @@
     return described;
 }
 
+/// Describes the first steps of which the last plan has left tasks out.
+boost::json::array Leader::describeWaiting() const
+{
+    boost::json::array described;
+    for (const auto& [step, waiting] : m_waiting.steps) {
+        described.push_back(boost::json::object { { "step", stepName(step) }, { "tasks", waiting.tasks },
+            { "reason", cell::toString(waiting.reason) }, { "since_ms", toMs(m_clock.now() - waiting.since) } });
+    }
+    return described;
+}
+
 std::string Leader::dump() const
 {
     boost::json::array workers;
     for (const auto& [serial, session] : m_sessions) {
         const auto* record = m_state.findWorker(serial);
+        const auto failures = decayedFailures(session);
+        const auto exclusion = exclusionOf(session, failures, m_clock.now());
         workers.push_back(boost::json::object { { "serial", serial }, { "id", record ? record->worker.id : "" },
             { "synced", session.synced }, { "silent_looks", session.failedPolls }, { "runs", session.runs.size() },
-            { "usable", isUsable(session, decayedFailures(session), m_clock.now()) },
-            { "failures", decayedFailures(session) } });
+            { "usable", exclusion == Exclusion::None }, { "excluded_by", nameOf(exclusion) },
+            { "failures", failures } });
     }
     return boost::json::serialize(boost::json::object { { "active", m_active }, { "term", m_term },
         { "open_jobs", m_state.openJobs().size() }, { "jobs", m_state.jobs().size() },
         { "state_bytes", m_state.memory() }, { "max_state_bytes", m_options.maxStateBytes },
         { "config_version", m_state.config() ? m_state.config()->version : 0 }, { "tenants", describeTenants() },
-        { "tenant_count", m_state.tenants().all().size() }, { "workers", std::move(workers) } });
+        { "tenant_count", m_state.tenants().all().size() }, { "waiting", describeWaiting() },
+        { "workers", std::move(workers) } });
 }
 
 } // namespace turmericpier::cell
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -34,6 +34,7 @@
     constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers may run a step.
     // A step is wide if its waiting tasks would take more than this part of the starts of a plan. All wide steps
     // together take at most half of the starts while others wait.
+    constexpr size_t maxListedWaiting = 20; // Steps in the list for operators.
     constexpr size_t wideStepDivisor = 4;
     constexpr size_t wideStepsDivisor = 2;
 
@@ -163,7 +164,7 @@
                 allowed = 0;
             pending.waitingCount = allowed;
             pending.waiting.resize(std::min<size_t>(pending.waiting.size(), allowed));
-            m_plan.unplaced.overCap += static_cast<uint32_t>(count - allowed);
+            leaveOut(pending, WaitReason::TenantCap, count - allowed);
             m_plan.waitingTenants.insert(pending.job->tenant);
         }
 
@@ -180,6 +181,7 @@
             candidate.hasLatencyTarget = worker.tasksWithTarget > 0;
             candidate.hasFillingTask = worker.fillingTasks > 0;
             candidate.hasSuspectedTask = worker.suspectedTasks > 0;
+            m_anyQueueIsFull |= candidate.startRoom == 0;
             m_candidates.push_back(candidate);
         }
 
@@ -288,21 +290,40 @@
             if (pending.waitingCount == 0)
                 return;
             if (m_startedTasks >= m_input.maxStarts)
-                m_plan.unplaced.overLimit += static_cast<uint32_t>(pending.waitingCount);
+                leaveOut(pending, WaitReason::PlanLimit, pending.waitingCount);
             else if (pending.step->gang)
                 placeGang(pending);
             else
                 placeTasks(pending);
         }
 
-        void countUnplaced(const PendingStep& pending, uint64_t tasks, bool awaitingAdvice)
+        /// Each task that is not placed goes through here, with the reason that ends as docs/design/waiting-tasks.md
+        /// says.
+        void leaveOut(const PendingStep& pending, WaitReason reason, uint64_t tasks)
         {
-            auto& counter = awaitingAdvice ? m_plan.unplaced.awaitingAdvice : m_plan.unplaced.withoutWorker;
-            counter += static_cast<uint32_t>(tasks);
+            if (tasks == 0)
+                return;
+            m_plan.unplaced.add(reason, tasks);
+            if (m_plan.waiting.size() < maxListedWaiting)
+                m_plan.waiting.push_back({ pending.key, reason, static_cast<uint32_t>(tasks) });
+        }
+
+        void leaveOutUntil(const PendingStep& pending, WaitReason reason, uint64_t tasks, TimePoint until)
+        {
+            m_plan.retryAt = m_plan.retryAt ? std::min(*m_plan.retryAt, until) : until;
+            leaveOut(pending, reason, tasks);
+        }
+
+        /// Leaves out tasks that no worker can take now.
+        void leaveOutForRoom(PendingStep& pending, uint64_t tasks, const std::vector<Candidate*>& workers)
+        {
+            // Only a worker with a full queue has capacity for a task and may not get its start.
+            const bool isQueued = m_anyQueueIsFull && chooseCandidate(pending, {}, 1, workers, true);
+            leaveOut(pending, isQueued ? WaitReason::OrdersQueued : WaitReason::NoRoom, tasks);
             const auto& tenant = pending.job->tenant;
             // A task that none of the workers can run does not wait for room.
             const auto mayRun = [&](const Candidate& candidate) { return isCompatible(pending, candidate); };
-            if (tasks > 0 && !awaitingAdvice && !tenant.empty() && !m_plan.waitingTenants.contains(tenant)
+            if (tasks > 0 && !tenant.empty() && !m_plan.waitingTenants.contains(tenant)
                 && (m_candidates.empty() || std::ranges::any_of(m_candidates, mayRun)))
                 m_plan.waitingTenants.insert(tenant);
         }
@@ -345,7 +366,7 @@
             if (unplaced.empty())
                 return reserveRest(pending, rest, workers);
             if (requestAdvice(pending, avoidedByAll))
-                return countUnplaced(pending, unplaced.size() + rest, true);
+                return leaveOut(pending, WaitReason::Advice, unplaced.size() + rest);
             // No other worker may run the task: a second run on the worker where it failed is better than none.
             size_t placed = 0;
             while (placed < unplaced.size()) {
@@ -354,13 +375,13 @@
                     break;
                 place(pending, unplaced[placed++], *candidate);
             }
-            countUnplaced(pending, unplaced.size() - placed + rest, false);
+            leaveOutForRoom(pending, unplaced.size() - placed + rest, workers);
         }
 
         /// Keeps capacity for tasks that follow in this round or the next, so that later steps do not take it.
         void reserveRest(PendingStep& pending, uint64_t rest, const std::vector<Candidate*>& workers)
         {
-            m_plan.unplaced.overLimit += static_cast<uint32_t>(rest);
+            leaveOut(pending, WaitReason::PlanLimit, rest);
             rest = std::min<uint64_t>(rest, m_input.maxStarts);
             while (rest > 0) {
                 auto* candidate = chooseCandidate(pending, {}, rest, workers, true);
@@ -385,7 +406,7 @@
                     if (!historyOf(*pending, index).isClean())
                         continue;
                     start(*pending, index, *candidate);
-                    --m_plan.unplaced.overLimit;
+                    m_plan.unplaced.remove(WaitReason::PlanLimit, 1);
                 }
             }
         }
@@ -398,7 +419,7 @@
 
         void start(const PendingStep& pending, uint32_t index, Candidate& candidate)
         {
-            --candidate.startRoom;
+            m_anyQueueIsFull |= --candidate.startRoom == 0;
             ++m_startedTasks;
             addStart(pending, index, lastRunOf(pending, index) + 1, candidate);
         }
@@ -413,21 +434,20 @@
         {
             const auto count = pending.step->count;
             if (pending.anyPlaced || pending.waitingCount != count)
-                return; // Some member of an earlier run has not ended.
-            if (m_input.isDeferred && m_input.isDeferred(pending.key)) {
-                m_plan.unplaced.overLimit += count;
-                return;
-            }
+                return leaveOut(pending, WaitReason::GangMembers, pending.waitingCount);
+            if (const auto until = m_input.deferredUntil ? m_input.deferredUntil(pending.key) : std::nullopt)
+                return leaveOutUntil(pending, WaitReason::GangDelay, count, *until);
             const auto placement = detail::placeGang(pending, eligibleCandidates(pending));
-            if (placement.empty())
-                return countUnplaced(pending, count, requestAdvice(pending, 0));
+            if (placement.empty()) {
+                if (requestAdvice(pending, 0))
+                    return leaveOut(pending, WaitReason::Advice, count);
+                return leaveOutForRoom(pending, count, {});
+            }
             for (const auto& [candidate, members] : placement)
                 reserve(pending, *candidate, members);
             const bool isLarge = count > maxListedGang;
-            if (isLarge && (m_largeGangStarts || !m_input.mayStartLargeGang)) {
-                m_plan.unplaced.overLimit += count; // Its room is kept.
-                return;
-            }
+            if (isLarge && (m_largeGangStarts || !m_input.mayStartLargeGang))
+                return leaveOut(pending, WaitReason::GangOrders, count); // Its room is kept.
             m_largeGangStarts |= isLarge;
             // The orders of a large gang are sent after those of other tasks, so its starts do not count.
             m_startedTasks += isLarge ? 0 : count;
@@ -518,12 +538,36 @@
         size_t m_wideStarts = 0; ///< Starts that are left for wide steps.
         size_t m_startedTasks = 0; ///< Starts in the plan without those of large gangs.
         uint64_t m_plannedTasks = 0; ///< Starts and reservations.
+        bool m_anyQueueIsFull = false; ///< Some worker may get no more starts in this round.
         bool m_largeGangStarts = false; ///< The plan has the starts of a large gang.
         decision::FairShare m_shares; ///< Used only if there are tenants.
         Plan m_plan;
     };
 } // namespace
 
+std::string_view toString(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::Advice:
+        return "advice";
+    case WaitReason::NoRoom:
+        return "no room";
+    case WaitReason::OrdersQueued:
+        return "orders queued";
+    case WaitReason::PlanLimit:
+        return "plan limit";
+    case WaitReason::TenantCap:
+        return "tenant cap";
+    case WaitReason::GangMembers:
+        return "gang members";
+    case WaitReason::GangDelay:
+        return "gang delay";
+    case WaitReason::GangOrders:
+        break;
+    }
+    return "gang orders";
+}
+
 Plan plan(const PlannerInput& input) { return PlanningRound(input).run(); }
 
 } // namespace turmericpier::cell
--- a/test/cell-gang-offers-test.cc
+++ b/test/cell-gang-offers-test.cc
@@ -43,15 +43,15 @@
     Duration last { 0 };
     for (uint32_t run = 1; run <= 10; ++run) {
         offers.begin(step, run, 1);
-        CHECK_FALSE(offers.isDeferred(step, now));
+        CHECK_FALSE(offers.deferredUntil(step, now));
         const auto delay = offers.recordFailure(step, run, now);
         REQUIRE(delay);
         CHECK(*delay == std::min<Duration>(run == 1 ? Duration(seconds(1)) : 2 * last, seconds(60)));
         CHECK_FALSE(offers.recordFailure(step, run, now)); // Another member of the same run.
-        CHECK(offers.isDeferred(step, now + *delay - milliseconds(1)));
+        CHECK(offers.deferredUntil(step, now + *delay - milliseconds(1)) == now + *delay);
         now = now + *delay;
         last = *delay;
     }
     offers.forgetJob(step.job);
-    CHECK_FALSE(offers.isDeferred(step, now - milliseconds(1)));
+    CHECK_FALSE(offers.deferredUntil(step, now - milliseconds(1)));
 }
--- a/test/cell-large-jobs-test.cc
+++ b/test/cell-large-jobs-test.cc
@@ -238,7 +238,7 @@
         Plan made;
         const auto bytes = bytesAllocatedBy([&] { made = fixture.run(); });
         CHECK(made.starts.size() == 256);
-        CHECK(made.unplaced.overLimit == 99'000 - 256 * (static_cast<uint32_t>(round) + 1));
+        CHECK(made.unplaced[WaitReason::PlanLimit] == 99'000 - 256 * (static_cast<uint32_t>(round) + 1));
         CHECK(bytes < 200'000);
         CHECK(fixture.apply(made) < 100'000);
     }
--- a/test/cell-planner-test.cc
+++ b/test/cell-planner-test.cc
@@ -73,14 +73,14 @@
     PlannerFixture fixture;
     addWorker(fixture.state, worker("w1", 1, 2'500));
     submit(fixture.state, job(jobId(1), step(5)));
-    CHECK(fixture.run().unplaced.withoutWorker == 3);
+    CHECK(fixture.run().unplaced[WaitReason::NoRoom] == 3);
     PlannerFixture advised(true);
     addWorker(advised.state, worker("w1", 1, 2'500));
     submit(advised.state, job(jobId(1), step(5)));
-    CHECK(advised.run().unplaced.awaitingAdvice == 5);
+    CHECK(advised.run().unplaced[WaitReason::Advice] == 5);
     advised.asking.insert({ jobId(1), 0, 0, 0 });
-    CHECK(advised.run().unplaced.awaitingAdvice == 5);
-    CHECK(advised.run().unplaced.withoutWorker == 0);
+    CHECK(advised.run().unplaced[WaitReason::Advice] == 5);
+    CHECK(advised.run().unplaced[WaitReason::NoRoom] == 0);
 }
 
 // Guards against tasks on workers that drain, do not answer or belong to another service.
--- a/test/cell-tenants-test.cc
+++ b/test/cell-tenants-test.cc
@@ -135,7 +135,7 @@
     configure(cell.state, configWithTenants(1, tenant("a", { "k1" }, 1, 3'500)));
     addWorker(cell.state, worker("w1", 1, 10'000));
     cell.submitTasks("a", 8);
-    CHECK(planFor(cell.state).unplaced.overCap == 5);
+    CHECK(planFor(cell.state).unplaced[WaitReason::TenantCap] == 5);
     CHECK(planFor(cell.state).waitingTenants == std::set<std::string> { "a" });
     cell.startPlanned();
     CHECK(cell.cpuOf("a") == 3'000);
