Plan again when a worker may get further starts

A worker for which 64 starts wait gets no further ones. When they were sent, nothing requested a plan. The room for starts is part of what the leader now compares with what the last plan has read.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -160,7 +160,7 @@
         std::deque<RunKey> queuedGangStarts; ///< Of large gangs; sent after the others.
         std::set<RunKey> unansweredStops; ///< Queued or sent.
         bool isSendingOrders = false; ///< sendQueuedOrders() runs.
-        bool wasUsable = false; ///< The last plan could place tasks on the worker.
+        WorkerHealthView plannedWith; ///< What the last plan has read.
     };
     /// Why no tasks are placed on a worker. docs/design/waiting-tasks.md has the event or the time that ends each.
     enum class Exclusion {
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -62,9 +62,7 @@
             if (next == m_sessions.end())
                 return WorkerHealthView {};
             auto& session = next++->second;
-            const auto view = viewOf(session, now);
-            session.wasUsable = view.usable;
-            return view;
+            return session.plannedWith = viewOf(session, now);
         },
         [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
     input.mayStartLargeGang = maySendLargeGang();
@@ -128,8 +126,9 @@
 bool Leader::hasWorkerForWaiting(TimePoint now) const
 {
     return std::ranges::any_of(m_sessions, [this, now](const auto& entry) {
-        const auto& session = entry.second;
-        return !session.wasUsable && viewOf(session, now).usable;
+        const auto view = viewOf(entry.second, now);
+        const auto& before = entry.second.plannedWith;
+        return view.usable && view.startRoom > 0 && (!before.usable || before.startRoom == 0);
     });
 }
 
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -138,6 +138,19 @@
     CHECK(cell.startsBySilence());
 }
 
+// Guards against tasks that wait for good because the queues of orders were full when the last plan was made.
+TEST_CASE("tasks start when the orders before them were sent", "[cell]")
+{
+    const auto orderTime = GENERATE(milliseconds(0), milliseconds(100), milliseconds(300));
+    LiveCell cell;
+    cell.orderTime = orderTime;
+    cell.activate();
+    cell.addLiveWorkers(2, 16'000);
+    cell.live(milliseconds(500));
+    cell.submitJob(job(jobId(1), lasting(600, 10)));
+    CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 600; }));
+}
+
 // Guards against a step that is never asked about again after a call without an answer.
 TEST_CASE("the advisor is asked again after a call without an answer", "[cell]")
 {
