Plan again when the orders of a large gang were sent

A plan starts no large gang while orders of another one wait to be sent. When they were sent, nothing requested a plan. What the last plan has read of these orders is now compared at each tick as well.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -183,6 +183,7 @@
         };
         UnplacedTasks unplaced;
         std::optional<TimePoint> retryAt;
+        bool mayStartLargeGang = true;
         std::map<StepKey, Step> steps; ///< The first ones, for operators.
     };
     /// Figures since the last line of the log about the load, which tell a busy leader from slow workers and advisors.
@@ -335,7 +336,7 @@
     void requestPlan();
     void runPlan();
     WorkerHealthView viewOf(const WorkerSession& session, TimePoint now) const;
-    void rememberWaiting(const Plan& plan);
+    void rememberWaiting(const Plan& plan, const PlannerInput& input);
     void replanIfChanged();
     bool hasWorkerForWaiting(TimePoint now) const;
     void askAdvisor(const std::vector<AdviceRequest>& requests);
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -76,7 +76,7 @@
     m_waitingTenants = std::move(result.waitingTenants);
     m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
     m_nextDueMs = result.nextDueMs;
-    rememberWaiting(result);
+    rememberWaiting(result, input);
     askAdvisor(result.advice);
     if (result.starts.empty())
         return;
@@ -97,10 +97,12 @@
 }
 
 /// Keeps what the plan has left out, and since when each of the first steps has waited for the same reason.
-void Leader::rememberWaiting(const Plan& plan)
+void Leader::rememberWaiting(const Plan& plan, const PlannerInput& input)
 {
     const auto now = m_clock.now();
-    Waiting waiting { .unplaced = plan.unplaced, .retryAt = plan.retryAt };
+    Waiting waiting {
+        .unplaced = plan.unplaced, .retryAt = plan.retryAt, .mayStartLargeGang = input.mayStartLargeGang
+    };
     for (const auto& step : plan.waiting) {
         const auto before = m_waiting.steps.find(step.step);
         const bool isSame = before != m_waiting.steps.end() && before->second.reason == step.reason;
@@ -118,7 +120,8 @@
     if (m_waiting.unplaced.total() == 0)
         return;
     const auto now = m_clock.now();
-    if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || hasWorkerForWaiting(now))
+    if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
+        || hasWorkerForWaiting(now))
         requestPlan();
 }
 
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -151,6 +151,22 @@
     CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 600; }));
 }
 
+// Guards against a second large gang that waits for good behind the orders of the first one.
+TEST_CASE("a large gang starts when the orders of the one before were sent", "[cell]")
+{
+    LiveCell cell;
+    cell.orderTime = milliseconds(20);
+    cell.activate();
+    cell.addLiveWorkers(4, 16'000);
+    cell.live(milliseconds(500));
+    for (unsigned i = 1; i <= 2; ++i) {
+        auto gang = lasting(700, 10);
+        gang->gang = true;
+        cell.submitJob(job(jobId(i), std::move(gang)));
+    }
+    CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 1'400; }));
+}
+
 // Guards against a step that is never asked about again after a call without an answer.
 TEST_CASE("the advisor is asked again after a call without an answer", "[cell]")
 {
