Ask the advisor when a proxy becomes known or idle

The leader remembers that a question found no idle proxy, and plans at the first tick at which there is one. The time of the next try after a call without an answer is one of the times at which a plan is made; before, a plan was made at each tick until then.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -184,6 +184,7 @@
         UnplacedTasks unplaced;
         std::optional<TimePoint> retryAt;
         bool mayStartLargeGang = true;
+        bool needsProxy = false; ///< A question to the advisor was not sent, because no proxy was idle.
         std::map<StepKey, Step> steps; ///< The first ones, for operators.
     };
     /// Figures since the last line of the log about the load, which tell a busy leader from slow workers and advisors.
@@ -340,6 +341,8 @@
     void replanIfChanged();
     bool hasWorkerForWaiting(TimePoint now) const;
     void askAdvisor(const std::vector<AdviceRequest>& requests);
+    bool isIdle(const AdvisorProxy& proxy) const;
+    bool hasIdleProxy() const;
     void logStarts(const std::vector<record::StartT>& starts) const;
 
     // The rest (leader.cc).
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -121,7 +121,7 @@
         return;
     const auto now = m_clock.now();
     if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
-        || hasWorkerForWaiting(now))
+        || (m_waiting.needsProxy && hasIdleProxy()) || hasWorkerForWaiting(now))
         requestPlan();
 }
 
@@ -169,14 +169,16 @@
     const auto now = m_clock.now();
     for (const auto& request : requests) {
         const auto retry = m_adviceRetryAt.find(request.step);
-        if (retry != m_adviceRetryAt.end() && now < retry->second)
+        if (retry != m_adviceRetryAt.end() && now < retry->second) {
+            m_waiting.retryAt = std::min(m_waiting.retryAt.value_or(retry->second), retry->second);
             continue;
-        auto idle = m_advisorProxies.begin();
-        while (idle != m_advisorProxies.end()
-            && (idle->second.busy || now - idle->second.lastSeenAt > advisorProxyTimeout))
-            ++idle;
-        if (idle == m_advisorProxies.end())
+        }
+        const auto idle
+            = std::ranges::find_if(m_advisorProxies, [this](const auto& entry) { return isIdle(entry.second); });
+        if (idle == m_advisorProxies.end()) {
+            m_waiting.needsProxy = true;
             return;
+        }
         std::vector<std::string> ids;
         for (const auto serial : request.workers)
             ids.push_back(m_state.findWorker(serial)->worker.id);
@@ -223,6 +225,16 @@
     }
 }
 
+bool Leader::isIdle(const AdvisorProxy& proxy) const
+{
+    return !proxy.busy && m_clock.now() - proxy.lastSeenAt <= advisorProxyTimeout;
+}
+
+bool Leader::hasIdleProxy() const
+{
+    return std::ranges::any_of(m_advisorProxies, [this](const auto& entry) { return isIdle(entry.second); });
+}
+
 void Leader::recordAdvisorProxy(const std::string& proxy)
 {
     auto& entry = m_advisorProxies[proxy];
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -330,9 +330,6 @@
     }
     stopLateGangs();
     replanIfChanged();
-    // A call to the advisor may have been postponed because no proxy was idle.
-    if (!m_adviceRetryAt.empty())
-        requestPlan();
     std::erase_if(m_adviceRetryAt, [&](const auto& entry) { return now >= entry.second; });
     std::erase_if(
         m_advisorProxies, [&](const auto& entry) { return now - entry.second.lastSeenAt > advisorProxyRetention; });
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -167,6 +167,17 @@
     CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 1'400; }));
 }
 
+// Guards against review/11: a new leader asks the advisor nothing, because it knew no proxy when it made its plan.
+TEST_CASE("the advisor is asked when a proxy becomes known", "[cell]")
+{
+    OneWorkerCell cell(config(1, 2, true));
+    cell.submitJob(job(jobId(1), lasting(1)));
+    cell.live(milliseconds(1'000));
+    REQUIRE(cell.running() == 0);
+    cell.proxies = { "h1" };
+    CHECK(cell.startsBySilence());
+}
+
 // Guards against a step that is never asked about again after a call without an answer.
 TEST_CASE("the advisor is asked again after a call without an answer", "[cell]")
 {
