Ask the advisor again when the proxy of a call was forgotten

A leader that was suspended forgets a silent proxy before it finds that the call through it has taken too long. The end of such a call was dropped with the proxy, the step stayed marked as asked about, and its tasks never started. The mark is now removed by the number of the call.

Found by reading the conditions of a plan.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -395,7 +395,7 @@
     size_t m_endsBytes = 0; ///< Estimated size of `m_endsCommand`.
     std::vector<PendingEnds> m_pendingEnds; ///< The sources of the ends in `m_endsCommand`.
     TicketCache m_tickets;
-    std::set<StepKey> m_adviceInFlight;
+    std::map<StepKey, uint64_t> m_adviceInFlight; ///< Numbers of the calls to the advisor, by step.
     std::map<StepKey, TimePoint> m_adviceRetryAt;
     std::map<std::string, AdvisorProxy> m_advisorProxies;
     uint64_t m_nextAdvice = 1;
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -187,18 +187,20 @@
         auto& proxy = idle->second;
         proxy.busy = true;
         const auto call = proxy.call = m_nextAdvice++;
-        m_adviceInFlight.insert(request.step);
+        m_adviceInFlight[request.step] = call;
         m_adviceCalls.increment();
         ++m_load.adviceCalls;
         const auto generation = m_generation;
         const auto finish = [this, generation, call, name = idle->first, request, validUntil, now](
                                 AdviceAnswer answer) {
-            const auto found = m_advisorProxies.find(name);
-            if (found == m_advisorProxies.end() || found->second.call != call || !found->second.busy
-                || generation != m_generation)
+            const auto asked = m_adviceInFlight.find(request.step);
+            if (generation != m_generation || asked == m_adviceInFlight.end() || asked->second != call)
                 return;
-            found->second.busy = false;
-            m_adviceInFlight.erase(request.step);
+            m_adviceInFlight.erase(asked);
+            // The proxy may have been forgotten since, after it was silent.
+            const auto found = m_advisorProxies.find(name);
+            if (found != m_advisorProxies.end() && found->second.call == call)
+                found->second.busy = false;
             m_adviceLatency.record(m_clock.now() - now);
             ++m_load.adviceAnswers;
             m_load.adviceTime += m_clock.now() - now;
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -178,6 +178,22 @@
     CHECK(cell.startsBySilence());
 }
 
+// Guards against a step that is never asked about again, because its proxy was forgotten while a call was in flight: a
+// process that was suspended finds the proxy silent before it finds that the call has taken too long.
+TEST_CASE("the advisor is asked again when the proxy of a call was forgotten", "[cell]")
+{
+    OneWorkerCell cell(config(1, 2, true));
+    cell.advisorAnswers = false;
+    cell.leader->recordAdvisorProxy("h1");
+    cell.submitJob(job(jobId(1), lasting(1)));
+    REQUIRE(cell.advice.size() == 1);
+    cell.clock.advance(std::chrono::seconds(40));
+    cell.leader->tick();
+    cell.advisorAnswers = true;
+    cell.proxies = { "h1" };
+    CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 1; }));
+}
+
 // Guards against a step that is never asked about again after a call without an answer.
 TEST_CASE("the advisor is asked again after a call without an answer", "[cell]")
 {
