Settle a refused start whose end was not committed

The end of a run that a worker has refused is proposed once. If the log refused the proposal, for example because its queue was full, the run kept the phase of an order that awaits its answer, although the answer had come. No poll and no stop settles that phase: the task counted as placed for good and never ran. Such a run is now in doubt, and a stop and a poll settle it.

Found by reading the conditions of a plan.

--- a/src/cell/leader-ends.cc
+++ b/src/cell/leader-ends.cc
@@ -118,9 +118,16 @@
     // The worker lists the ends again.
     session.lastEndSeen = session.lastEndCommitted;
     for (const auto& task : ends.tasks) {
-        const auto run = session.runs.find(task);
-        if (run != session.runs.end())
-            run->second.endProposed = false;
+        const auto found = session.runs.find(task);
+        if (found == session.runs.end())
+            continue;
+        auto& run = found->second;
+        run.endProposed = false;
+        // No answer to an order follows that would settle the run, so a poll and a stop have to.
+        if (run.phase == RunPhase::Ordered || run.phase == RunPhase::Queued) {
+            run.phase = RunPhase::InDoubt;
+            run.phaseSince = m_clock.now();
+        }
     }
 }
 
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -236,6 +236,23 @@
     CHECK(cell.startsBySilence());
 }
 
+// Guards against a task that counts as placed for good, because the end of a run that was refused was not committed.
+TEST_CASE("a refused start whose end was not committed is followed by another one", "[cell]")
+{
+    OneWorkerCell cell;
+    cell.submitJob(job(jobId(1), lasting(1)));
+    REQUIRE(cell.starts.size() == 1);
+    cell.commits = false;
+    cell.answerStart(OrderResult::Superseded);
+    cell.runPending();
+    REQUIRE(cell.log.size() == 1);
+    const auto done = cell.log.front().second;
+    cell.log.clear();
+    done(makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "QUEUE_FULL", "propose", "" }, "not committed"));
+    cell.commits = true;
+    CHECK(cell.startsBySilence());
+}
+
 // Guards against starts that were not committed and are not planned again.
 TEST_CASE("starts that were not committed are planned again", "[cell]")
 {
