Leave the starts of wide steps that cannot be placed to others

Steps with more than 64 waiting tasks share half of the starts of a plan. Each took its part before it was known whether a worker can run its tasks. Behind 128 such steps that no worker can run, for example for want of a label, further wide steps got no starts, and their questions to the advisor were never asked. Only starts that are used count now.

Found by reading the conditions of a plan.

--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -329,13 +329,10 @@
         }
 
         /// Returns how many tasks of the step may start before all other steps had their turn.
-        size_t startLimitOf(const PendingStep& pending)
+        size_t startLimitOf(const PendingStep& pending) const
         {
-            if (!isWide(pending))
-                return pending.waiting.size();
-            const auto limit = std::min({ m_startsPerWideStep, m_wideStarts, pending.waiting.size() });
-            m_wideStarts -= limit;
-            return limit;
+            const auto tasks = pending.waiting.size();
+            return isWide(pending) ? std::min({ m_startsPerWideStep, m_wideStarts, tasks }) : tasks;
         }
 
         void placeTasks(PendingStep& pending)
@@ -362,6 +359,10 @@
                 avoidedByAll = unplaced.empty() || avoidedByAll == history.avoidedWorker ? history.avoidedWorker : 0;
                 unplaced.push_back(index);
             }
+            // Starts that the step does not use are left to the wide steps after it, which would wait for good behind
+            // steps that no worker can run.
+            if (isWide(pending))
+                m_wideStarts -= limit - unplaced.size();
             const auto rest = pending.waitingCount - limit;
             if (unplaced.empty())
                 return reserveRest(pending, rest, workers);
@@ -375,6 +376,8 @@
                     break;
                 place(pending, unplaced[placed++], *candidate);
             }
+            if (isWide(pending))
+                m_wideStarts -= placed;
             leaveOutForRoom(pending, unplaced.size() - placed + rest, workers);
         }
 
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -272,3 +272,23 @@
     done(makeError({ absl::StatusCode::kUnavailable, Outcome::NotRun, "QUEUE_FULL", "propose", "" }, "not committed"));
     CHECK(cell.startsBySilence());
 }
+
+// Guards against a step that never starts, because earlier wide steps that no worker can run use up the starts of each
+// plan.
+TEST_CASE("wide steps that cannot be placed take no starts from others", "[cell]")
+{
+    const bool advice = GENERATE(false, true);
+    LiveCell cell(config(1, 2, advice));
+    cell.activate();
+    cell.addLiveWorkers(2, 16'000);
+    if (advice)
+        cell.proxies = { "h1" };
+    cell.live(milliseconds(500));
+    for (unsigned i = 0; i < 150; ++i) {
+        auto wide = lasting(100, 10);
+        wide->needs = "a label that no worker has";
+        cell.submitJob(job(jobId(100 + i), std::move(wide)));
+    }
+    cell.submitJob(job(jobId(1), lasting(100, 10)));
+    CHECK(cell.liveUntil(longestWait, [&] { return cell.runningOf(jobId(1)) == 100; }));
+}
