Tell a job that fails everywhere from a worker that fails everything

Each failed run counted as a failure of its worker. Now the tasks of one job add less to the failures of a worker than what takes it out of use, and nothing once the job has failed on three workers that are sound for other jobs. The product's own interface judges jobs so already; the class decision::WorkerHealth serves both now. The failures of a worker have an upper bound, so that it is out of use for 13 s at most after the last one.

Measured: of the tests of test/cell-failing-jobs-test.cc the one on failing jobs, the one on jobs without progress and the one on jobs at fault fail on the commit before this one (16 of 16 workers kept failures in the last), and hold now, as does one on workers that fail everything.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -3,11 +3,13 @@
 #include "turmericpier/base/clock.h"
 #include "turmericpier/base/metrics.h"
 #include "turmericpier/cell/arrival-limiter.h"
+#include "turmericpier/cell/failure-count.h"
 #include "turmericpier/cell/gang-offers.h"
 #include "turmericpier/cell/orders.h"
 #include "turmericpier/cell/planner.h"
 #include "turmericpier/cell/state.h"
 #include "turmericpier/cell/tickets.h"
+#include "turmericpier/decision/worker-health.h"
 
 #include <absl/status/statusor.h>
 #include <boost/json/fwd.hpp>
@@ -99,6 +101,7 @@
         TimePoint phaseSince;
         TimePoint startedAt; ///< Time of the start order, or at which this leader has inherited the run.
         bool hasBegun = false; ///< The worker has accepted the order or listed the run.
+        bool hasLasted = false; ///< A run of a task that lasts has been at work for some time.
         bool isListed = false; ///< A poll of this incarnation has listed the run, which it alone can hold.
         bool stopWanted = false;
         bool stopInFlight = false;
@@ -150,8 +153,7 @@
         bool refusesConnections = false; ///< The last of these polls failed because no process listens.
         TimePoint lastContactAt; ///< Time of the last answer or heartbeat.
         TimePoint backoffUntil; ///< No tasks are placed on the worker before this time.
-        double failures = 0; ///< Weighted number of recent failures, which decays over time.
-        TimePoint failuresUpdatedAt;
+        FailureCount failures;
         std::optional<TimePoint> lastSuccessAt; ///< Time of the last successful end of a run.
         std::map<TaskKey, Run> runs;
         uint32_t ordersInFlight = 0; ///< Start and stop orders that were sent and not answered.
@@ -270,6 +272,7 @@
     void onPollAnswer(uint32_t serial, uint64_t generation, TimePoint sentAt, PollAnswer answer);
     void onPollFailed(WorkerSession& session, const PollAnswer& answer);
     void processActiveRuns(WorkerSession& session, const PollAnswer& answer, TimePoint sentAt);
+    void recordLasting(const WorkerSession& session, const TaskKey& task, Run& run);
     void recordUnknownRun(const WorkerSession& session, const ActiveRun& reported);
     void resolveUnlistedRuns(WorkerSession& session, const std::set<TaskKey>& listed, TimePoint sentAt);
     void proposeRemoval(WorkerSession& session, bool hasCrashed);
@@ -287,9 +290,9 @@
     void appendLateCrashes(record::CommandT& command, const record::WorkerT& worker);
     void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
-    double decayedFailures(const WorkerSession& session) const;
-    void recordFailure(WorkerSession& session, double weight);
-    void recordSuccess(WorkerSession& session);
+    void recordTaskFailure(WorkerSession& session, const std::string& job, double weight);
+    void recordSuccess(WorkerSession& session, const std::string& job);
+    static WorkerId healthIdOf(uint32_t serial);
     bool hasRecentSuccess(const WorkerSession& session) const;
     void checkRuns(WorkerSession& session);
     Exclusion exclusionOf(const WorkerSession& session, double failures, TimePoint now) const;
@@ -406,6 +409,7 @@
     ArrivalLimiter m_arrivals;
     std::set<std::string> m_waitingTenants; ///< Tenants with tasks that the last plan left waiting.
     std::map<std::string, TenantFigures> m_tenantFigures;
+    decision::WorkerHealth m_taskHealth; ///< Tells jobs that fail everywhere from workers that fail everything.
     GangOffers m_largeGangs;
     TimePoint m_activatedAt;
     uint64_t m_timeAtActivation = 0; ///< Time of the cell, in milliseconds.
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -42,7 +42,7 @@
 /// Returns what a plan reads about a worker beside the replicated state.
 WorkerHealthView Leader::viewOf(const WorkerSession& session, TimePoint now) const
 {
-    const auto failures = decayedFailures(session);
+    const auto failures = session.failures.value(now);
     return { exclusionOf(session, failures, now) == Exclusion::None, failures, hasRecentSuccess(session),
         startRoomOf(session) };
 }
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -26,12 +26,8 @@
     constexpr milliseconds stopRetryDelay { 100 }; // Delay after an attempt without an answer.
     // A newly elected leader may overlap with the orders of the previous one for as long as that one's lease.
     constexpr milliseconds leadershipOverlap { 1'000 };
-    // Half-life of the failure count of a worker.
-    constexpr double failureHalfLifeSeconds = 6;
     // A worker counts as healthy for this long after a successful run, unless a later run has failed.
     constexpr milliseconds recentSuccessWindow { 6'000 };
-    // A worker with at least this many recent failures gets no tasks.
-    constexpr double maxRecentFailures = 2.5;
     // A worker gets no tasks after this many heartbeat intervals of silence.
     constexpr int silentIntervals = 3;
     // A task is moved if its progress does not change for this long, or for the given multiple of the expected time per
@@ -63,6 +59,7 @@
             continue;
         }
         m_tickets.forgetWorker(it->first);
+        m_taskHealth.removeWorker(healthIdOf(it->first));
         releaseHeldHeartbeat(it->first);
         it = m_sessions.erase(it);
     }
@@ -75,6 +72,7 @@
             continue;
         }
         session.serial = serial;
+        m_taskHealth.addWorker(healthIdOf(serial));
         session.lastContactAt = m_clock.now();
         session.pollDueAt = m_clock.now();
         recordDecision("worker", worker.worker.id, "session",
@@ -212,6 +210,7 @@
         auto& run = found->second;
         run.hasBegun = true;
         run.isListed = true;
+        recordLasting(session, reported.task, run);
         if (run.phase != RunPhase::Stopping && run.phase != RunPhase::StopAcknowledged)
             run.phase = RunPhase::Running;
         if (!reported.checkpoint.empty())
@@ -231,6 +230,18 @@
         resolveUnlistedRuns(session, listed, sentAt);
 }
 
+/// Counts a run of a task that lasts as a success of its job and its worker once it has been at work for some time.
+void Leader::recordLasting(const WorkerSession& session, const TaskKey& task, Run& run)
+{
+    constexpr milliseconds provenAge { 2'000 };
+    if (run.hasLasted || m_clock.now() - run.startedAt < provenAge)
+        return;
+    run.hasLasted = true;
+    const auto* job = m_state.findJob(task.job);
+    if (job && job->steps[task.step]->long_running)
+        m_taskHealth.taskSucceeded(healthIdOf(session.serial), JobId(task.job), m_clock.now());
+}
+
 /// Handles runs that a poll listed neither as active nor as ended.
 void Leader::resolveUnlistedRuns(WorkerSession& session, const std::set<TaskKey>& listed, TimePoint sentAt)
 {
@@ -288,7 +299,7 @@
         const bool isStalled = session.synced && session.failedPolls == 0 && !step.long_running && !step.gang
             && run.phase == RunPhase::Running && run.progress < 100 && now - run.progressSince > stallTimeout;
         if (isStalled) {
-            recordFailure(session, 2);
+            recordTaskFailure(session, key.job, 2);
             recordDecision(
                 "stop", taskName(key), "stalled", absl::StrCat("progress=", run.progress, " run=", run.number));
         }
@@ -297,32 +308,36 @@
     }
 }
 
-double Leader::decayedFailures(const WorkerSession& session) const
-{
-    if (session.failures == 0)
-        return 0;
-    const auto seconds = std::chrono::duration<double>(m_clock.now() - session.failuresUpdatedAt).count();
-    return session.failures * std::exp2(-seconds / failureHalfLifeSeconds);
-}
+WorkerId Leader::healthIdOf(uint32_t serial) { return WorkerId(absl::StrCat(serial)); }
 
-void Leader::recordFailure(WorkerSession& session, double weight)
+/// Counts the failure of a task against its worker, unless the job fails on workers that are sound for other jobs.
+void Leader::recordTaskFailure(WorkerSession& session, const std::string& job, double weight)
 {
-    session.failures = decayedFailures(session) + weight;
-    session.failuresUpdatedAt = m_clock.now();
+    const auto now = m_clock.now();
+    const JobId id(job);
+    const bool wasSuspect = m_taskHealth.isSuspect(id);
+    m_taskHealth.taskFailed(healthIdOf(session.serial), id, now);
+    if (!m_taskHealth.isSuspect(id))
+        return session.failures.recordTask(job, weight, now);
+    if (wasSuspect)
+        return;
+    recordDecision("job", job, "fails everywhere");
+    for (auto& [serial, other] : m_sessions)
+        other.failures.forgetJob(job);
 }
 
 /// Halves the failure count, because tasks that fail on healthy workers must not exclude all workers.
-void Leader::recordSuccess(WorkerSession& session)
+void Leader::recordSuccess(WorkerSession& session, const std::string& job)
 {
-    session.failures = decayedFailures(session) / 2;
-    session.failuresUpdatedAt = m_clock.now();
+    m_taskHealth.taskSucceeded(healthIdOf(session.serial), JobId(job), m_clock.now());
+    session.failures.recordSuccess(m_clock.now());
     session.lastSuccessAt = m_clock.now();
 }
 
 bool Leader::hasRecentSuccess(const WorkerSession& session) const
 {
     return session.lastSuccessAt && m_clock.now() - *session.lastSuccessAt < recentSuccessWindow
-        && (session.failures == 0 || *session.lastSuccessAt >= session.failuresUpdatedAt);
+        && *session.lastSuccessAt >= session.failures.lastAt();
 }
 
 /// `failures` is the current failure count of the worker.
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -19,6 +19,16 @@
     constexpr milliseconds loadReportInterval { 1'000 };
     constexpr milliseconds advisorProxyRetention { 30'000 };
 
+    /// Only the judgement of jobs is used. Workers are taken out of use by their recent failures, because the outcomes
+    /// that would prove them bad come too late for tasks of some seconds.
+    decision::WorkerHealthOptions taskHealthOptions()
+    {
+        decision::WorkerHealthOptions options;
+        options.maxQuarantinedShare = 0;
+        options.maxJobs = 5'000;
+        return options;
+    }
+
     int64_t toMs(Duration duration) { return std::chrono::duration_cast<milliseconds>(duration).count(); }
 
     int64_t meanOf(int64_t total, uint32_t count) { return count == 0 ? 0 : total / count; }
@@ -84,6 +94,7 @@
     , m_startLatency(metrics.latency("cell_start_order_seconds"))
     , m_adviceLatency(metrics.latency("cell_advice_seconds"))
     , m_arrivals(m_options.arrivalWindow)
+    , m_taskHealth(taskHealthOptions())
     , m_largeGangs(m_options.gangWait)
 {
 }
@@ -112,6 +123,7 @@
     m_fenced = false;
     ++m_generation;
     m_sessions.clear();
+    m_taskHealth = decision::WorkerHealth(taskHealthOptions());
     m_lostWorkers.clear();
     m_tickets = {};
     m_adviceInFlight.clear();
@@ -159,9 +171,9 @@
         if (run != session->second.runs.end() && run->second.number == end->run)
             session->second.runs.erase(run);
         if (end->how == EndKind::Failed)
-            recordFailure(session->second, 1);
+            recordTaskFailure(session->second, end->job, 1);
         else if (end->how == EndKind::Done)
-            recordSuccess(session->second);
+            recordSuccess(session->second, end->job);
     }
     for (const auto& end : command.ends)
         logEnd(*end);
@@ -199,6 +211,7 @@
 void Leader::stopJob(const record::JobT& job)
 {
     m_tickets.forgetJob(job.id);
+    m_taskHealth.jobEnded(JobId(job.id));
     m_largeGangs.forgetJob(job.id);
     m_endedSince.emplace(job.id, m_clock.now());
     for (auto& [serial, session] : m_sessions) {
@@ -380,7 +393,7 @@
     boost::json::array workers;
     for (const auto& [serial, session] : m_sessions) {
         const auto* record = m_state.findWorker(serial);
-        const auto failures = decayedFailures(session);
+        const auto failures = session.failures.value(m_clock.now());
         const auto exclusion = exclusionOf(session, failures, m_clock.now());
         workers.push_back(boost::json::object { { "serial", serial }, { "id", record ? record->worker.id : "" },
             { "synced", session.synced }, { "silent_looks", session.failedPolls }, { "runs", session.runs.size() },
--- /dev/null
+++ b/test/cell-failing-jobs-test.cc
@@ -0,0 +1,103 @@
+#include "cell-live-workers.h"
+
+#include <catch2/catch.hpp>
+
+/// Tests of what a client whose tasks fail can change for others.
+
+using namespace turmericpier;
+using namespace turmericpier::cell;
+using namespace turmericpier::cell::test;
+using record::EndKind;
+
+namespace {
+
+constexpr int workerCount = 16;
+
+struct FailingJobsCell : LiveCell {
+    std::set<std::string> failingJobs;
+    std::set<std::string> failingWorkers;
+
+    FailingJobsCell()
+    {
+        fails = [this](const std::string& worker, const StartOrder& order) {
+            return failingJobs.contains(order.task.job) || failingWorkers.contains(worker);
+        };
+        activate();
+        addLiveWorkers(workerCount, 16'000);
+        live(milliseconds(500));
+    }
+    void submitFailing(unsigned number, uint32_t tasks)
+    {
+        failingJobs.insert(jobId(number));
+        submitJob(job(jobId(number), lasting(tasks, 300)));
+    }
+    /// Submits a sound job with one task on each of some workers.
+    void submitWide(unsigned number, uint32_t tasks)
+    {
+        auto wide = lasting(tasks, 300);
+        wide->max_per_worker = 1;
+        submitJob(job(jobId(number), std::move(wide)));
+    }
+};
+
+} // namespace
+
+// Guards against review/13: one job that lasts and fails at each start takes all workers out of use.
+TEST_CASE("one job that fails everywhere takes no worker out of use", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.submitFailing(1, 48);
+    cell.live(milliseconds(3'000));
+    cell.submitWide(2, workerCount);
+    CHECK(cell.liveUntil(milliseconds(1'000), [&] { return cell.runningOf(jobId(2)) == workerCount; }));
+}
+
+// Guards against a job whose tasks make no progress and are moved from worker to worker, each of which counts as
+// failing.
+TEST_CASE("one job that makes no progress takes no worker out of use", "[cell]")
+{
+    FailingJobsCell cell;
+    auto stalling = step(48, 300);
+    stalling->memory = 1;
+    stalling->estimate_ms = 100;
+    cell.submitJob(job(jobId(1), std::move(stalling)));
+    cell.live(milliseconds(20'000));
+    cell.submitWide(2, workerCount);
+    CHECK(cell.liveUntil(milliseconds(1'000), [&] { return cell.runningOf(jobId(2)) == workerCount; }));
+}
+
+// Guards against workers that stay suspected of the failures of a job after it was found at fault.
+TEST_CASE("a job that fails on workers that are sound for others is found at fault", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.submitWide(2, workerCount);
+    cell.live(milliseconds(3'000)); // The tasks have lasted long enough to show that the workers are sound.
+    cell.submitFailing(1, 48);
+    cell.live(milliseconds(5'000));
+    const auto dump = cell.leader->dump();
+    size_t withFailures = 0;
+    for (size_t at = dump.find("\"failures\":"); at != std::string::npos; at = dump.find("\"failures\":", at + 1))
+        withFailures
+            += dump.compare(at, 13, "\"failures\":0E") == 0 || dump.compare(at, 12, "\"failures\":0") == 0 ? 0 : 1;
+    CHECK(withFailures == 0);
+}
+
+// Guards against a worker that fails all that it starts and goes on getting tasks, or gets none after it is sound
+// again.
+TEST_CASE("a worker that fails everything loses its tasks and gets some again later", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.failingWorkers = { "w1" };
+    for (unsigned i = 0; i < 10; ++i)
+        cell.submitJob(job(jobId(10 + i), lasting(20, 50)));
+    cell.live(milliseconds(5'000));
+    CHECK(cell.running() == 200);
+    const auto before = cell.begun;
+    cell.submitWide(2, workerCount - 1);
+    cell.live(milliseconds(1'000));
+    CHECK(cell.runningOf(jobId(2)) == workerCount - 1);
+    CHECK(cell.begun - before < 2 * workerCount);
+    cell.failingWorkers.clear();
+    cell.submitWide(3, workerCount);
+    CHECK(cell.liveUntil(milliseconds(15'000), [&] { return cell.runningOf(jobId(3)) == workerCount; }));
+}
