Delay the restarts of tasks that keep ending soon after their start

The first restart is made at once. The next ones wait 250 ms, twice that and so on up to 4 s, for good, until a run has lasted 10 s. A task that lasts has to run again 6 s after its last run, so that the bound leaves room. The delays are kept by the leader; a new one begins with none. The planner leaves the delayed tasks out, with the time of the next start, and the other tasks of their step do not wait for them.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -7,6 +7,7 @@
 #include "turmericpier/cell/gang-offers.h"
 #include "turmericpier/cell/orders.h"
 #include "turmericpier/cell/planner.h"
+#include "turmericpier/cell/restart-delays.h"
 #include "turmericpier/cell/state.h"
 #include "turmericpier/cell/tickets.h"
 #include "turmericpier/decision/worker-health.h"
@@ -351,6 +352,7 @@
     // The rest (leader.cc).
     void orderStarts(const record::StartT& start);
     void logEnd(const record::EndT& end) const;
+    void recordRestart(const record::EndT& end, const Run& run);
     void stopClosedJobs(const record::CommandT& command);
     void stopJob(const record::JobT& job);
     uint64_t cellTimeMs() const;
@@ -411,6 +413,7 @@
     std::map<std::string, TenantFigures> m_tenantFigures;
     decision::WorkerHealth m_taskHealth; ///< Tells jobs that fail everywhere from workers that fail everything.
     GangOffers m_largeGangs;
+    RestartDelays m_restartDelays;
     TimePoint m_activatedAt;
     uint64_t m_timeAtActivation = 0; ///< Time of the cell, in milliseconds.
     /// Ended jobs, with the time of their end on the clock of this leader.
--- a/include/turmericpier/cell/planner.h
+++ b/include/turmericpier/cell/planner.h
@@ -3,15 +3,13 @@
 #include "turmericpier/base/clock.h"
 #include "turmericpier/cell/state.h"
 #include "turmericpier/cell/tickets.h"
+#include "turmericpier/cell/wait-reason.h"
 
-#include <algorithm>
-#include <array>
 #include <functional>
-#include <numeric>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
+#include <utility>
 #include <vector>
 
 /// Decides which waiting tasks start on which workers. The planner is a pure function of the state and of what the
@@ -33,38 +31,6 @@
     Duration expectedDuration { 0 }; ///< Duration of the call, as computed from the queue's configuration.
 };
 
-/// Why a plan has left a waiting task out. docs/design/waiting-tasks.md has the event or the time that ends each.
-enum class WaitReason : uint8_t {
-    Advice, ///< A question to the advisor is in flight or is part of the plan.
-    NoRoom, ///< No usable worker that may run the task has the capacity.
-    OrdersQueued, ///< As many starts as may wait to be sent do so for each worker with the capacity.
-    PlanLimit, ///< The plan has reached its limit of starts.
-    TenantCap, ///< The tenant runs as much as it may.
-    GangMembers, ///< Some member of an earlier run of the gang has not ended.
-    GangDelay, ///< The next attempt of a gang is delayed.
-    GangOrders, ///< Orders of another large gang wait to be sent.
-};
-inline constexpr size_t waitReasonCount = 8;
-std::string_view toString(WaitReason reason);
-
-/// Number of waiting tasks that a plan did not place, by reason.
-struct UnplacedTasks {
-    std::array<uint32_t, waitReasonCount> counts {};
-
-    uint32_t operator[](WaitReason reason) const { return counts.at(static_cast<size_t>(reason)); }
-    uint32_t total() const { return std::accumulate(counts.begin(), counts.end(), 0U); }
-    void add(WaitReason reason, uint64_t tasks)
-    {
-        counts.at(static_cast<size_t>(reason)) += static_cast<uint32_t>(tasks);
-    }
-    void remove(WaitReason reason, uint32_t tasks) { counts.at(static_cast<size_t>(reason)) -= tasks; }
-    UnplacedTasks& operator+=(const UnplacedTasks& other)
-    {
-        std::ranges::transform(counts, other.counts, counts.begin(), std::plus<>());
-        return *this;
-    }
-};
-
 /// Waiting tasks of one step that a plan did not place.
 struct WaitingStep {
     StepKey step;
@@ -100,6 +66,9 @@
     bool mayStartLargeGang = true; ///< No orders of another large gang wait to be sent.
     /// Returns the time before which a gang must not start, if that is not past; may be null.
     std::function<std::optional<TimePoint>(const StepKey&)> deferredUntil {};
+    /// Returns the waiting tasks of a step that must not start yet, with the time of their next start; may be null. A
+    /// gang is represented by its first member.
+    std::function<std::vector<std::pair<uint32_t, TimePoint>>(const StepKey&)> delayedTasks {};
 };
 
 /// Returns a plan for the waiting tasks that may start now, the most urgent queues first. Within one priority, the
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -134,6 +134,7 @@
     m_endsCommand = {};
     m_endsBytes = 0;
     m_largeGangs.clear();
+    m_restartDelays.clear();
     m_pendingEnds.clear();
     m_pendingSubmits.clear();
     m_arrivals.clear();
@@ -168,8 +169,10 @@
         if (session == m_sessions.end())
             continue;
         const auto run = session->second.runs.find(taskOf(*end));
-        if (run != session->second.runs.end() && run->second.number == end->run)
+        if (run != session->second.runs.end() && run->second.number == end->run) {
+            recordRestart(*end, run->second);
             session->second.runs.erase(run);
+        }
         if (end->how == EndKind::Failed)
             recordTaskFailure(session->second, end->job, 1);
         else if (end->how == EndKind::Done)
@@ -184,6 +187,20 @@
     requestPlan();
 }
 
+/// Delays the next start of a task that lasts and keeps ending, which would take processor time, entries of the log and
+/// calls to the advisor without bound.
+void Leader::recordRestart(const record::EndT& end, const Run& run)
+{
+    const auto* job = m_state.findJob(end.job);
+    if (!job || job->state != JobState::Open || !job->steps[end.step]->long_running
+        || (end.how != EndKind::Failed && end.how != EndKind::Done))
+        return;
+    auto task = taskOf(end);
+    if (job->steps[end.step]->gang)
+        task.index = 0;
+    m_restartDelays.recordEnd(task, m_clock.now() - run.startedAt, m_clock.now());
+}
+
 /// Orders the starts of the tasks that a record of the log places on a worker.
 void Leader::orderStarts(const record::StartT& start)
 {
@@ -213,6 +230,7 @@
     m_tickets.forgetJob(job.id);
     m_taskHealth.jobEnded(JobId(job.id));
     m_largeGangs.forgetJob(job.id);
+    m_restartDelays.forgetJob(job.id);
     m_endedSince.emplace(job.id, m_clock.now());
     for (auto& [serial, session] : m_sessions) {
         for (auto it = session.runs.lower_bound({ job.id, 0, 0, 0 });
@@ -318,8 +336,9 @@
             " starts=", load.starts, " start_answer_ms=", meanMs(load.startTime, load.startAnswers), " looks=",
             load.polls, " advice=", load.adviceCalls, " advice_ms=", meanMs(load.adviceTime, load.adviceAnswers),
             " open_jobs=", m_state.openJobs().size(), " unplaced_advice=", unplaced({ WaitReason::Advice }),
-            " unplaced_room=", unplaced({ WaitReason::NoRoom, WaitReason::OrdersQueued }),
-            " unplaced_limit=", unplaced({ WaitReason::PlanLimit, WaitReason::GangDelay, WaitReason::GangOrders }),
+            " unplaced_room=", unplaced({ WaitReason::NoRoom, WaitReason::OrdersQueued }), " unplaced_limit=",
+            unplaced(
+                { WaitReason::PlanLimit, WaitReason::GangDelay, WaitReason::GangOrders, WaitReason::RestartDelay }),
             " unplaced_cap=", unplaced({ WaitReason::TenantCap })));
 }
 
@@ -347,6 +366,7 @@
     std::erase_if(
         m_advisorProxies, [&](const auto& entry) { return now - entry.second.lastSeenAt > advisorProxyRetention; });
     forgetOldJobs();
+    m_restartDelays.forgetOld(now);
 }
 
 /// Describes each tenant, the first ones by name.
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -78,6 +78,7 @@
 
     private:
         using PendingSteps = std::vector<PendingStep>;
+        using DelayedTasks = std::vector<std::pair<uint32_t, TimePoint>>;
 
         bool isWide(const PendingStep& pending) const
         {
@@ -240,6 +241,8 @@
                     pending.waiting.resize(std::min<size_t>(m_input.maxStarts, pending.waitingCount));
                     std::iota(pending.waiting.begin(), pending.waiting.end(), 0);
                 }
+                if (occurrence)
+                    leaveOutDelayed(pending);
                 if (pending.waitingCount == 0)
                     continue;
                 pending.anySuspected = std::ranges::any_of(
@@ -249,6 +252,27 @@
             }
         }
 
+        /// Leaves out the tasks that keep ending, until their delays have passed.
+        void leaveOutDelayed(PendingStep& pending)
+        {
+            const auto delayed = m_input.delayedTasks ? m_input.delayedTasks(pending.key) : DelayedTasks {};
+            if (delayed.empty())
+                return;
+            const auto next = std::ranges::min_element(delayed, {}, &DelayedTasks::value_type::second)->second;
+            if (pending.step->gang) {
+                leaveOutUntil(pending, WaitReason::RestartDelay, std::exchange(pending.waitingCount, 0), next);
+                return;
+            }
+            leaveOutUntil(pending, WaitReason::RestartDelay, delayed.size(), next);
+            pending.waitingCount -= delayed.size();
+            std::set<uint32_t> left;
+            for (const auto& [index, until] : delayed)
+                left.insert(index);
+            pending.waiting = m_input.state.progressOf(*pending.tasks).firstWaiting(m_input.maxStarts + left.size());
+            std::erase_if(pending.waiting, [&](uint32_t index) { return left.contains(index); });
+            pending.waiting.resize(std::min(pending.waiting.size(), m_input.maxStarts));
+        }
+
         /// Returns the workers that may run the step. With advice these are the few with a valid ticket.
         std::vector<Candidate*> eligibleCandidates(const PendingStep& pending)
         {
@@ -548,29 +572,6 @@
     };
 } // namespace
 
-std::string_view toString(WaitReason reason)
-{
-    switch (reason) {
-    case WaitReason::Advice:
-        return "advice";
-    case WaitReason::NoRoom:
-        return "no room";
-    case WaitReason::OrdersQueued:
-        return "orders queued";
-    case WaitReason::PlanLimit:
-        return "plan limit";
-    case WaitReason::TenantCap:
-        return "tenant cap";
-    case WaitReason::GangMembers:
-        return "gang members";
-    case WaitReason::GangDelay:
-        return "gang delay";
-    case WaitReason::GangOrders:
-        break;
-    }
-    return "gang orders";
-}
-
 Plan plan(const PlannerInput& input) { return PlanningRound(input).run(); }
 
 } // namespace turmericpier::cell
--- a/test/cell-failing-jobs-test.cc
+++ b/test/cell-failing-jobs-test.cc
@@ -101,3 +101,47 @@
     cell.submitWide(3, workerCount);
     CHECK(cell.liveUntil(milliseconds(15'000), [&] { return cell.runningOf(jobId(3)) == workerCount; }));
 }
+
+// Guards against a job whose tasks fail at each start and take the worker, the log and the processor without bound, and
+// against one whose tasks are given up or stay away for longer than a task that lasts may.
+TEST_CASE("a task that fails at each start is restarted at once and then ever more slowly", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.submitFailing(1, 48);
+    cell.live(milliseconds(60'000));
+    CHECK(cell.begun <= 48 * 20);
+    for (const auto& [task, begins] : cell.begins) {
+        REQUIRE(begins.size() > 8);
+        CHECK(begins[1] - begins[0] < milliseconds(500));
+        for (size_t i = 1; i < begins.size(); ++i)
+            CHECK(begins[i] - begins[i - 1] < milliseconds(6'000));
+        CHECK(cell.clock.now() - begins.back() < milliseconds(6'000));
+    }
+}
+
+// Guards against a gang that lasts and fails at each start, with the same cost.
+TEST_CASE("a gang that fails at each start is restarted ever more slowly", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.failingJobs.insert(jobId(1));
+    auto gang = lasting(4, 300);
+    gang->gang = true;
+    cell.submitJob(job(jobId(1), std::move(gang)));
+    cell.live(milliseconds(60'000));
+    CHECK(cell.begun >= 4 * 8);
+    CHECK(cell.begun <= 4 * 25);
+}
+
+// Guards against sound tasks of a step that wait for the delays of its failing ones.
+TEST_CASE("the delay of one task does not delay the others of its step", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.fails = [](const std::string&, const StartOrder& order) { return order.task.index < 300; };
+    cell.submitJob(job(jobId(1), lasting(400, 10)));
+    cell.live(milliseconds(5'000));
+    size_t sound = 0;
+    for (const auto& [id, worker] : cell.workers)
+        sound += static_cast<size_t>(
+            std::ranges::count_if(worker.running, [](const auto& run) { return run.first.index >= 300; }));
+    CHECK(sound == 100);
+}
