Keep most workers of a service in use, whatever fails

At most two fifths of the workers of a service, and at least one, are out of use because of failures: those with the most. The share is that of decision::WorkerHealth.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -298,6 +298,8 @@
     void checkRuns(WorkerSession& session);
     Exclusion exclusionOf(const WorkerSession& session, double failures, TimePoint now) const;
     static std::string_view nameOf(Exclusion exclusion);
+    double failureLimitOf(const WorkerSession& session) const;
+    void updateFailureLimits();
     WorkerAddress addressOf(const WorkerSession& session) const;
     record::EndT makeEnd(
         const TaskKey& task, uint32_t run, uint32_t serial, record::EndKind how, const std::string& checkpoint) const;
@@ -411,6 +413,9 @@
     ArrivalLimiter m_arrivals;
     std::set<std::string> m_waitingTenants; ///< Tenants with tasks that the last plan left waiting.
     std::map<std::string, TenantFigures> m_tenantFigures;
+    /// Failures above which a worker gets no tasks, by service. Only services are listed of which too many workers have
+    /// reached the usual limit.
+    std::map<std::string, double> m_failureLimits;
     decision::WorkerHealth m_taskHealth; ///< Tells jobs that fail everywhere from workers that fail everything.
     GangOffers m_largeGangs;
     RestartDelays m_restartDelays;
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -53,6 +53,7 @@
         return;
     m_planRequested = false;
     m_plans.increment();
+    updateFailureLimits();
     const auto now = m_clock.now();
     PlannerInput input { m_state, m_tickets,
         // The planner asks in the order of the serials, so the next session is mostly the one asked for.
@@ -120,6 +121,7 @@
         return requestPlan();
     if (m_waiting.unplaced.total() == 0)
         return;
+    updateFailureLimits();
     const auto now = m_clock.now();
     if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
         || (m_waiting.needsProxy && hasIdleProxy()) || hasWorkerForWaiting(now))
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -28,6 +28,8 @@
     constexpr milliseconds leadershipOverlap { 1'000 };
     // A worker counts as healthy for this long after a successful run, unless a later run has failed.
     constexpr milliseconds recentSuccessWindow { 6'000 };
+    // Largest part of the workers of a service that are out of use because of failures, as in decision::WorkerHealth.
+    constexpr double maxFailingShare = 0.4;
     // A worker gets no tasks after this many heartbeat intervals of silence.
     constexpr int silentIntervals = 3;
     // A task is moved if its progress does not change for this long, or for the given multiple of the expected time per
@@ -355,12 +357,41 @@
         return Exclusion::Removal;
     if (now < session.backoffUntil)
         return Exclusion::Pause;
-    if (failures >= maxRecentFailures)
+    if (failures >= maxRecentFailures && failures > failureLimitOf(session))
         return Exclusion::Failures;
     return now - session.lastContactAt > silentIntervals * m_options.heartbeatInterval ? Exclusion::Silent
                                                                                        : Exclusion::None;
 }
 
+double Leader::failureLimitOf(const WorkerSession& session) const
+{
+    if (m_failureLimits.empty())
+        return 0;
+    const auto limit = m_failureLimits.find(m_state.findWorker(session.serial)->worker.service);
+    return limit == m_failureLimits.end() ? 0 : limit->second;
+}
+
+/// Keeps most workers of each service in use, whatever fails. Those with the most failures are out of use first.
+void Leader::updateFailureLimits()
+{
+    const auto now = m_clock.now();
+    m_failureLimits.clear();
+    std::map<std::string, std::vector<double>> failing;
+    for (const auto& [serial, session] : m_sessions) {
+        if (const auto failures = session.failures.value(now); failures >= maxRecentFailures)
+            failing[m_state.findWorker(serial)->worker.service].push_back(failures);
+    }
+    for (auto& [service, failures] : failing) {
+        const auto workers = std::ranges::count_if(
+            m_state.workers(), [&](const auto& entry) { return entry.second.worker.service == service; });
+        const auto most = std::max<size_t>(1, static_cast<size_t>(maxFailingShare * static_cast<double>(workers)));
+        if (failures.size() <= most)
+            continue;
+        std::ranges::nth_element(failures, failures.begin() + static_cast<std::ptrdiff_t>(most), std::greater<>());
+        m_failureLimits[service] = failures[most];
+    }
+}
+
 std::string_view Leader::nameOf(Exclusion exclusion)
 {
     switch (exclusion) {
--- a/test/cell-failing-jobs-test.cc
+++ b/test/cell-failing-jobs-test.cc
@@ -145,3 +145,19 @@
             std::ranges::count_if(worker.running, [](const auto& run) { return run.first.index >= 300; }));
     CHECK(sound == 100);
 }
+
+// Guards against many failing jobs that together take all workers out of use.
+TEST_CASE("most workers stay in use, however many jobs fail", "[cell]")
+{
+    FailingJobsCell cell;
+    for (unsigned i = 0; i < 60; ++i) {
+        cell.failingJobs.insert(jobId(100 + i));
+        auto failing = lasting(workerCount, 10);
+        failing->max_per_worker = 1;
+        cell.submitJob(job(jobId(100 + i), std::move(failing)));
+    }
+    cell.live(milliseconds(500));
+    constexpr uint32_t inUse = workerCount - workerCount * 4 / 10;
+    cell.submitWide(2, inUse);
+    CHECK(cell.liveUntil(milliseconds(1'000), [&] { return cell.runningOf(jobId(2)) == inUse; }));
+}
