Plan every three seconds while tasks wait, and count what that starts

The last line behind the comparison of what plans read: a change that it misses delays a task by three seconds and not for good. Starts and questions to the advisor that only such a plan has brought are counted (cell_fallback_starts_total) and logged as a decision "plan ... fallback". They show a change that is not noticed.

--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -185,6 +185,7 @@
             TimePoint since;
         };
         UnplacedTasks unplaced;
+        TimePoint plannedAt;
         std::optional<TimePoint> retryAt;
         bool mayStartLargeGang = true;
         bool needsProxy = false; ///< A question to the advisor was not sent, because no proxy was idle.
@@ -345,8 +346,9 @@
     WorkerHealthView viewOf(const WorkerSession& session, TimePoint now) const;
     void rememberWaiting(const Plan& plan, const PlannerInput& input);
     void replanIfChanged();
+    void recordFallback(const std::string& step, uint64_t tasks);
     bool hasWorkerForWaiting(TimePoint now) const;
-    void askAdvisor(const std::vector<AdviceRequest>& requests);
+    size_t askAdvisor(const std::vector<AdviceRequest>& requests);
     bool isIdle(const AdvisorProxy& proxy) const;
     bool hasIdleProxy() const;
     void logStarts(const std::vector<record::StartT>& starts) const;
@@ -377,6 +379,7 @@
     Counter& m_polls;
     Counter& m_adviceCalls;
     Counter& m_plans;
+    Counter& m_fallbackStarts;
     Counter& m_callsHandled;
     Counter& m_stateRefusals;
     Counter& m_keyRefusals;
@@ -395,6 +398,7 @@
     bool m_fenced = false;
     bool m_planRequested = false;
     bool m_planScheduled = false;
+    bool m_isFallbackPlan = false; ///< The plan is requested only because tasks have waited for some time.
     Waiting m_waiting;
     TimePoint m_nextPlanAt; ///< No plan is made before this time.
     bool m_startsProposed = false;
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -25,11 +25,15 @@
     constexpr milliseconds maxPlanPause { 40 };
     // Proxies announce themselves every second.
     constexpr milliseconds advisorProxyTimeout { 3'000 };
+    // Time without a plan after which one is made while tasks wait, although nothing is known to have changed. It is a
+    // third of the 9 s for which a task that lasts may be away.
+    constexpr milliseconds fallbackInterval { 3'000 };
 } // namespace
 
 void Leader::requestPlan()
 {
     m_planRequested = true;
+    m_isFallbackPlan = false;
     if (m_planScheduled || m_startsProposed || !m_active)
         return;
     m_planScheduled = true;
@@ -52,6 +56,7 @@
     if (!m_active || m_fenced || m_startsProposed || !m_planRequested || !m_hooks.holdsLease())
         return;
     m_planRequested = false;
+    const bool isFallback = std::exchange(m_isFallbackPlan, false);
     m_plans.increment();
     updateFailureLimits();
     const auto now = m_clock.now();
@@ -79,9 +84,13 @@
     m_nextPlanAt = m_clock.now() + std::min<Duration>(planPauseFactor * planTime, maxPlanPause);
     m_nextDueMs = result.nextDueMs;
     rememberWaiting(result, input);
-    askAdvisor(result.advice);
+    const auto asked = askAdvisor(result.advice);
+    if (isFallback && asked > 0)
+        recordFallback(stepName(result.advice.front().step), asked);
     if (result.starts.empty())
         return;
+    if (isFallback)
+        recordFallback(stepName(taskOf(result.starts.front())), result.starts.size());
     logStarts(result.starts);
     record::CommandT command;
     for (auto& start : result.starts)
@@ -102,9 +111,10 @@
 void Leader::rememberWaiting(const Plan& plan, const PlannerInput& input)
 {
     const auto now = m_clock.now();
-    Waiting waiting {
-        .unplaced = plan.unplaced, .retryAt = plan.retryAt, .mayStartLargeGang = input.mayStartLargeGang
-    };
+    Waiting waiting { .unplaced = plan.unplaced,
+        .plannedAt = now,
+        .retryAt = plan.retryAt,
+        .mayStartLargeGang = input.mayStartLargeGang };
     for (const auto& step : plan.waiting) {
         const auto before = m_waiting.steps.find(step.step);
         const bool isSame = before != m_waiting.steps.end() && before->second.reason == step.reason;
@@ -125,7 +135,19 @@
     const auto now = m_clock.now();
     if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
         || (m_waiting.needsProxy && hasIdleProxy()) || hasWorkerForWaiting(now))
-        requestPlan();
+        return requestPlan();
+    if (m_startsProposed || m_planScheduled || now - m_waiting.plannedAt < fallbackInterval)
+        return;
+    requestPlan();
+    m_isFallbackPlan = true;
+}
+
+/// Records starts, or steps about which the advisor is asked, that only the time since the last plan has brought. They
+/// show that a change was not noticed.
+void Leader::recordFallback(const std::string& step, uint64_t tasks)
+{
+    m_fallbackStarts.increment(tasks);
+    recordDecision("plan", step, "fallback", absl::StrCat("tasks=", tasks));
 }
 
 /// Returns true if some worker can take tasks that it could not take when the last plan was made.
@@ -167,9 +189,11 @@
     }
 }
 
-void Leader::askAdvisor(const std::vector<AdviceRequest>& requests)
+/// Returns the number of steps about which the advisor was asked.
+size_t Leader::askAdvisor(const std::vector<AdviceRequest>& requests)
 {
     const auto now = m_clock.now();
+    size_t asked = 0;
     for (const auto& request : requests) {
         const auto retry = m_adviceRetryAt.find(request.step);
         if (retry != m_adviceRetryAt.end() && now < retry->second) {
@@ -180,7 +204,7 @@
             = std::ranges::find_if(m_advisorProxies, [this](const auto& entry) { return isIdle(entry.second); });
         if (idle == m_advisorProxies.end()) {
             m_waiting.needsProxy = true;
-            return;
+            return asked;
         }
         std::vector<std::string> ids;
         for (const auto serial : request.workers)
@@ -227,7 +251,9 @@
         };
         m_hooks.advise(idle->first, request.step, ids, finish);
         m_hooks.runAfter(request.expectedDuration + adviceTimeoutMargin, [finish] { finish({}); });
+        ++asked;
     }
+    return asked;
 }
 
 bool Leader::isIdle(const AdvisorProxy& proxy) const
--- a/src/cell/leader.cc
+++ b/src/cell/leader.cc
@@ -84,6 +84,7 @@
     , m_polls(metrics.counter("cell_looks_total"))
     , m_adviceCalls(metrics.counter("cell_advice_calls_total"))
     , m_plans(metrics.counter("cell_plans_total"))
+    , m_fallbackStarts(metrics.counter("cell_fallback_starts_total"))
     , m_callsHandled(metrics.counter("cell_calls_total"))
     , m_stateRefusals(metrics.counter("memory_state_refused_total"))
     , m_keyRefusals(metrics.counter("cell_keys_refused_total"))
--- a/test/cell-waiting-test.cc
+++ b/test/cell-waiting-test.cc
@@ -37,7 +37,7 @@
     }
     bool startsBySilence()
     {
-        return liveUntil(longestWait, [this] { return runningOf(jobId(1)) == 1; });
+        return liveUntil(longestWait, [this] { return runningOf(jobId(1)) == 1; }) && fallbackStarts() == 0;
     }
 };
 
@@ -69,6 +69,7 @@
     report->seen = { cell.state.findWorkerById("w1")->worker.serial };
     cell.call(std::move(report));
     CHECK(cell.liveUntil(milliseconds(1'000), [&] { return cell.running() == 1; }));
+    CHECK(cell.fallbackStarts() == 0);
 }
 
 // Guards against a task that waits for good for a worker whose polls have failed and are answered again.
@@ -149,6 +150,7 @@
     cell.live(milliseconds(500));
     cell.submitJob(job(jobId(1), lasting(600, 10)));
     CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 600; }));
+    CHECK(cell.fallbackStarts() == 0);
 }
 
 // Guards against a second large gang that waits for good behind the orders of the first one.
@@ -165,6 +167,7 @@
         cell.submitJob(job(jobId(i), std::move(gang)));
     }
     CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 1'400; }));
+    CHECK(cell.fallbackStarts() == 0);
 }
 
 // Guards against review/11: a new leader asks the advisor nothing, because it knew no proxy when it made its plan.
@@ -192,6 +195,7 @@
     cell.advisorAnswers = true;
     cell.proxies = { "h1" };
     CHECK(cell.liveUntil(longestWait, [&] { return cell.running() == 1; }));
+    CHECK(cell.fallbackStarts() == 0);
 }
 
 // Guards against a step that is never asked about again after a call without an answer.
@@ -291,4 +295,21 @@
     }
     cell.submitJob(job(jobId(1), lasting(100, 10)));
     CHECK(cell.liveUntil(longestWait, [&] { return cell.runningOf(jobId(1)) == 100; }));
+    CHECK(cell.fallbackStarts() == 0);
+}
+
+// Guards against a wait without end for an event that the leader does not notice, and against plans at each tick while
+// tasks wait.
+TEST_CASE("a plan is made every few seconds while tasks wait", "[cell]")
+{
+    OneWorkerCell cell;
+    auto impossible = lasting(1);
+    impossible->needs = "a label that no worker has";
+    cell.submitJob(job(jobId(1), std::move(impossible)));
+    auto& plans = cell.metrics.counter("cell_plans_total");
+    const auto before = plans.value();
+    cell.live(milliseconds(9'000));
+    CHECK(plans.value() - before >= 2);
+    CHECK(plans.value() - before <= 4);
+    CHECK(cell.fallbackStarts() == 0);
 }
