Look only at the workers that the last plan could not use

The comparison at each tick evaluated each worker, also those that the last plan could use, which cannot let a waiting task start. The order of two constants is restored with their comment.

--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -154,9 +154,11 @@
 bool Leader::hasWorkerForWaiting(TimePoint now) const
 {
     return std::ranges::any_of(m_sessions, [this, now](const auto& entry) {
-        const auto view = viewOf(entry.second, now);
         const auto& before = entry.second.plannedWith;
-        return view.usable && view.startRoom > 0 && (!before.usable || before.startRoom == 0);
+        if (before.usable && before.startRoom > 0)
+            return false;
+        const auto view = viewOf(entry.second, now);
+        return view.usable && view.startRoom > 0;
     });
 }
 
--- a/src/cell/planner.cc
+++ b/src/cell/planner.cc
@@ -34,9 +34,9 @@
     constexpr size_t adviceWorkersPerTask = 2; // About a third to two thirds of the workers may run a step.
     // A step is wide if its waiting tasks would take more than this part of the starts of a plan. All wide steps
     // together take at most half of the starts while others wait.
-    constexpr size_t maxListedWaiting = 20; // Steps in the list for operators.
     constexpr size_t wideStepDivisor = 4;
     constexpr size_t wideStepsDivisor = 2;
+    constexpr size_t maxListedWaiting = 20; // Steps in the list for operators.
 
     /// Capacity that is kept for tasks of a wide step, which start later in this round or in one of the next.
     struct Reservation {
