--- a/test/cell-live-workers.h
+++ b/test/cell-live-workers.h
@@ -21,8 +21,10 @@
         int64_t leaseUntilMs = 0;
         TimePoint nextBeatAt;
     };
-    /// Returns how a run that has begun ends after `failAfter`; Running if it lasts.
+    /// Returns true for a run that fails after `failAfter`; others last.
     std::function<bool(const std::string& worker, const StartOrder&)> fails;
+    /// Returns the result of a start at a worker that can be reached; all are accepted if it is null.
+    std::function<OrderResult()> startResult;
     std::map<std::string, LiveWorker> workers;
     std::map<std::string, std::unique_ptr<record::WorkerT>> records;
     milliseconds orderTime { 0 }; ///< Time from a start order to its answer.
@@ -167,6 +169,8 @@
         auto& worker = workers.at(sent.to.id);
         if (worker.isCutOff)
             return OrderResult::NotSent;
+        if (const auto result = startResult ? startResult() : OrderResult::Accepted; result != OrderResult::Accepted)
+            return result;
         worker.leaseUntilMs = std::max(worker.leaseUntilMs, sent.order.leaseUntilMs);
         if (worker.running.emplace(sent.order.task, sent.order.run).second) {
             ++begun;
