--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -347,6 +347,7 @@
     void rememberWaiting(const Plan& plan, const PlannerInput& input);
     void replanIfChanged();
     void recordFallback(const std::string& step, uint64_t tasks);
+    bool hasChangedForWaiting(TimePoint now) const;
     bool hasWorkerForWaiting(TimePoint now) const;
     size_t askAdvisor(const std::vector<AdviceRequest>& requests);
     bool isIdle(const AdvisorProxy& proxy) const;
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -56,10 +56,11 @@
     if (!m_active || m_fenced || m_startsProposed || !m_planRequested || !m_hooks.holdsLease())
         return;
     m_planRequested = false;
-    const bool isFallback = std::exchange(m_isFallbackPlan, false);
     m_plans.increment();
     updateFailureLimits();
     const auto now = m_clock.now();
+    // The change may have come after the request.
+    const bool isFallback = std::exchange(m_isFallbackPlan, false) && !hasChangedForWaiting(now);
     PlannerInput input { m_state, m_tickets,
         // The planner asks in the order of the serials, so the next session is mostly the one asked for.
         [this, now, next = m_sessions.begin()](uint32_t serial) mutable {
@@ -133,8 +134,7 @@
         return;
     updateFailureLimits();
     const auto now = m_clock.now();
-    if ((m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
-        || (m_waiting.needsProxy && hasIdleProxy()) || hasWorkerForWaiting(now))
+    if (hasChangedForWaiting(now))
         return requestPlan();
     if (m_startsProposed || m_planScheduled || now - m_waiting.plannedAt < fallbackInterval)
         return;
@@ -150,6 +150,13 @@
     recordDecision("plan", step, "fallback", absl::StrCat("tasks=", tasks));
 }
 
+/// Returns true if something that the last plan has read beside the state allows more now.
+bool Leader::hasChangedForWaiting(TimePoint now) const
+{
+    return (m_waiting.retryAt && now >= *m_waiting.retryAt) || (!m_waiting.mayStartLargeGang && maySendLargeGang())
+        || (m_waiting.needsProxy && hasIdleProxy()) || hasWorkerForWaiting(now);
+}
+
 /// Returns true if some worker can take tasks that it could not take when the last plan was made.
 bool Leader::hasWorkerForWaiting(TimePoint now) const
 {
