Pause the clock of a consensus test while a batch is committed

Trace: its clock moves 5 ms for each millisecond that it waits, also while the disks sync. A slow sync then lets the leader's term end; the batch is answered with LEADERSHIP_LOST, and the test waits for 50 successes that cannot come.

The clock now stands still while a batch is committed.

--- a/test/consensus-groups.h
+++ b/test/consensus-groups.h
@@ -160,6 +160,17 @@
         return false;
     }
 
+    /// Waits with the clock paused, so that no election begins however slowly the disks sync.
+    static bool waitUntil(const std::function<bool()>& condition)
+    {
+        for (int round = 0; round < 20'000; ++round) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(1ms);
+        }
+        return false;
+    }
+
     /// Calls `call` and returns the result that it passes to its callback.
     absl::StatusOr<Applied> wait(const std::function<void(Group::ProposalCallback)>& call)
     {
