Compare workers only while a task waits for one

Tasks that wait for a cap, a gang or the delay of a restart cannot start because a worker can take more. The comparison at each tick skips the workers then.

--- a/include/turmericpier/cell/wait-reason.h
+++ b/include/turmericpier/cell/wait-reason.h
@@ -32,6 +32,11 @@
 
     uint32_t operator[](WaitReason reason) const { return counts.at(static_cast<size_t>(reason)); }
     uint32_t total() const { return std::accumulate(counts.begin(), counts.end(), 0U); }
+    /// Returns true if a worker that can take more tasks may let some of these start.
+    bool mayNeedWorker() const
+    {
+        return (*this)[WaitReason::NoRoom] + (*this)[WaitReason::OrdersQueued] + (*this)[WaitReason::Advice] > 0;
+    }
     void add(WaitReason reason, uint64_t tasks)
     {
         counts.at(static_cast<size_t>(reason)) += static_cast<uint32_t>(tasks);
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -160,6 +160,9 @@
 /// Returns true if some worker can take tasks that it could not take when the last plan was made.
 bool Leader::hasWorkerForWaiting(TimePoint now) const
 {
+    // A plan that has left all tasks out for other reasons has read no worker.
+    if (!m_waiting.unplaced.mayNeedWorker())
+        return false;
     return std::ranges::any_of(m_sessions, [this, now](const auto& entry) {
         const auto& before = entry.second.plannedWith;
         if (before.usable && before.startRoom > 0)
--- a/test/cell-failing-jobs-test.cc
+++ b/test/cell-failing-jobs-test.cc
@@ -132,6 +132,19 @@
     CHECK(cell.begun <= 4 * 25);
 }
 
+// Guards against a plan at each tick while the only tasks that wait do so for the delay of their restarts.
+TEST_CASE("delayed restarts cause no plans until they are due", "[cell]")
+{
+    FailingJobsCell cell;
+    cell.submitFailing(1, 1);
+    cell.live(milliseconds(12'000)); // By now the delay is 4 s.
+    auto& plans = cell.metrics.counter("cell_plans_total");
+    const auto before = plans.value();
+    cell.live(milliseconds(12'000));
+    CHECK(plans.value() - before <= 30);
+    CHECK(cell.fallbackStarts() == 0);
+}
+
 // Guards against sound tasks of a step that wait for the delays of its failing ones.
 TEST_CASE("the delay of one task does not delay the others of its step", "[cell]")
 {
