--- a/include/turmericpier/cell/failure-count.h
+++ b/include/turmericpier/cell/failure-count.h
@@ -26,7 +26,7 @@
     void recordSuccess(TimePoint now);
     /// Removes what tasks of the job have added, once the job is known to be at fault.
     void forgetJob(const std::string& job);
-    double value(TimePoint now) const;
+    double value(TimePoint now) const { return isEmpty() ? 0 : sumAt(now); }
     /// Time of the last failure.
     TimePoint lastAt() const { return m_lastAt; }
 
@@ -43,6 +43,9 @@
         Decaying count;
     };
 
+    bool isEmpty() const { return m_own.value == 0 && m_jobs.empty(); }
+    double sumAt(TimePoint now) const;
+
     Decaying m_own;
     std::vector<JobFailures> m_jobs;
     TimePoint m_lastAt;
@@ -50,5 +53,7 @@
 
 /// A worker with at least this many recent failures gets no tasks.
 inline constexpr double maxRecentFailures = 2.5;
+/// Time after the last failure by which each count is below this limit again.
+inline constexpr std::chrono::seconds maxTimeOutOfUse { 13 };
 
 } // namespace turmericpier::cell
--- a/include/turmericpier/cell/leader.h
+++ b/include/turmericpier/cell/leader.h
@@ -292,6 +292,7 @@
     void appendLateCrashes(record::CommandT& command, const record::WorkerT& worker);
     void appendEndsOfLostRuns(record::CommandT& command, const WorkerSession& session, bool hasCrashed) const;
     void onFenced(const WorkerSession& session);
+    void recordOwnFailure(WorkerSession& session, double weight);
     void recordTaskFailure(WorkerSession& session, const std::string& job, double weight);
     void recordSuccess(WorkerSession& session, const std::string& job);
     static WorkerId healthIdOf(uint32_t serial);
@@ -421,6 +422,7 @@
     /// Failures above which a worker gets no tasks, by service. Only services are listed of which too many workers have
     /// reached the usual limit.
     std::map<std::string, double> m_failureLimits;
+    TimePoint m_lastFailureAt; ///< Of any worker.
     decision::WorkerHealth m_taskHealth; ///< Tells jobs that fail everywhere from workers that fail everything.
     GangOffers m_largeGangs;
     RestartDelays m_restartDelays;
--- a/include/turmericpier/cell/restart-delays.h
+++ b/include/turmericpier/cell/restart-delays.h
@@ -28,6 +28,7 @@
     void forgetJob(const std::string& job);
     /// Removes the tasks whose last end is so long ago that the next one is the first of its kind again.
     void forgetOld(TimePoint now);
+    bool isEmpty() const { return m_steps.empty(); }
     void clear() { m_steps.clear(); }
 
 private:
--- a/src/cell/failure-count.cc
+++ b/src/cell/failure-count.cc
@@ -56,7 +56,7 @@
     std::erase_if(m_jobs, [&](const JobFailures& failures) { return failures.job == job; });
 }
 
-double FailureCount::value(TimePoint now) const
+double FailureCount::sumAt(TimePoint now) const
 {
     auto sum = m_own.valueAt(now);
     for (const auto& failures : m_jobs)
--- a/src/cell/leader-orders.cc
+++ b/src/cell/leader-orders.cc
@@ -134,7 +134,7 @@
         run.phase = RunPhase::InDoubt;
         run.phaseSince = m_clock.now();
     }
-    session.failures.record(1, m_clock.now());
+    recordOwnFailure(session, 1);
     if (!session.pollInFlight)
         poll(session);
 }
@@ -196,17 +196,17 @@
             poll(session); // Shows the later incarnation.
         return;
     case OrderResult::Unhealthy:
-        session.failures.record(1, m_clock.now());
+        recordOwnFailure(session, 1);
         session.backoffUntil = m_clock.now() + unhealthyBackoff;
         return proposeNeverStarted(session, task, run);
     case OrderResult::BadTicket:
         m_tickets.expire(stepOf(task), session.serial);
         return proposeNeverStarted(session, task, run);
     case OrderResult::NoRoom:
-        session.failures.record(1, m_clock.now());
+        recordOwnFailure(session, 1);
         return proposeNeverStarted(session, task, run);
     case OrderResult::ConnectionRefused:
-        session.failures.record(2, m_clock.now());
+        recordOwnFailure(session, 2);
         session.backoffUntil = m_clock.now() + unhealthyBackoff;
         return proposeNeverStarted(session, task, run);
     case OrderResult::Superseded:
--- a/src/cell/leader-plans.cc
+++ b/src/cell/leader-plans.cc
@@ -74,7 +74,8 @@
         [this](const StepKey& step) { return m_adviceInFlight.contains(step); }, now + ticketMargin, m_hooks.wallMs() };
     input.mayStartLargeGang = maySendLargeGang();
     input.deferredUntil = [this, now](const StepKey& step) { return m_largeGangs.deferredUntil(step, now); };
-    input.delayedTasks = [this, now](const StepKey& step) { return m_restartDelays.delayedTasks(step, now); };
+    if (!m_restartDelays.isEmpty())
+        input.delayedTasks = [this, now](const StepKey& step) { return m_restartDelays.delayedTasks(step, now); };
     auto result = plan(input);
     const auto planTime = m_clock.now() - now;
     m_planLatency.record(planTime);
--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -312,6 +312,12 @@
 
 WorkerId Leader::healthIdOf(uint32_t serial) { return WorkerId(absl::StrCat(serial)); }
 
+void Leader::recordOwnFailure(WorkerSession& session, double weight)
+{
+    m_lastFailureAt = m_clock.now();
+    session.failures.record(weight, m_lastFailureAt);
+}
+
 /// Counts the failure of a task against its worker, unless the job fails on workers that are sound for other jobs.
 void Leader::recordTaskFailure(WorkerSession& session, const std::string& job, double weight)
 {
@@ -319,8 +325,10 @@
     const JobId id(job);
     const bool wasSuspect = m_taskHealth.isSuspect(id);
     m_taskHealth.taskFailed(healthIdOf(session.serial), id, now);
-    if (!m_taskHealth.isSuspect(id))
+    if (!m_taskHealth.isSuspect(id)) {
+        m_lastFailureAt = now;
         return session.failures.recordTask(job, weight, now);
+    }
     if (wasSuspect)
         return;
     recordDecision("job", job, "fails everywhere");
@@ -376,6 +384,8 @@
 {
     const auto now = m_clock.now();
     m_failureLimits.clear();
+    if (now - m_lastFailureAt > maxTimeOutOfUse)
+        return;
     std::map<std::string, std::vector<double>> failing;
     for (const auto& [serial, session] : m_sessions) {
         if (const auto failures = session.failures.value(now); failures >= maxRecentFailures)
--- a/test/cell-failure-count-test.cc
+++ b/test/cell-failure-count-test.cc
@@ -35,7 +35,7 @@
         failures.recordTask(std::to_string(i), 1, start + seconds(6));
     }
     CHECK(failures.value(start + seconds(6)) >= maxRecentFailures);
-    CHECK(failures.value(start + seconds(19)) < maxRecentFailures);
+    CHECK(failures.value(start + seconds(6) + maxTimeOutOfUse) < maxRecentFailures);
 }
 
 // Guards against a sound worker that keeps the failures of tasks although others succeed, or although the job was at
