--- a/src/cell/leader-workers.cc
+++ b/src/cell/leader-workers.cc
@@ -393,7 +393,7 @@
     }
     for (auto& [service, failures] : failing) {
         const auto workers = std::ranges::count_if(
-            m_state.workers(), [&](const auto& entry) { return entry.second.worker.service == service; });
+            m_state.workers(), [&name = service](const auto& entry) { return entry.second.worker.service == name; });
         const auto most = std::max<size_t>(1, static_cast<size_t>(maxFailingShare * static_cast<double>(workers)));
         if (failures.size() <= most)
             continue;
